--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,7 @@
+/** What every package shares: vocabulary, findings with their place, refusals, clock, assertions. */
+export * from "./types.js";
+export * from "./clock.js";
+export * from "./findings.js";
+export * from "./errors.js";
+export * as Debug from "./debug.js";
+export * as messages from "./messages.js";
--- /dev/null
+++ b/packages/platform/src/memoryKeyValueService.ts
@@ -0,0 +1,241 @@
+import * as core from "@boragedale/core";
+import * as services from "./services.js";
+import * as types from "./types.js";
+
+/** Faults that a test switches on. Each stays until it is switched off. */
+export interface KeyValueFaults {
+    isDown: boolean;
+    /** Extra time before each call takes effect. */
+    delayMilliseconds: number;
+    /** This many of the next writes take effect, but their reply is lost. */
+    lostReplies: number;
+    /** Watch events are dropped, and told as a gap once this is switched off. */
+    isWatchCut: boolean;
+}
+
+interface Lease {
+    readonly id: types.LeaseId;
+    readonly milliseconds: number;
+    stop: () => void;
+}
+
+interface Watcher {
+    readonly prefix: string;
+    readonly deliver: (event: types.WatchEvent) => void;
+    hasMissed: boolean;
+}
+
+/**
+ * A key-value service in memory, on the clock it is given: the state behind the HTTP stand-in, and the service itself
+ * in tests in virtual time. It keeps no history, so a watch that starts behind the present begins with a gap.
+ */
+export class MemoryKeyValueService extends services.KeyValueService {
+    readonly faults: KeyValueFaults = { isDown: false, delayMilliseconds: 0, lostReplies: 0, isWatchCut: false };
+    /** Number of calls by purpose, watches counted once each. */
+    readonly calls = new Map<types.CallPurpose, number>();
+    /** Number of writes that took effect, by purpose. */
+    readonly writes = new Map<types.CallPurpose, number>();
+    private revision: types.Revision = 0;
+    private nextLease = 1;
+    private readonly entries = new Map<string, types.Entry & { readonly lease?: types.LeaseId }>();
+    private readonly leases = new Map<types.LeaseId, Lease>();
+    private readonly watchers = new Set<Watcher>();
+
+    constructor(private readonly clock: core.Clock) {
+        super();
+    }
+
+    /** Revision of the newest write. */
+    getRevision(): types.Revision {
+        return this.revision;
+    }
+
+    override async get(
+        key: string,
+        purpose: types.CallPurpose,
+    ): Promise<types.KeyValueResult<types.Entry | undefined>> {
+        const failure = await this.enter(purpose);
+        return failure ?? { ok: true, value: this.entries.get(key) };
+    }
+
+    override async list(request: types.ListRequest): Promise<types.KeyValueResult<readonly types.Entry[]>> {
+        const failure = await this.enter(request.purpose);
+        if (failure !== undefined) {
+            return failure;
+        }
+        const keys = [...this.entries.keys()]
+            .filter(key => key.startsWith(request.prefix) && (request.after === undefined || key > request.after))
+            .sort()
+            .slice(0, request.limit);
+        return { ok: true, value: keys.map(key => core.Debug.checkDefined(this.entries.get(key), key)) };
+    }
+
+    override async compareAndSwap(request: types.SwapRequest): Promise<types.KeyValueResult<types.SwapOutcome>> {
+        const failure = await this.enter(request.purpose);
+        if (failure !== undefined) {
+            return failure;
+        }
+        if (request.value !== undefined && request.value.byteLength > services.MaximumValueBytes) {
+            return createFailure(types.KeyValueFailureKind.Unavailable, "the value is over the size limit");
+        }
+        if (request.lease !== undefined && !this.leases.has(request.lease)) {
+            return createFailure(types.KeyValueFailureKind.Unavailable, "the lease has ended");
+        }
+        const current = this.entries.get(request.key);
+        if ((current?.revision ?? 0) !== request.expectedRevision) {
+            return { ok: true, value: { swapped: false, current } };
+        }
+        this.apply(request.key, request.value, request.lease);
+        this.writes.set(request.purpose, (this.writes.get(request.purpose) ?? 0) + 1);
+        const revision = this.revision;
+        if (this.faults.lostReplies > 0) {
+            this.faults.lostReplies--;
+            return createFailure(types.KeyValueFailureKind.ReplyLost, "the reply was lost");
+        }
+        return { ok: true, value: { swapped: true, revision } };
+    }
+
+    override async grantLease(milliseconds: number): Promise<types.KeyValueResult<types.LeaseId>> {
+        const failure = await this.enter(types.CallPurpose.Lease);
+        if (failure !== undefined) {
+            return failure;
+        }
+        const id = String(this.nextLease++);
+        this.leases.set(id, { id, milliseconds, stop: this.scheduleLeaseEnd(id, milliseconds) });
+        return { ok: true, value: id };
+    }
+
+    override async keepLeaseAlive(id: types.LeaseId): Promise<types.KeyValueResult<boolean>> {
+        const failure = await this.enter(types.CallPurpose.Lease);
+        if (failure !== undefined) {
+            return failure;
+        }
+        const lease = this.leases.get(id);
+        if (lease === undefined) {
+            return { ok: true, value: false };
+        }
+        lease.stop();
+        lease.stop = this.scheduleLeaseEnd(id, lease.milliseconds);
+        return { ok: true, value: true };
+    }
+
+    override async revokeLease(id: types.LeaseId): Promise<types.KeyValueResult<void>> {
+        const failure = await this.enter(types.CallPurpose.Lease);
+        if (failure === undefined) {
+            this.endLease(id);
+        }
+        return failure ?? { ok: true, value: undefined };
+    }
+
+    override async *watch(request: types.WatchRequest): AsyncIterable<types.WatchEvent> {
+        this.count(types.CallPurpose.Watch);
+        const queue: types.WatchEvent[] = [];
+        let wake: () => void = () => undefined;
+        const watcher: Watcher = {
+            prefix: request.prefix,
+            hasMissed: false,
+            deliver: event => {
+                queue.push(event);
+                wake();
+            },
+        };
+        this.watchers.add(watcher);
+        const stop = (): void => wake();
+        request.signal.addEventListener("abort", stop);
+        try {
+            if (request.afterRevision < this.revision) {
+                yield { kind: types.WatchEventKind.Gap, revision: this.revision };
+            }
+            while (!request.signal.aborted) {
+                const event = queue.shift();
+                if (event !== undefined) {
+                    yield event;
+                    continue;
+                }
+                await new Promise<void>(resolve => {
+                    wake = resolve;
+                });
+            }
+        }
+        finally {
+            this.watchers.delete(watcher);
+            request.signal.removeEventListener("abort", stop);
+        }
+    }
+
+    /** Ends the cut of the watches: everyone who missed a change is told so. */
+    healWatches(): void {
+        this.faults.isWatchCut = false;
+        for (const watcher of this.watchers) {
+            if (watcher.hasMissed) {
+                watcher.hasMissed = false;
+                watcher.deliver({ kind: types.WatchEventKind.Gap, revision: this.revision });
+            }
+        }
+    }
+
+    private async enter(purpose: types.CallPurpose): Promise<ReturnType<typeof createFailure> | undefined> {
+        this.count(purpose);
+        if (this.faults.delayMilliseconds > 0) {
+            await this.clock.sleep(this.faults.delayMilliseconds);
+        }
+        if (this.faults.isDown) {
+            return createFailure(types.KeyValueFailureKind.Unavailable, "the key-value service is down");
+        }
+        return undefined;
+    }
+
+    private count(purpose: types.CallPurpose): void {
+        this.calls.set(purpose, (this.calls.get(purpose) ?? 0) + 1);
+    }
+
+    private apply(key: string, value: Uint8Array | undefined, lease: types.LeaseId | undefined): void {
+        this.revision++;
+        if (value === undefined) {
+            this.entries.delete(key);
+            this.announce(key, { kind: types.WatchEventKind.Removed, key, revision: this.revision });
+            return;
+        }
+        const entry = { key, value: Uint8Array.from(value), revision: this.revision, lease };
+        this.entries.set(key, entry);
+        this.announce(key, { kind: types.WatchEventKind.Changed, entry });
+    }
+
+    private announce(key: string, event: types.WatchEvent): void {
+        for (const watcher of this.watchers) {
+            if (!key.startsWith(watcher.prefix)) {
+                continue;
+            }
+            if (this.faults.isWatchCut) {
+                watcher.hasMissed = true;
+                continue;
+            }
+            watcher.deliver(event);
+        }
+    }
+
+    private scheduleLeaseEnd(id: types.LeaseId, milliseconds: number): () => void {
+        return this.clock.schedule(milliseconds, () => this.endLease(id));
+    }
+
+    private endLease(id: types.LeaseId): void {
+        const lease = this.leases.get(id);
+        if (lease === undefined) {
+            return;
+        }
+        lease.stop();
+        this.leases.delete(id);
+        for (const [key, entry] of [...this.entries]) {
+            if (entry.lease === id) {
+                this.apply(key, undefined, undefined);
+            }
+        }
+    }
+}
+
+function createFailure(
+    kind: types.KeyValueFailureKind,
+    text: string,
+): { readonly ok: false; readonly failure: types.KeyValueFailure } {
+    return { ok: false, failure: { kind, text } };
+}
--- /dev/null
+++ b/packages/platform/test/memoryKeyValueService.test.ts
@@ -0,0 +1,68 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+
+const suite = uvu.suite("key-value service in memory");
+const encoder = new TextEncoder();
+
+function createSwap(key: string, expectedRevision: number, value: string | undefined): platform.SwapRequest {
+    const bytes = value === undefined ? undefined : encoder.encode(value);
+    return { key, expectedRevision, value: bytes, purpose: platform.CallPurpose.Note };
+}
+
+suite("of two writers with one expected revision, one loses and is shown the winner", async () => {
+    const service = new platform.MemoryKeyValueService(new core.VirtualClock());
+    const first = await service.compareAndSwap(createSwap("note", 0, "a"));
+    const second = await service.compareAndSwap(createSwap("note", 0, "b"));
+    assert.ok(first.ok && first.value.swapped);
+    assert.ok(second.ok && !second.value.swapped);
+    assert.equal(new TextDecoder().decode(second.value.current?.value), "a");
+});
+
+suite("a write whose reply is lost has taken effect", async () => {
+    const service = new platform.MemoryKeyValueService(new core.VirtualClock());
+    service.faults.lostReplies = 1;
+    const written = await service.compareAndSwap(createSwap("note", 0, "a"));
+    assert.is(written.ok ? undefined : written.failure.kind, platform.KeyValueFailureKind.ReplyLost);
+    const read = await service.get("note", platform.CallPurpose.Read);
+    assert.is(read.ok && read.value?.revision, 1);
+});
+
+suite("an entry ends with its lease unless the lease is kept alive", async () => {
+    const clock = new core.VirtualClock();
+    const service = new platform.MemoryKeyValueService(clock);
+    const lease = await service.grantLease(1_000);
+    assert.ok(lease.ok);
+    await service.compareAndSwap({ ...createSwap("slot", 0, "x"), lease: lease.value });
+    await clock.advance(900);
+    await service.keepLeaseAlive(lease.value);
+    await clock.advance(900);
+    const kept = await service.get("slot", platform.CallPurpose.Read);
+    assert.ok(kept.ok && kept.value !== undefined);
+    await clock.advance(200);
+    const ended = await service.get("slot", platform.CallPurpose.Read);
+    assert.ok(ended.ok && ended.value === undefined);
+});
+
+suite("a watch that missed changes is told of the gap", async () => {
+    const service = new platform.MemoryKeyValueService(new core.VirtualClock());
+    const controller = new AbortController();
+    const events: platform.WatchEventKind[] = [];
+    const task = (async () => {
+        const watch = service.watch({ prefix: "", afterRevision: 0, signal: controller.signal });
+        for await (const event of watch) {
+            events.push(event.kind);
+        }
+    })();
+    await service.compareAndSwap(createSwap("a", 0, "1"));
+    service.faults.isWatchCut = true;
+    await service.compareAndSwap(createSwap("b", 0, "1"));
+    service.healWatches();
+    await new Promise(resolve => setImmediate(resolve));
+    controller.abort();
+    await task;
+    assert.equal(events, [platform.WatchEventKind.Changed, platform.WatchEventKind.Gap]);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,5 @@
+/** Event catalogue, time line, histograms and logs. */
+export * as events from "./events.js";
+export * from "./metrics.js";
+export * from "./telemetry.js";
+export * from "./timeLine.js";
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,90 @@
+import * as hdr from "hdr-histogram-js";
+
+/** Names and values that tell series of one metric apart. Few values each: never a request id. */
+export type Labels = Readonly<Record<string, string>>;
+
+const HighestTrackableMicroseconds = 3_600_000_000;
+const ReportedQuantiles = [0.5, 0.95, 0.99];
+
+interface Series<T> {
+    readonly name: string;
+    readonly labels: Labels;
+    value: T;
+}
+
+/** Counters, gauges and latency histograms, written out in the Prometheus text format. */
+export class Metrics {
+    private readonly counters = new Map<string, Series<number>>();
+    private readonly gauges = new Map<string, Series<() => number>>();
+    private readonly histograms = new Map<string, Series<hdr.Histogram>>();
+
+    count(name: string, labels: Labels = {}, amount = 1): void {
+        const series = getOrCreate(this.counters, name, labels, () => 0);
+        series.value += amount;
+    }
+
+    getCount(name: string, labels: Labels = {}): number {
+        return this.counters.get(formatSeries(name, labels))?.value ?? 0;
+    }
+
+    /** A value that is read when the metrics are. */
+    observeGauge(name: string, labels: Labels, read: () => number): void {
+        getOrCreate(this.gauges, name, labels, () => read).value = read;
+    }
+
+    /** Records a duration, kept in microseconds. */
+    recordDuration(name: string, labels: Labels, milliseconds: number): void {
+        const series = getOrCreate(this.histograms, name, labels, createHistogram);
+        const microseconds = Math.round(Math.max(0, milliseconds) * 1_000);
+        series.value.recordValue(Math.min(microseconds, HighestTrackableMicroseconds));
+    }
+
+    /** The duration in milliseconds that `percentile` (0 to 100) of the recorded ones stay under. */
+    getPercentile(name: string, labels: Labels, percentile: number): number {
+        const series = this.histograms.get(formatSeries(name, labels));
+        return series === undefined ? 0 : series.value.getValueAtPercentile(percentile) / 1_000;
+    }
+
+    /** Prometheus text format. */
+    format(): string {
+        const lines: string[] = [];
+        for (const series of this.counters.values()) {
+            lines.push(`${formatSeries(series.name, series.labels)} ${series.value}`);
+        }
+        for (const series of this.gauges.values()) {
+            lines.push(`${formatSeries(series.name, series.labels)} ${series.value()}`);
+        }
+        for (const series of this.histograms.values()) {
+            lines.push(...formatHistogram(series));
+        }
+        return lines.join("\n") + "\n";
+    }
+}
+
+function createHistogram(): hdr.Histogram {
+    return hdr.build({ highestTrackableValue: HighestTrackableMicroseconds, numberOfSignificantValueDigits: 2 });
+}
+
+function getOrCreate<T>(map: Map<string, Series<T>>, name: string, labels: Labels, create: () => T): Series<T> {
+    const key = formatSeries(name, labels);
+    let series = map.get(key);
+    if (series === undefined) {
+        series = { name, labels, value: create() };
+        map.set(key, series);
+    }
+    return series;
+}
+
+function formatSeries(name: string, labels: Labels): string {
+    const pairs = Object.entries(labels).map(([label, value]) => `${label}=${JSON.stringify(value)}`);
+    return pairs.length === 0 ? name : `${name}{${pairs.join(",")}}`;
+}
+
+function formatHistogram(series: Series<hdr.Histogram>): string[] {
+    const lines = ReportedQuantiles.map(quantile => {
+        const labels = { ...series.labels, quantile: String(quantile) };
+        return `${formatSeries(series.name, labels)} ${series.value.getValueAtPercentile(quantile * 100) / 1e6}`;
+    });
+    lines.push(`${formatSeries(`${series.name}_count`, series.labels)} ${series.value.totalCount}`);
+    return lines;
+}
