--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** What every package shares: vocabulary, findings with their place, refusals, clock, assertions. */
 export * from "./types.js";
+export * from "./fleet.js";
 export * from "./clock.js";
 export * from "./findings.js";
 export * from "./errors.js";
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,3 @@
 /** The platform's services: key-value service, instance list, weight store, and their HTTP adapters. */
 export * from "./types.js";
 export * from "./services.js";
-export * from "./memoryKeyValueService.js";
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** The inner protocol: messages, codec, peer link. */
+export * from "./types.js";
--- /dev/null
+++ b/packages/protocol/src/types.ts
@@ -0,0 +1,190 @@
+import type * as core from "@boragedale/core";
+
+/** Version of the inner protocol; two neighbouring ones may meet during a rolling upgrade. */
+export const ProtocolVersion = 1;
+
+/**
+ * Lanes of a peer link. Each lane is a connection of its own, since within one connection a bulk message would delay
+ * the small one behind it.
+ */
+export enum Lane {
+    Control = "Control",
+    Online = "Online",
+    Bulk = "Bulk",
+}
+
+export enum MessageKind {
+    Hello = "Hello",
+    Heartbeat = "Heartbeat",
+    Leaving = "Leaving",
+    NoteRequest = "NoteRequest",
+    NoteReply = "NoteReply",
+    LedgerBegin = "LedgerBegin",
+    LedgerBegun = "LedgerBegun",
+    LedgerFinish = "LedgerFinish",
+    LedgerFinished = "LedgerFinished",
+    LedgerRead = "LedgerRead",
+    LedgerRecord = "LedgerRecord",
+    JobCancelled = "JobCancelled",
+    OnlinePressure = "OnlinePressure",
+    SuspectReport = "SuspectReport",
+    Refused = "Refused",
+}
+
+export interface Hello {
+    readonly kind: MessageKind.Hello;
+    readonly version: number;
+    readonly instance: core.InstanceId;
+    readonly lane: Lane;
+    /** Proof of the shared key over both ends' challenges, in hexadecimal. */
+    readonly proof: string;
+}
+
+/** Sent both ways on the control lane; a link without one for three intervals is taken as silent and replaced. */
+export interface Heartbeat {
+    readonly kind: MessageKind.Heartbeat;
+    readonly generation: core.Generation;
+    /** Time-line clock of the sender. */
+    readonly logicalTime: number;
+    /** Whether the sender takes new duties. */
+    readonly state: core.LifeState;
+}
+
+export interface Leaving {
+    readonly kind: MessageKind.Leaving;
+    readonly instance: core.InstanceId;
+}
+
+export interface NoteRequest {
+    readonly kind: MessageKind.NoteRequest;
+    readonly newerThan: core.Generation;
+}
+
+export interface NoteReply {
+    readonly kind: MessageKind.NoteReply;
+    readonly note: core.NoteInForce | undefined;
+}
+
+/** Opaque to the protocol: the work package encodes its own records. */
+export interface LedgerBegin {
+    readonly kind: MessageKind.LedgerBegin;
+    readonly shard: number;
+    readonly payload: Uint8Array;
+}
+export interface LedgerBegun {
+    readonly kind: MessageKind.LedgerBegun;
+    readonly payload: Uint8Array;
+}
+export interface LedgerFinish {
+    readonly kind: MessageKind.LedgerFinish;
+    readonly shard: number;
+    readonly payload: Uint8Array;
+}
+export interface LedgerFinished {
+    readonly kind: MessageKind.LedgerFinished;
+    readonly payload: Uint8Array;
+}
+export interface LedgerRead {
+    readonly kind: MessageKind.LedgerRead;
+    readonly shard: number;
+    readonly payload: Uint8Array;
+}
+export interface LedgerRecord {
+    readonly kind: MessageKind.LedgerRecord;
+    readonly payload: Uint8Array;
+}
+
+export interface JobCancelled {
+    readonly kind: MessageKind.JobCancelled;
+    readonly job: string;
+}
+
+/** An instance tells an upstream's home how much online work it has there; the home makes room. */
+export interface OnlinePressure {
+    readonly kind: MessageKind.OnlinePressure;
+    readonly upstream: core.UpstreamId;
+    readonly inFlight: number;
+    readonly queued: number;
+}
+
+/** A request that was in flight when an upstream died. */
+export interface SuspectReport {
+    readonly kind: MessageKind.SuspectReport;
+    readonly fingerprint: string;
+    readonly deaths: number;
+}
+
+/** The peer could not serve a request; `text` says why. */
+export interface Refused {
+    readonly kind: MessageKind.Refused;
+    readonly text: string;
+}
+
+export type Message =
+    | Hello
+    | Heartbeat
+    | Leaving
+    | NoteRequest
+    | NoteReply
+    | LedgerBegin
+    | LedgerBegun
+    | LedgerFinish
+    | LedgerFinished
+    | LedgerRead
+    | LedgerRecord
+    | JobCancelled
+    | OnlinePressure
+    | SuspectReport
+    | Refused;
+
+export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
+
+export enum PeerFailureKind {
+    /** There is no open link: nothing was sent. */
+    NotConnected = "NotConnected",
+    /** No reply within the time given: the peer may have acted. */
+    TimedOut = "TimedOut",
+    /** The peer answered that it can't. */
+    Refused = "Refused",
+}
+
+export type PeerResult =
+    | { readonly ok: true; readonly message: Message }
+    | { readonly ok: false; readonly kind: PeerFailureKind; readonly text: string };
+
+export interface RequestOptions {
+    readonly lane: Lane;
+    readonly timeoutMilliseconds: number;
+}
+
+export type MessageHandler<K extends MessageKind> = (
+    message: MessageOf<K>,
+    from: core.InstanceId,
+) => Promise<Message | undefined>;
+
+/** The links to the peers whose duties this instance uses. */
+export abstract class PeerNetwork {
+    /** Sends a message and waits for the reply that carries its correlation id. */
+    abstract request(peer: core.InstanceId, message: Message, options: RequestOptions): Promise<PeerResult>;
+    /** Sends without waiting; false where no link is open. A notice may be lost: state must not rest on it. */
+    abstract notify(peer: core.InstanceId, message: Message, lane: Lane): boolean;
+    /** Registers the one handler of a kind of message. */
+    abstract handle<K extends MessageKind>(kind: K, handler: MessageHandler<K>): void;
+    /** Peers with an open link. */
+    abstract getConnectedPeers(): readonly core.InstanceId[];
+}
+
+/** Who is in the fleet, and who holds which duty. Soft state: a duty is never safe only because of it. */
+export abstract class Membership {
+    abstract getSelf(): core.InstanceId;
+    /** Live instances as far as known here, this one included while it is live. */
+    abstract getLiveInstances(): readonly core.InstanceDescription[];
+    /** The holder of a duty such as `ledger/17`, by rendezvous hashing over the live instances. */
+    abstract tryGetHolder(duty: string): core.InstanceId | undefined;
+    /** The holder among the instances of one data centre, or of the fleet where it has none. */
+    abstract tryGetHolderIn(dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined;
+    /** Whether the instance is known to be gone (absent from the list and silent), not only slow. */
+    abstract isGone(instance: core.InstanceId): boolean;
+    /** Calls `listener` when the set of live instances changes; the returned function stops it. */
+    abstract onChange(listener: () => void): () => void;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Small stand-ins for the platform and the upstreams, for tests and the demo. */
+export * from "./memoryKeyValueService.js";
+export * from "./memoryPeers.js";
--- /dev/null
+++ b/packages/standins/src/memoryPeers.ts
@@ -0,0 +1,68 @@
+import type * as core from "@boragedale/core";
+import * as protocol from "@boragedale/protocol";
+
+type AnyHandler = (message: protocol.Message, from: core.InstanceId) => Promise<protocol.Message | undefined>;
+
+/** Joins peer networks in memory; a test cuts instances off by name. */
+export class MemoryPeerHub {
+    readonly networks = new Map<core.InstanceId, MemoryPeerNetwork>();
+    readonly cutOff = new Set<core.InstanceId>();
+
+    createNetwork(instance: core.InstanceId): MemoryPeerNetwork {
+        const network = new MemoryPeerNetwork(this, instance);
+        this.networks.set(instance, network);
+        return network;
+    }
+
+    /** Takes an instance away for good. */
+    remove(instance: core.InstanceId): void {
+        this.networks.delete(instance);
+    }
+
+    isReachable(from: core.InstanceId, to: core.InstanceId): boolean {
+        return this.networks.has(from) && this.networks.has(to) && !this.cutOff.has(from) && !this.cutOff.has(to);
+    }
+}
+
+export class MemoryPeerNetwork extends protocol.PeerNetwork {
+    private readonly handlers = new Map<protocol.MessageKind, AnyHandler>();
+
+    constructor(
+        private readonly hub: MemoryPeerHub,
+        private readonly instance: core.InstanceId,
+    ) {
+        super();
+    }
+
+    override async request(peer: core.InstanceId, message: protocol.Message): Promise<protocol.PeerResult> {
+        if (!this.hub.isReachable(this.instance, peer)) {
+            return { ok: false, kind: protocol.PeerFailureKind.NotConnected, text: "no link" };
+        }
+        const reply = await this.hub.networks.get(peer)?.deliver(message, this.instance);
+        if (!this.hub.isReachable(this.instance, peer) || reply === undefined) {
+            return { ok: false, kind: protocol.PeerFailureKind.TimedOut, text: "no reply" };
+        }
+        return { ok: true, message: reply };
+    }
+
+    override notify(peer: core.InstanceId, message: protocol.Message): boolean {
+        if (!this.hub.isReachable(this.instance, peer)) {
+            return false;
+        }
+        void this.hub.networks.get(peer)?.deliver(message, this.instance);
+        return true;
+    }
+
+    override handle<K extends protocol.MessageKind>(kind: K, handler: protocol.MessageHandler<K>): void {
+        this.handlers.set(kind, handler as AnyHandler);
+    }
+
+    override getConnectedPeers(): readonly core.InstanceId[] {
+        const others = [...this.hub.networks.keys()].filter(peer => peer !== this.instance);
+        return others.filter(peer => this.hub.isReachable(this.instance, peer));
+    }
+
+    private async deliver(message: protocol.Message, from: core.InstanceId): Promise<protocol.Message | undefined> {
+        return this.handlers.get(message.kind)?.(message, from);
+    }
+}
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Engine and service clients. */
+export * from "./types.js";
+export * from "./clients.js";
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Ledger of non-idempotent calls, jobs, chunks, results, cancel. */
+export * from "./types.js";
+export * from "./services.js";
