--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The boragedale program, for tests and for programs that embed it. */
+export * from "./exitCodes.js";
+export * from "./program.js";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./types.js";
 export * from "./fleet.js";
 export * from "./clock.js";
+export * from "./disposal.js";
 export * from "./findings.js";
 export * from "./errors.js";
 export * as Debug from "./debug.js";
--- /dev/null
+++ b/packages/entry/src/callerFace/parts.ts
@@ -0,0 +1,23 @@
+import type * as fastify from "fastify";
+import type * as core from "@boragedale/core";
+import type * as release from "@boragedale/release";
+import type * as telemetry from "@boragedale/telemetry";
+import type * as work from "@boragedale/work";
+import type * as dispatch from "../dispatch/types.js";
+
+/** What the routes of the caller face work with. */
+export interface CallerFaceParts {
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    readonly keeper: release.NoteKeeper;
+    readonly dispatcher: dispatch.Dispatcher;
+    readonly ledger: work.CallLedger;
+    readonly jobs: work.JobStore;
+    readonly fileLimitBytes: number;
+    /** The caller that the request's token belongs to; only within routes behind the authentication hook. */
+    getCaller(request: fastify.FastifyRequest): core.CallerDescription;
+    getNote(): core.NoteInForce;
+    /** Monotonic time by which the answer must be there, from the deadline header or the note's policy. */
+    getDeadline(request: fastify.FastifyRequest): core.MonotonicMilliseconds;
+    createId(prefix: string): string;
+}
--- /dev/null
+++ b/packages/standins/src/memoryMembership.ts
@@ -0,0 +1,53 @@
+import * as core from "@boragedale/core";
+import * as protocol from "@boragedale/protocol";
+
+/** A membership that a test sets by hand. Each duty is held by the live instance that sorts first after its hash. */
+export class MemoryMembership extends protocol.Membership {
+    readonly gone = new Set<core.InstanceId>();
+    private readonly listeners = new Set<() => void>();
+    private live: readonly core.InstanceDescription[];
+
+    constructor(
+        private readonly self: core.InstanceId,
+        live: readonly core.InstanceId[] = [self],
+    ) {
+        super();
+        this.live = live.map(createDescription);
+    }
+
+    setLive(live: readonly core.InstanceId[]): void {
+        this.live = live.map(createDescription);
+        this.listeners.forEach(listener => listener());
+    }
+
+    override getSelf(): core.InstanceId {
+        return this.self;
+    }
+
+    override getLiveInstances(): readonly core.InstanceDescription[] {
+        return this.live;
+    }
+
+    override tryGetHolder(duty: string): core.InstanceId | undefined {
+        const hash = [...duty].reduce((sum, letter) => (sum * 31 + letter.charCodeAt(0)) >>> 0, 7);
+        return this.live[hash % Math.max(1, this.live.length)]?.id;
+    }
+
+    override tryGetHolderIn(_dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined {
+        return this.tryGetHolder(duty);
+    }
+
+    override isGone(instance: core.InstanceId): boolean {
+        return this.gone.has(instance);
+    }
+
+    override onChange(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+}
+
+function createDescription(id: core.InstanceId): core.InstanceDescription {
+    const url = `http://${id}.invalid`;
+    return { id, dataCentre: "test", state: core.LifeState.Live, callerUrl: url, peerUrl: url, operatorUrl: url };
+}
--- a/packages/tools/src/index.ts
+++ b/packages/tools/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** Development programs: test runner, demo, generators. */
+export * from "./demo/report.js";
