--- /dev/null
+++ b/packages/platform/src/etcdFormat.ts
@@ -0,0 +1,98 @@
+import * as types from "./types.js";
+
+/**
+ * etcd v3's JSON gateway, as far as it is used: keys and values in base64, 64-bit integers as text, and members that
+ * hold their default left out.
+ */
+
+export interface EtcdKeyValue {
+    readonly key?: string;
+    readonly value?: string;
+    readonly mod_revision?: string;
+}
+
+export interface EtcdRangeResponse {
+    readonly kvs?: readonly EtcdKeyValue[];
+}
+
+export interface EtcdTransactionResponse {
+    readonly header?: { readonly revision?: string };
+    readonly succeeded?: boolean;
+    readonly responses?: readonly { readonly response_range?: EtcdRangeResponse }[];
+}
+
+export interface EtcdWatchResponse {
+    readonly header?: { readonly revision?: string };
+    readonly canceled?: boolean;
+    readonly compact_revision?: string;
+    readonly events?: readonly { readonly type?: string; readonly kv?: EtcdKeyValue }[];
+}
+
+export function encodeText(text: string): string {
+    return Buffer.from(text).toString("base64");
+}
+
+export function parseEntry(keyValue: EtcdKeyValue): types.Entry {
+    return {
+        key: Buffer.from(keyValue.key ?? "", "base64").toString(),
+        value: Buffer.from(keyValue.value ?? "", "base64"),
+        revision: Number(keyValue.mod_revision ?? 0),
+    };
+}
+
+/** The range of all keys with `prefix`: from it to the first key behind them; NUL stands for "to the end". */
+export function createPrefixRange(prefix: string): { readonly key: string; readonly range_end: string } {
+    if (prefix === "") {
+        return { key: encodeText("\0"), range_end: encodeText("\0") };
+    }
+    return { key: encodeText(prefix), range_end: encodePrefixEnd(prefix) };
+}
+
+export function encodePrefixEnd(prefix: string): string {
+    const bytes = Buffer.from(prefix);
+    for (let index = bytes.length - 1; index >= 0; index--) {
+        const byte = bytes[index] ?? 0;
+        if (byte < 0xff) {
+            bytes[index] = byte + 1;
+            return bytes.subarray(0, index + 1).toString("base64");
+        }
+    }
+    return encodeText("\0");
+}
+
+/** One compare on the key's revision, one put or delete, and the current entry where the compare fails. */
+export function createTransaction(request: types.SwapRequest): unknown {
+    const key = encodeText(request.key);
+    const put = {
+        key,
+        value: encodeBytes(request.value),
+        ...(request.lease === undefined ? {} : { lease: request.lease }),
+    };
+    return {
+        compare: [{ key, target: "MOD", result: "EQUAL", mod_revision: String(request.expectedRevision) }],
+        success: [request.value === undefined ? { request_delete_range: { key } } : { request_put: put }],
+        failure: [{ request_range: { key } }],
+    };
+}
+
+export function parseTransaction(response: EtcdTransactionResponse): types.SwapOutcome {
+    if (response.succeeded === true) {
+        return { swapped: true, revision: Number(response.header?.revision ?? 0) };
+    }
+    const current = response.responses?.[0]?.response_range?.kvs?.[0];
+    return { swapped: false, current: current === undefined ? undefined : parseEntry(current) };
+}
+
+/** The events of one line of a watch, in order. */
+export function parseWatchEvents(response: EtcdWatchResponse): readonly types.WatchEvent[] {
+    return (response.events ?? []).map(event => {
+        const entry = parseEntry(event.kv ?? {});
+        return event.type === "DELETE"
+            ? { kind: types.WatchEventKind.Removed, key: entry.key, revision: entry.revision }
+            : { kind: types.WatchEventKind.Changed, entry };
+    });
+}
+
+function encodeBytes(value: Uint8Array | undefined): string {
+    return value === undefined ? "" : Buffer.from(value).toString("base64");
+}
--- /dev/null
+++ b/packages/platform/src/httpKeyValueService.ts
@@ -0,0 +1,235 @@
+import * as core from "@boragedale/core";
+import * as undici from "undici";
+import * as etcdFormat from "./etcdFormat.js";
+import * as httpCall from "./httpCall.js";
+import * as services from "./services.js";
+import * as types from "./types.js";
+
+export interface HttpKeyValueOptions {
+    /** Base URL of the JSON gateway. */
+    readonly url: string;
+    /** Longest time for one call, in milliseconds. */
+    readonly timeoutMilliseconds?: number;
+    /** A watch that brings nothing, not even a sign of life, for this long is opened again, in milliseconds. */
+    readonly watchSilenceMilliseconds?: number;
+    /** Wait before a watch is opened again, in milliseconds; doubled up to the maximum. */
+    readonly watchRetryMilliseconds?: number;
+}
+
+const DefaultTimeoutMilliseconds = 2_000;
+const DefaultWatchSilenceMilliseconds = 30_000;
+const DefaultWatchRetryMilliseconds = 100;
+const MaximumWatchRetryMilliseconds = 5_000;
+/** Errors of the gateway that are given before a write is proposed; any other server error may hide a write. */
+const RefusedBeforeWrite = /no leader|not capable|corrupt/;
+
+/**
+ * The key-value service over etcd v3's JSON gateway. A failed call is told apart by whether the service can have acted
+ * on it: a refused connection is `Unavailable`, a write that left and brought no reply is `ReplyLost`.
+ */
+export class HttpKeyValueService extends services.KeyValueService implements AsyncDisposable {
+    private readonly dispatcher: undici.Agent;
+    private readonly timeoutMilliseconds: number;
+
+    constructor(
+        private readonly options: HttpKeyValueOptions,
+        private readonly clock: core.Clock = new core.SystemClock(),
+    ) {
+        super();
+        this.timeoutMilliseconds = options.timeoutMilliseconds ?? DefaultTimeoutMilliseconds;
+        this.dispatcher = new undici.Agent({ connect: { timeout: this.timeoutMilliseconds } });
+    }
+
+    override async get(key: string): Promise<types.KeyValueResult<types.Entry | undefined>> {
+        const body = { key: etcdFormat.encodeText(key) };
+        return this.post("/v3/kv/range", body, false, response => parseEntries(response)[0]);
+    }
+
+    override async list(request: types.ListRequest): Promise<types.KeyValueResult<readonly types.Entry[]>> {
+        const range = etcdFormat.createPrefixRange(request.prefix);
+        // The key right behind another one in byte order is that key with NUL added.
+        const key = request.after === undefined ? range.key : etcdFormat.encodeText(`${request.after}\0`);
+        return this.post("/v3/kv/range", { ...range, key, limit: String(request.limit) }, false, parseEntries);
+    }
+
+    override async compareAndSwap(request: types.SwapRequest): Promise<types.KeyValueResult<types.SwapOutcome>> {
+        const parse = (response: unknown): types.SwapOutcome =>
+            etcdFormat.parseTransaction(response as etcdFormat.EtcdTransactionResponse);
+        return this.post("/v3/kv/txn", etcdFormat.createTransaction(request), true, parse);
+    }
+
+    override async grantLease(milliseconds: number): Promise<types.KeyValueResult<types.LeaseId>> {
+        const body = { TTL: String(Math.ceil(milliseconds / 1_000)) };
+        return this.post("/v3/lease/grant", body, true, response => (response as { ID: string }).ID);
+    }
+
+    override async keepLeaseAlive(lease: types.LeaseId): Promise<types.KeyValueResult<boolean>> {
+        return this.post("/v3/lease/keepalive", { ID: lease }, false, response => {
+            const { result } = response as { readonly result?: { readonly TTL?: string } };
+            return Number(result?.TTL ?? 0) > 0;
+        });
+    }
+
+    override async revokeLease(lease: types.LeaseId): Promise<types.KeyValueResult<void>> {
+        const result = await this.post("/v3/lease/revoke", { ID: lease }, true, () => undefined);
+        return result;
+    }
+
+    override async *watch(request: types.WatchRequest): AsyncIterable<types.WatchEvent> {
+        let afterRevision = request.afterRevision;
+        let wait = this.options.watchRetryMilliseconds ?? DefaultWatchRetryMilliseconds;
+        while (!request.signal.aborted) {
+            for await (const response of this.openWatch({ ...request, afterRevision })) {
+                wait = this.options.watchRetryMilliseconds ?? DefaultWatchRetryMilliseconds;
+                if (response.canceled === true) {
+                    // Changes behind `compact_revision` are forgotten, so the reader can't have seen all of them.
+                    afterRevision = Number(response.header?.revision ?? response.compact_revision ?? 0);
+                    yield { kind: types.WatchEventKind.Gap, revision: afterRevision };
+                    break;
+                }
+                for (const event of etcdFormat.parseWatchEvents(response)) {
+                    afterRevision = Math.max(afterRevision, getRevision(event));
+                    yield event;
+                }
+            }
+            await this.clock.sleep(wait, request.signal);
+            wait = Math.min(wait * 2, MaximumWatchRetryMilliseconds);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        await this.dispatcher.destroy();
+    }
+
+    /** One connection of a watch; ends when it breaks, goes silent, or is aborted. */
+    private async *openWatch(request: types.WatchRequest): AsyncIterable<etcdFormat.EtcdWatchResponse> {
+        const silence = new SilenceGuard(
+            this.clock,
+            this.options.watchSilenceMilliseconds ?? DefaultWatchSilenceMilliseconds,
+        );
+        const range = etcdFormat.createPrefixRange(request.prefix);
+        const start = { start_revision: String(request.afterRevision + 1), progress_notify: true };
+        const opened = await httpCall.openStream(this.dispatcher, {
+            url: `${this.options.url}/v3/watch`,
+            body: { create_request: { ...range, ...start } },
+            signal: AbortSignal.any([request.signal, silence.signal]),
+        });
+        try {
+            if (opened === undefined || opened.status !== 200) {
+                opened?.body.destroy();
+                return;
+            }
+            for await (const line of readLines(opened.body, () => silence.restart())) {
+                const { result } = (httpCall.tryParseJson(line) ?? {}) as { result?: etcdFormat.EtcdWatchResponse };
+                if (result !== undefined) {
+                    yield result;
+                }
+            }
+        }
+        finally {
+            silence.stop();
+            opened?.body.destroy();
+        }
+    }
+
+    private async post<T>(
+        path: string,
+        body: unknown,
+        isWrite: boolean,
+        parse: (response: unknown) => T,
+    ): Promise<types.KeyValueResult<T>> {
+        const outcome = await httpCall.call(this.dispatcher, {
+            method: "POST",
+            url: this.options.url + path,
+            body,
+            timeoutMilliseconds: this.timeoutMilliseconds,
+        });
+        if (outcome.kind === httpCall.CallOutcomeKind.Answered && outcome.status === 200) {
+            const response = httpCall.tryParseJson(outcome.body);
+            if (response !== undefined) {
+                return { ok: true, value: parse(response) };
+            }
+        }
+        return { ok: false, failure: createFailure(outcome, isWrite) };
+    }
+}
+
+/** Aborts its signal when `restart` was not called for a time. */
+class SilenceGuard {
+    private readonly controller = new AbortController();
+    private cancel: () => void = () => undefined;
+
+    constructor(
+        private readonly clock: core.Clock,
+        private readonly milliseconds: number,
+    ) {
+        this.restart();
+    }
+
+    get signal(): AbortSignal {
+        return this.controller.signal;
+    }
+
+    restart(): void {
+        this.cancel();
+        this.cancel = this.clock.schedule(this.milliseconds, () => this.controller.abort());
+    }
+
+    stop(): void {
+        this.cancel();
+    }
+}
+
+/** Splits a stream into lines; ends quietly when the stream breaks. */
+async function* readLines(body: AsyncIterable<Buffer>, onData: () => void): AsyncIterable<string> {
+    let rest = Buffer.alloc(0);
+    try {
+        for await (const data of body) {
+            onData();
+            rest = Buffer.concat([rest, data]);
+            for (let end = rest.indexOf(10); end >= 0; end = rest.indexOf(10)) {
+                yield rest.subarray(0, end).toString();
+                rest = rest.subarray(end + 1);
+            }
+        }
+    }
+    catch {
+        return;
+    }
+}
+
+function createFailure(outcome: httpCall.CallOutcome, isWrite: boolean): types.KeyValueFailure {
+    const uncertain = isWrite ? types.KeyValueFailureKind.ReplyLost : types.KeyValueFailureKind.Unavailable;
+    switch (outcome.kind) {
+        case httpCall.CallOutcomeKind.NotSent:
+            return { kind: types.KeyValueFailureKind.Unavailable, text: outcome.text };
+        case httpCall.CallOutcomeKind.NoReply:
+            return { kind: uncertain, text: outcome.text };
+        case httpCall.CallOutcomeKind.Answered:
+            return createStatusFailure(outcome.status, outcome.headers["retry-after"], outcome.body, uncertain);
+    }
+}
+
+function createStatusFailure(
+    status: number,
+    retryAfter: string | string[] | undefined,
+    body: Buffer,
+    uncertain: types.KeyValueFailureKind,
+): types.KeyValueFailure {
+    const text = `status ${status}: ${body.subarray(0, 200).toString()}`;
+    if (status === 429) {
+        const retryAfterMilliseconds = Number(retryAfter ?? 1) * 1_000 || 1_000;
+        return { kind: types.KeyValueFailureKind.Throttled, text, retryAfterMilliseconds };
+    }
+    // A 4xx was refused as it stands. etcd gives "request timed out" as a 503 for writes that it applies later.
+    const isRefused = (status >= 400 && status < 500) || RefusedBeforeWrite.test(text);
+    return { kind: isRefused ? types.KeyValueFailureKind.Unavailable : uncertain, text };
+}
+
+function parseEntries(response: unknown): readonly types.Entry[] {
+    return ((response as etcdFormat.EtcdRangeResponse).kvs ?? []).map(etcdFormat.parseEntry);
+}
+
+function getRevision(event: types.WatchEvent): types.Revision {
+    return event.kind === types.WatchEventKind.Changed ? event.entry.revision : event.revision;
+}
--- /dev/null
+++ b/packages/platform/test/httpKeyValueService.test.ts
@@ -0,0 +1,214 @@
+import * as net from "node:net";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as platform from "@boragedale/platform";
+import * as standins from "@boragedale/standins";
+
+const suite = uvu.suite("key-value service over HTTP");
+
+interface Fixture extends AsyncDisposable {
+    readonly standin: standins.KeyValueStandin;
+    readonly client: platform.HttpKeyValueService;
+}
+
+async function createFixture(options: Partial<platform.HttpKeyValueOptions> = {}): Promise<Fixture> {
+    const standin = await standins.createKeyValueStandin();
+    const client = new platform.HttpKeyValueService({ url: standin.url, watchRetryMilliseconds: 1, ...options });
+    return {
+        standin,
+        client,
+        [Symbol.asyncDispose]: async () => {
+            await client[Symbol.asyncDispose]();
+            await standin[Symbol.asyncDispose]();
+        },
+    };
+}
+
+function createSwap(key: string, expectedRevision: number, value: string | undefined): platform.SwapRequest {
+    const bytes = value === undefined ? undefined : Buffer.from(value);
+    return { key, expectedRevision, value: bytes, purpose: platform.CallPurpose.Note };
+}
+
+function getFailureKind(result: platform.KeyValueResult<unknown>): platform.KeyValueFailureKind | undefined {
+    return result.ok ? undefined : result.failure.kind;
+}
+
+async function checkWritten(client: platform.KeyValueService, key: string, text: string): Promise<void> {
+    const read = await client.get(key, platform.CallPurpose.Read);
+    assert.ok(read.ok);
+    assert.is(Buffer.from(read.value?.value ?? "").toString(), text);
+}
+
+suite("of two writers with one expected revision, one loses and is shown the winner", async () => {
+    await using fixture = await createFixture();
+    const { client } = fixture;
+    const first = await client.compareAndSwap(createSwap("note", 0, "a"));
+    const second = await client.compareAndSwap(createSwap("note", 0, "b"));
+    assert.ok(first.ok && first.value.swapped);
+    assert.ok(second.ok && !second.value.swapped);
+    assert.is(second.value.current?.revision, first.value.revision);
+    await checkWritten(client, "note", "a");
+});
+
+suite("a deleted key is absent and can be made again", async () => {
+    await using fixture = await createFixture();
+    const { client } = fixture;
+    const made = await client.compareAndSwap(createSwap("key", 0, "a"));
+    assert.ok(made.ok && made.value.swapped);
+    await client.compareAndSwap(createSwap("key", made.value.revision, undefined));
+    const read = await client.get("key");
+    assert.ok(read.ok && read.value === undefined);
+    const again = await client.compareAndSwap(createSwap("key", 0, "b"));
+    assert.ok(again.ok && again.value.swapped);
+});
+
+suite("a prefix is listed in pages", async () => {
+    await using fixture = await createFixture();
+    const { client } = fixture;
+    for (const key of ["a/1", "a/2", "a/3", "b/1"]) {
+        await client.compareAndSwap(createSwap(key, 0, key));
+    }
+    const request = { prefix: "a/", limit: 2, purpose: platform.CallPurpose.Read };
+    const first = await client.list(request);
+    const second = await client.list({ ...request, after: "a/2" });
+    assert.ok(first.ok && second.ok);
+    assert.equal(
+        [...first.value, ...second.value].map(entry => entry.key),
+        ["a/1", "a/2", "a/3"],
+    );
+    const everything = await client.list({ ...request, prefix: "", limit: 10 });
+    assert.is(everything.ok && everything.value.length, 4);
+});
+
+// A writer's connection breaks after its write took effect. It sees ReplyLost, never Unavailable: told that nothing
+// was written it would write again, and a booking recorded as started would be refused as someone else's.
+suite("a write whose reply is lost is told apart from one that was not made", async () => {
+    await using fixture = await createFixture();
+    const { client, standin } = fixture;
+    standin.faults.lostReplies = 1;
+    const lost = await client.compareAndSwap(createSwap("key", 0, "a"));
+    assert.is(getFailureKind(lost), platform.KeyValueFailureKind.ReplyLost);
+    await checkWritten(client, "key", "a");
+});
+
+// The service accepts the write and never answers. After the timeout the writer sees ReplyLost, since the request
+// left; a read in the same state is Unavailable, since repeating it harms nobody.
+suite("a call to a silent service ends with the timeout", async () => {
+    await using fixture = await createFixture({ timeoutMilliseconds: 50 });
+    const { client, standin } = fixture;
+    standin.faults.isSilent = true;
+    const write = await client.compareAndSwap(createSwap("key", 0, "a"));
+    assert.is(getFailureKind(write), platform.KeyValueFailureKind.ReplyLost);
+    assert.is(getFailureKind(await client.get("key")), platform.KeyValueFailureKind.Unavailable);
+    standin.faults.isSilent = false;
+    assert.ok((await client.get("key")).ok);
+});
+
+// The service refuses connections, or says that it has no leader. The writer sees Unavailable: no byte of the write
+// left, or it was refused before it was proposed, so the caller may be told that nothing ran.
+suite("a service that is down is told as not written", async () => {
+    await using fixture = await createFixture();
+    const { client, standin } = fixture;
+    standin.faults.isDown = true;
+    const refused = await client.compareAndSwap(createSwap("key", 0, "a"));
+    assert.is(getFailureKind(refused), platform.KeyValueFailureKind.Unavailable);
+    const closedPort = await getClosedPort();
+    await using unreachable = new platform.HttpKeyValueService({ url: `http://127.0.0.1:${closedPort}` });
+    const unsent = await unreachable.compareAndSwap(createSwap("key", 0, "a"));
+    assert.is(getFailureKind(unsent), platform.KeyValueFailureKind.Unavailable);
+});
+
+suite("a write over the service's rate is throttled, with a time to come back", async () => {
+    await using fixture = await createFixture();
+    const { client, standin } = fixture;
+    standin.faults.writesPerSecond = 1;
+    const results = [];
+    for (let index = 0; index < 3; index++) {
+        results.push(await client.compareAndSwap(createSwap(`key${index}`, 0, "a")));
+    }
+    const throttled = results.find(result => !result.ok);
+    assert.is(throttled && getFailureKind(throttled), platform.KeyValueFailureKind.Throttled);
+    assert.ok(throttled?.ok === false && (throttled.failure.retryAfterMilliseconds ?? 0) > 0);
+});
+
+suite("an entry ends with its lease", async () => {
+    await using fixture = await createFixture();
+    const { client } = fixture;
+    const lease = await client.grantLease(10_000);
+    assert.ok(lease.ok);
+    await client.compareAndSwap({ ...createSwap("slot", 0, "x"), lease: lease.value });
+    assert.equal(await client.keepLeaseAlive(lease.value), { ok: true, value: true });
+    await client.revokeLease(lease.value);
+    assert.equal(await client.keepLeaseAlive(lease.value), { ok: true, value: false });
+    const read = await client.get("slot");
+    assert.ok(read.ok && read.value === undefined);
+    const late = await client.compareAndSwap({ ...createSwap("slot", 0, "x"), lease: lease.value });
+    assert.is(getFailureKind(late), platform.KeyValueFailureKind.Unavailable);
+});
+
+// A watch's connection breaks and a change is made before it is open again. The reader sees that change all the
+// same, once and in order: the new connection starts behind the last revision seen.
+suite("a watch that was cut goes on where it was", async () => {
+    await using fixture = await createFixture();
+    const { client, standin } = fixture;
+    const watch = openWatch(client, 0);
+    await client.compareAndSwap(createSwap("a", 0, "1"));
+    assert.equal(await watch.next(), "Changed a");
+    standin.breakWatches();
+    await client.compareAndSwap(createSwap("b", 0, "1"));
+    await client.compareAndSwap(createSwap("b", 2, undefined));
+    assert.equal([await watch.next(), await watch.next()], ["Changed b", "Removed b"]);
+    await watch.stop();
+});
+
+// The service forgets old changes while the reader is away. The reader sees a gap, so that it reads the prefix again;
+// without it a withdrawn entry would stay in its memory for good.
+suite("a watch that starts behind the compaction begins with a gap", async () => {
+    await using fixture = await createFixture();
+    const { client, standin } = fixture;
+    await client.compareAndSwap(createSwap("a", 0, "1"));
+    standin.service.compact();
+    const watch = openWatch(client, 0);
+    assert.is(await watch.next(), "Gap 1");
+    await client.compareAndSwap(createSwap("b", 0, "1"));
+    assert.is(await watch.next(), "Changed b");
+    await watch.stop();
+});
+
+interface OpenWatch {
+    readonly next: () => Promise<string>;
+    readonly stop: () => Promise<void>;
+}
+
+function openWatch(client: platform.KeyValueService, afterRevision: number): OpenWatch {
+    const controller = new AbortController();
+    const events = client.watch({ prefix: "", afterRevision, signal: controller.signal })[Symbol.asyncIterator]();
+    return {
+        next: async () => formatEvent((await events.next()).value as platform.WatchEvent),
+        stop: async () => {
+            controller.abort();
+            await events.return?.();
+        },
+    };
+}
+
+function formatEvent(event: platform.WatchEvent): string {
+    switch (event.kind) {
+        case platform.WatchEventKind.Changed:
+            return `${event.kind} ${event.entry.key}`;
+        case platform.WatchEventKind.Removed:
+            return `${event.kind} ${event.key}`;
+        case platform.WatchEventKind.Gap:
+            return `${event.kind} ${event.revision}`;
+    }
+}
+
+async function getClosedPort(): Promise<number> {
+    const server = net.createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as net.AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+suite.run();
