--- /dev/null
+++ b/packages/work/src/callTable.ts
@@ -0,0 +1,81 @@
+import type * as ledgerDecision from "./ledgerDecision.js";
+import * as types from "./types.js";
+
+/**
+ * The unsealed calls of a shard, with changes that are kept apart until they are committed: when the commit fails,
+ * the draft is dropped and the table is as it was.
+ */
+export class CallTable {
+    private readonly calls = new Map<string, types.CallRecord>();
+
+    constructor(calls: Iterable<types.CallRecord>) {
+        for (const call of calls) {
+            this.calls.set(getCallName(call), call);
+        }
+    }
+
+    tryGet(identity: types.CallIdentity): types.CallRecord | undefined {
+        return this.calls.get(getCallName(identity));
+    }
+
+    getAll(): Iterable<types.CallRecord> {
+        return this.calls.values();
+    }
+
+    createDraft(sealed: ReadonlyMap<string, types.CallRecord>): CallDraft {
+        return new CallDraft(this.calls, sealed);
+    }
+}
+
+export class CallDraft implements ledgerDecision.CallTable {
+    private readonly changed = new Map<string, types.CallRecord | undefined>();
+
+    constructor(
+        private readonly calls: ReadonlyMap<string, types.CallRecord>,
+        private readonly sealed: ReadonlyMap<string, types.CallRecord>,
+    ) {}
+
+    tryGet(identity: types.CallIdentity): types.CallRecord | undefined {
+        const name = getCallName(identity);
+        return this.changed.has(name) ? this.changed.get(name) : (this.calls.get(name) ?? this.sealed.get(name));
+    }
+
+    put(record: types.CallRecord): void {
+        this.changed.set(getCallName(record), record);
+    }
+
+    remove(identity: types.CallIdentity): void {
+        this.changed.set(getCallName(identity), undefined);
+    }
+
+    *getUnfinished(): Iterable<types.CallRecord> {
+        for (const call of this.getAll()) {
+            if (call.state !== types.CallState.Finished) {
+                yield call;
+            }
+        }
+    }
+
+    hasChanges(): boolean {
+        return this.changed.size > 0;
+    }
+
+    /** Every unsealed call as it will be once this draft is committed. */
+    *getAll(): Iterable<types.CallRecord> {
+        for (const [name, call] of this.calls) {
+            if (!this.changed.has(name)) {
+                yield call;
+            }
+        }
+        for (const call of this.changed.values()) {
+            if (call !== undefined) {
+                yield call;
+            }
+        }
+    }
+}
+
+/** One text for caller and key that no other pair gives. */
+export function getCallName(identity: types.CallIdentity): string {
+    return `${encodeURIComponent(identity.caller)}/${identity.key}`;
+}
--- /dev/null
+++ b/packages/work/src/codec.ts
@@ -0,0 +1,27 @@
+import * as util from "node:util";
+import * as zlib from "node:zlib";
+import * as msgpackr from "msgpackr";
+
+/** How records are turned into values of the key-value service and payloads between instances. */
+
+const packer = new msgpackr.Packr({ useRecords: false, variableMapSize: true });
+const deflate = util.promisify(zlib.deflateRaw);
+const inflate = util.promisify(zlib.inflateRaw);
+
+export function encode(value: unknown): Uint8Array {
+    return Uint8Array.from(packer.pack(value));
+}
+
+/** Decodes what `encode` made; the caller names the type, since only our own writes are read. */
+export function decode<T>(bytes: Uint8Array): T {
+    return packer.unpack(bytes) as T;
+}
+
+/** Compresses with low effort: values are written once, and the entry instances are small. */
+export async function compress(bytes: Uint8Array): Promise<Uint8Array> {
+    return deflate(bytes, { level: 2 });
+}
+
+export async function decompress(bytes: Uint8Array): Promise<Uint8Array> {
+    return inflate(bytes);
+}
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -1,3 +1,4 @@
 /** Ledger of non-idempotent calls, jobs, chunks, results, cancel. */
 export * from "./types.js";
 export * from "./services.js";
+export * from "./ledger.js";
--- /dev/null
+++ b/packages/work/src/ledgerDecision.ts
@@ -0,0 +1,189 @@
+import type * as core from "@boragedale/core";
+import * as requests from "./ledgerRequests.js";
+import * as types from "./types.js";
+
+/** The calls of one shard, as a holder sees them while it decides. */
+export interface CallTable {
+    tryGet(identity: types.CallIdentity): types.CallRecord | undefined;
+    put(record: types.CallRecord): void;
+    remove(identity: types.CallIdentity): void;
+    /** Calls that have not finished. */
+    getUnfinished(): Iterable<types.CallRecord>;
+}
+
+export interface DecisionContext {
+    readonly now: core.WallMilliseconds;
+    isGone(instance: core.InstanceId): boolean;
+}
+
+/**
+ * Decides one request on a shard and changes the table accordingly. Made for the same key arriving at several
+ * instances at once, again after a kill, and late from a holder that was paused. It prevents a second run: a key is
+ * started only where the table has no start of it that may have been sent, and whatever is decided here counts only
+ * once the table is committed under the revision it was read at.
+ */
+export function decide(
+    table: CallTable,
+    request: requests.LedgerRequest,
+    context: DecisionContext,
+): requests.LedgerReply {
+    switch (request.kind) {
+        case requests.LedgerRequestKind.Begin:
+            return { kind: requests.LedgerReplyKind.Begun, outcome: decideBegin(table, request, context) };
+        case requests.LedgerRequestKind.Finish:
+            return decideFinish(table, request, context);
+        case requests.LedgerRequestKind.Release:
+            return decideRelease(table, request.record);
+        case requests.LedgerRequestKind.TakeOver:
+            return decideTakeOver(table, request, context);
+        case requests.LedgerRequestKind.MarkUnknown:
+            return decideMarkUnknown(table, request.record);
+        case requests.LedgerRequestKind.Read:
+        case requests.LedgerRequestKind.Wait:
+            return { kind: requests.LedgerReplyKind.Found, record: table.tryGet(request.identity) };
+        case requests.LedgerRequestKind.ListUnknown:
+            return { kind: requests.LedgerReplyKind.Listed, records: listUnknown(table) };
+        case requests.LedgerRequestKind.IsRunning:
+            return { kind: requests.LedgerReplyKind.Unavailable, text: "only the instance that sends a call knows" };
+    }
+}
+
+type BeginRequest = Extract<requests.LedgerRequest, { readonly kind: requests.LedgerRequestKind.Begin }>;
+type FinishRequest = Extract<requests.LedgerRequest, { readonly kind: requests.LedgerRequestKind.Finish }>;
+type TakeOverRequest = Extract<requests.LedgerRequest, { readonly kind: requests.LedgerRequestKind.TakeOver }>;
+
+function decideBegin(table: CallTable, request: BeginRequest, context: DecisionContext): types.BeginOutcome {
+    const current = table.tryGet(request.call);
+    if (current === undefined) {
+        return start(table, request, context);
+    }
+    if (current.fingerprint !== request.call.fingerprint) {
+        return { kind: types.BeginKind.KeyReused };
+    }
+    switch (current.state) {
+        case types.CallState.Finished:
+            return current.result === undefined
+                ? { kind: types.BeginKind.OutcomeUnknown }
+                : { kind: types.BeginKind.Finished, result: current.result };
+        case types.CallState.OutcomeUnknown:
+            return { kind: types.BeginKind.OutcomeUnknown };
+        case types.CallState.Started:
+            return decideBeginOfStarted(table, request, current, context);
+    }
+}
+
+function decideBeginOfStarted(
+    table: CallTable,
+    request: BeginRequest,
+    current: types.CallRecord,
+    context: DecisionContext,
+): types.BeginOutcome {
+    // The same request again, since the reply to the first was lost between the instances.
+    if (current.startId === request.startId) {
+        return { kind: types.BeginKind.Started, record: current };
+    }
+    const wasNeverSent = current.startId === request.neverSent;
+    if (wasNeverSent && current.attempt === 1) {
+        return start(table, request, context);
+    }
+    // A later attempt follows one that may have been sent: that it wasn't sent itself doesn't free the key.
+    const isOrphaned = wasNeverSent || current.isOrphaned === true || context.isGone(current.instance);
+    return { kind: isOrphaned ? types.BeginKind.Orphaned : types.BeginKind.InFlight, record: current };
+}
+
+function start(table: CallTable, request: BeginRequest, context: DecisionContext): types.BeginOutcome {
+    const { caller, key, fingerprint, service } = request.call;
+    const record: types.CallRecord = {
+        caller,
+        key,
+        fingerprint,
+        service,
+        state: types.CallState.Started,
+        attempt: 1,
+        instance: request.instance,
+        startedAt: context.now,
+        startId: request.startId,
+    };
+    table.put(record);
+    return { kind: types.BeginKind.Started, record };
+}
+
+/**
+ * The first outcome stays. One that arrives after the call was taken over or given up is taken all the same: the call
+ * did run, and its caller is better served by the true result than by `OutcomeUnknown`.
+ */
+function decideFinish(table: CallTable, request: FinishRequest, context: DecisionContext): requests.LedgerReply {
+    const current = table.tryGet(request.record);
+    if (current?.state === types.CallState.Finished) {
+        return { kind: requests.LedgerReplyKind.Recorded, record: current };
+    }
+    const base = current ?? request.record;
+    if (base.fingerprint !== request.record.fingerprint) {
+        return { kind: requests.LedgerReplyKind.Superseded };
+    }
+    const record: types.CallRecord = {
+        ...base,
+        isOrphaned: undefined,
+        state: types.CallState.Finished,
+        endedAt: context.now,
+        result: request.result,
+    };
+    table.put(record);
+    return { kind: requests.LedgerReplyKind.Recorded, record };
+}
+
+function decideRelease(table: CallTable, released: types.CallRecord): requests.LedgerReply {
+    const current = table.tryGet(released);
+    if (!isCurrentStart(current, released)) {
+        return { kind: requests.LedgerReplyKind.Superseded };
+    }
+    if (current.attempt > 1) {
+        // An earlier attempt may have been sent: freeing the key would allow a second run.
+        const record = { ...current, isOrphaned: true };
+        table.put(record);
+        return { kind: requests.LedgerReplyKind.Recorded, record };
+    }
+    table.remove(released);
+    return { kind: requests.LedgerReplyKind.Recorded, record: undefined };
+}
+
+function decideTakeOver(table: CallTable, request: TakeOverRequest, context: DecisionContext): requests.LedgerReply {
+    const current = table.tryGet(request.record);
+    if (current?.startId === request.startId) {
+        return { kind: requests.LedgerReplyKind.Recorded, record: current };
+    }
+    if (!isCurrentStart(current, request.record)) {
+        return { kind: requests.LedgerReplyKind.Superseded };
+    }
+    const record: types.CallRecord = {
+        ...current,
+        isOrphaned: undefined,
+        attempt: current.attempt + 1,
+        instance: request.instance,
+        startedAt: context.now,
+        startId: request.startId,
+    };
+    table.put(record);
+    return { kind: requests.LedgerReplyKind.Recorded, record };
+}
+
+function decideMarkUnknown(table: CallTable, marked: types.CallRecord): requests.LedgerReply {
+    const current = table.tryGet(marked);
+    if (current?.state === types.CallState.OutcomeUnknown) {
+        return { kind: requests.LedgerReplyKind.Recorded, record: current };
+    }
+    if (!isCurrentStart(current, marked)) {
+        return { kind: requests.LedgerReplyKind.Superseded };
+    }
+    const record = { ...current, isOrphaned: undefined, state: types.CallState.OutcomeUnknown };
+    table.put(record);
+    return { kind: requests.LedgerReplyKind.Recorded, record };
+}
+
+function isCurrentStart(current: types.CallRecord | undefined, named: types.CallRecord): current is types.CallRecord {
+    return current?.state === types.CallState.Started && current.startId === named.startId;
+}
+
+function listUnknown(table: CallTable): readonly types.CallRecord[] {
+    return [...table.getUnfinished()].filter(record => record.state === types.CallState.OutcomeUnknown);
+}
--- a/packages/work/src/types.ts
+++ b/packages/work/src/types.ts
@@ -35,6 +35,11 @@
     /** The instance that sends it. */
     readonly instance: core.InstanceId;
     readonly startedAt: core.WallMilliseconds;
+    /** Names this start: the ledger takes back or hands over a call only by the name of its latest start. */
+    readonly startId?: string;
+    /** An attempt after the first was given up before sending; what became of the first is not known. */
+    readonly isOrphaned?: boolean;
+    readonly endedAt?: core.WallMilliseconds;
     readonly result?: CallResult;
 }
 
--- /dev/null
+++ b/packages/work/test/fixtures.ts
@@ -0,0 +1,163 @@
+import * as core from "@boragedale/core";
+import type * as platform from "@boragedale/platform";
+import * as protocol from "@boragedale/protocol";
+import * as standins from "@boragedale/standins";
+import * as telemetry from "@boragedale/telemetry";
+import * as work from "@boragedale/work";
+
+/** The live instances of a test, shared by all memberships of one fleet. */
+export class FleetState {
+    readonly live = new Set<core.InstanceId>();
+    readonly gone = new Set<core.InstanceId>();
+    readonly listeners = new Set<() => void>();
+
+    markGone(instance: core.InstanceId): void {
+        this.live.delete(instance);
+        this.gone.add(instance);
+        [...this.listeners].forEach(listener => listener());
+    }
+}
+
+export class FakeMembership extends protocol.Membership {
+    /** Set where an instance is to believe that it holds every duty itself. */
+    believesToHoldAll = false;
+
+    constructor(
+        private readonly fleet: FleetState,
+        private readonly self: core.InstanceId,
+    ) {
+        super();
+    }
+
+    override getSelf(): core.InstanceId {
+        return this.self;
+    }
+
+    override getLiveInstances(): readonly core.InstanceDescription[] {
+        return [...this.fleet.live].map(createInstance);
+    }
+
+    override tryGetHolder(duty: string): core.InstanceId | undefined {
+        if (this.believesToHoldAll) {
+            return this.self;
+        }
+        const ranked = [...this.fleet.live].sort((left, right) => hash(duty + left) - hash(duty + right));
+        return ranked[0];
+    }
+
+    override tryGetHolderIn(dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined {
+        return this.tryGetHolder(`${duty}/${dataCentre}`);
+    }
+
+    override isGone(instance: core.InstanceId): boolean {
+        return this.fleet.gone.has(instance);
+    }
+
+    override onChange(listener: () => void): () => void {
+        this.fleet.listeners.add(listener);
+        return () => this.fleet.listeners.delete(listener);
+    }
+}
+
+export interface LedgerFleet {
+    readonly clock: core.VirtualClock;
+    readonly keyValue: standins.MemoryKeyValueService;
+    readonly hub: standins.MemoryPeerHub;
+    readonly fleet: FleetState;
+    readonly ledgers: readonly work.ShardedCallLedger[];
+    readonly memberships: readonly FakeMembership[];
+}
+
+export interface LedgerFleetOptions {
+    readonly instances?: number;
+    readonly shards?: number;
+    readonly commitsPerSecond?: number;
+    /** Wraps the key-value service for one instance, to hold or lose its calls. */
+    readonly wrap?: (keyValue: platform.KeyValueService, instance: core.InstanceId) => platform.KeyValueService;
+}
+
+export function createLedgerFleet(options: LedgerFleetOptions = {}): LedgerFleet {
+    const clock = new core.VirtualClock();
+    const keyValue = new standins.MemoryKeyValueService(clock);
+    const hub = new standins.MemoryPeerHub();
+    const fleet = new FleetState();
+    const names = [...Array(options.instances ?? 1).keys()].map(index => `instance-${index}`);
+    names.forEach(name => fleet.live.add(name));
+    const memberships = names.map(name => new FakeMembership(fleet, name));
+    const ledgers = names.map((instance, index) =>
+        work.createShardedCallLedger({
+            keyValue: options.wrap?.(keyValue, instance) ?? keyValue,
+            peers: hub.createNetwork(instance),
+            membership: memberships[index] as FakeMembership,
+            clock,
+            telemetry: createTelemetry(instance, clock),
+            instance,
+            shards: options.shards,
+            commitsPerSecond: options.commitsPerSecond,
+            createId: createCounter(instance),
+        }),
+    );
+    return { clock, keyValue, hub, fleet, ledgers, memberships };
+}
+
+/** Starts an instance again under its old name: a new process that remembers nothing. */
+export function restartLedger(target: LedgerFleet, index: number): work.ShardedCallLedger {
+    const instance = `instance-${index}`;
+    target.hub.remove(instance);
+    return work.createShardedCallLedger({
+        keyValue: target.keyValue,
+        peers: target.hub.createNetwork(instance),
+        membership: target.memberships[index] as FakeMembership,
+        clock: target.clock,
+        telemetry: createTelemetry(instance, target.clock),
+        instance,
+        createId: createCounter(`${instance}-again`),
+    });
+}
+
+export function createTelemetry(instance: core.InstanceId, clock: core.Clock): telemetry.Telemetry {
+    return new telemetry.Telemetry({ instance, logLevel: "silent" }, clock);
+}
+
+export function createCounter(prefix: string): () => string {
+    let next = 0;
+    return () => `${prefix}-${next++}`;
+}
+
+export function createCall(key: string, fingerprint = "body-1", caller = "kandula"): work.CallRequest {
+    return { caller, key, fingerprint, service: "bookings" };
+}
+
+export function createResult(text: string): work.CallResult {
+    return { status: 200, headers: { "content-type": "text/plain" }, body: new TextEncoder().encode(text) };
+}
+
+export function readBody(result: work.CallResult | undefined): string {
+    return new TextDecoder().decode(result?.body);
+}
+
+/** Runs `operation` while virtual time goes on, at most `milliseconds` of it. */
+export async function runWithin<T>(clock: core.VirtualClock, operation: Promise<T>, milliseconds = 60_000): Promise<T> {
+    let settled: { readonly value: T } | undefined;
+    void operation.then(value => {
+        settled = { value };
+    });
+    await clock.advance(0);
+    for (let passed = 0; settled === undefined && passed < milliseconds; passed += 10) {
+        await clock.advance(10);
+    }
+    return core.Debug.checkDefined(settled, "the operation settled in time").value;
+}
+
+function createInstance(id: core.InstanceId): core.InstanceDescription {
+    const url = "http://127.0.0.1:0";
+    return { id, dataCentre: "a", state: core.LifeState.Live, callerUrl: url, peerUrl: url, operatorUrl: url };
+}
+
+function hash(text: string): number {
+    let value = 2_166_136_261;
+    for (const character of text) {
+        value = Math.imul(value ^ character.charCodeAt(0), 16_777_619) >>> 0;
+    }
+    return Math.imul(value ^ (value >>> 15), 2_246_822_519) >>> 0;
+}
