--- /dev/null
+++ b/packages/work/src/chunkLoader.ts
@@ -0,0 +1,58 @@
+import type * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import type * as boards from "./board.js";
+import * as codec from "./codec.js";
+import * as files from "./files.js";
+import * as heldChunk from "./heldChunk.js";
+import * as jobRecords from "./jobRecords.js";
+
+export interface ChunkLoaderOptions {
+    readonly keyValue: platform.KeyValueService;
+    readonly vault: files.FileVault;
+    readonly clock: core.Clock;
+    readonly signal: AbortSignal;
+}
+
+const RetryMilliseconds = 1_000;
+
+/** Reads a claimed chunk's lines, trying until the service answers. A chunk whose input is gone is left without. */
+export async function loadChunk(
+    chunk: heldChunk.HeldChunk,
+    progress: boards.ChunkProgress | undefined,
+    options: ChunkLoaderOptions,
+): Promise<void> {
+    while (!options.signal.aborted && !chunk.isDropped) {
+        const lines = await tryReadLines(chunk, options);
+        if (lines !== undefined && !chunk.isDropped) {
+            chunk.load(lines, progress);
+            return;
+        }
+        await options.clock.sleep(RetryMilliseconds, options.signal);
+    }
+}
+
+async function tryReadLines(
+    chunk: heldChunk.HeldChunk,
+    options: ChunkLoaderOptions,
+): Promise<readonly string[] | undefined> {
+    const { caller, inputFile } = chunk.job;
+    const entry = await options.keyValue.get(jobRecords.getFileKey(caller, inputFile), platform.CallPurpose.Read);
+    if (!entry.ok) {
+        return undefined;
+    }
+    const missing = Array<string>(chunk.range.items).fill("");
+    if (entry.value === undefined) {
+        return missing;
+    }
+    const file = codec.decode<jobRecords.FileRecord>(entry.value.value);
+    const { start, bytes } = chunk.range;
+    try {
+        return await heldChunk.readLines(options.vault.readRange(file, start, start + bytes));
+    }
+    catch (error) {
+        if (!(error instanceof files.ContentUnavailableError)) {
+            throw error;
+        }
+        return error.isRemoved ? missing : undefined;
+    }
+}
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -2,3 +2,5 @@
 export * from "./types.js";
 export * from "./services.js";
 export * from "./ledger.js";
+export { createJobStore, KeyValueJobStore, type KeyValueJobStoreOptions } from "./jobStore.js";
+export * from "./jobRunner.js";
--- /dev/null
+++ b/packages/work/src/jobRunner.ts
@@ -0,0 +1,424 @@
+import * as crypto from "node:crypto";
+import type * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import * as protocol from "@boragedale/protocol";
+import * as telemetry from "@boragedale/telemetry";
+import * as boards from "./board.js";
+import * as boardStore from "./boardStore.js";
+import * as checkpointer from "./checkpointer.js";
+import * as chunkLoader from "./chunkLoader.js";
+import * as files from "./files.js";
+import * as heldChunk from "./heldChunk.js";
+import * as jobInput from "./jobInput.js";
+import * as jobRecords from "./jobRecords.js";
+import * as jobSelection from "./jobSelection.js";
+import * as jobStore from "./jobStore.js";
+import * as jobWatch from "./jobWatch.js";
+import type * as services from "./services.js";
+import * as types from "./types.js";
+
+export interface JobRunnerOptions {
+    readonly keyValue: platform.KeyValueService;
+    readonly peers: protocol.PeerNetwork;
+    readonly membership: protocol.Membership;
+    readonly executor: services.ItemExecutor;
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    readonly instance: core.InstanceId;
+    /** Attempts that an item has, from the release note in force. */
+    readonly getItemAttempts?: () => number;
+    /** Longest time for which finished items wait to be recorded. */
+    readonly checkpointMilliseconds?: number;
+    /** How long a stopping runner lets running items go on. */
+    readonly drainMilliseconds?: number;
+    readonly createId?: () => string;
+}
+
+const DefaultItemAttempts = 3;
+const DefaultCheckpointMilliseconds = 5_000;
+const DefaultDrainMilliseconds = 10_000;
+/** With each further instance all checkpoint a little more rarely, so that the fleet's rate of writes stays bounded. */
+const CheckpointMillisecondsPerInstance = 100;
+const TickMilliseconds = 200;
+/** A job without open chunks is looked at again after this time, and this much more for each instance. */
+const RecheckMilliseconds = 2_000;
+const RecheckMillisecondsPerInstance = 25;
+/** A claim that nobody renewed for so long is taken over even from an instance that seems to live. */
+const ClaimMilliseconds = 900_000;
+const RenewMilliseconds = 300_000;
+/** Items waiting here for each one that can run: work for a short outage of the key-value service. */
+const ItemsAhead = 4;
+const MaximumHeldChunks = 8;
+/** Boards read in one pass over the jobs. */
+const ReadsPerPass = 8;
+
+interface ActiveJob {
+    readonly record: jobRecords.JobRecord;
+    readonly checkpoints: checkpointer.Checkpointer;
+    readonly held: Map<number, heldChunk.HeldChunk>;
+    /** Not looked at for open chunks before this time. */
+    recheckAt: core.MonotonicMilliseconds;
+    /** Every chunk was claimed or had ended when the board was last looked at. */
+    isExhausted: boolean;
+    /** Since when something waits to be recorded; also moved by a failed try. */
+    checkpointedAt: core.MonotonicMilliseconds;
+    isCheckpointing: boolean;
+}
+
+export function createJobRunner(options: JobRunnerOptions): JobRunner {
+    return new JobRunner(options);
+}
+
+/**
+ * Works on the jobs of all callers: claims chunks while its executor has room, runs their items, and records results
+ * by time. It holds no state that must last; after a kill another instance claims its chunks.
+ */
+export class JobRunner implements AsyncDisposable {
+    private readonly boards: boardStore.BoardStore;
+    private readonly vault: files.FileVault;
+    private readonly createId: () => string;
+    private readonly process: string;
+    private readonly jobs = new Map<string, ActiveJob>();
+    private readonly claimTurns = new jobSelection.JobSelection();
+    private readonly itemTurns = new jobSelection.JobSelection();
+    private readonly stopping = new AbortController();
+    private readonly stopWatching = new AbortController();
+    private readonly stopListening: () => void;
+    private readonly tasks: readonly Promise<void>[];
+
+    constructor(private readonly options: JobRunnerOptions) {
+        this.createId = options.createId ?? crypto.randomUUID;
+        this.process = this.createId();
+        this.boards = new boardStore.BoardStore({ ...options, createId: this.createId });
+        this.vault = new files.FileVault(options);
+        options.peers.handle(protocol.MessageKind.JobCancelled, async message => {
+            this.dropJob(message.job);
+            return message;
+        });
+        this.stopListening = options.membership.onChange(() => this.lookForAbandonedChunks());
+        const watch = new jobWatch.JobWatch({
+            ...options,
+            signal: this.stopWatching.signal,
+            onRunning: record => this.addJob(record),
+            onEnded: job => this.dropJob(job),
+        });
+        this.tasks = [watch.run(), this.claimWhileRunning(), this.checkpointWhileRunning()];
+    }
+
+    /** Stops taking work, lets running items end within the bound, records what there is, and gives its chunks back. */
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopping.abort();
+        this.stopListening();
+        const { clock, drainMilliseconds = DefaultDrainMilliseconds } = this.options;
+        const giveUpAt = clock.now() + drainMilliseconds;
+        while (this.getRunningCount() > 0 && clock.now() < giveUpAt) {
+            await clock.sleep(TickMilliseconds);
+        }
+        this.getHeldChunks().forEach(chunk => chunk.abortRunning());
+        this.stopWatching.abort();
+        await Promise.all(this.tasks);
+        await Promise.all([...this.jobs.values()].map(job => this.checkpoint(job, true)));
+    }
+
+    private addJob(record: jobRecords.JobRecord): void {
+        if (this.jobs.has(record.id)) {
+            return;
+        }
+        this.jobs.set(record.id, {
+            record,
+            checkpoints: new checkpointer.Checkpointer(record, { ...this.options, ...this.getStores() }),
+            held: new Map(),
+            recheckAt: 0,
+            isExhausted: false,
+            checkpointedAt: this.options.clock.now(),
+            isCheckpointing: false,
+        });
+    }
+
+    private getStores(): Pick<checkpointer.CheckpointerOptions, "boards" | "vault" | "createId"> {
+        return { boards: this.boards, vault: this.vault, createId: this.createId };
+    }
+
+    /** The job has ended: stops its streams at once. A result that is on its way to the board is refused there. */
+    private dropJob(id: string): void {
+        const job = this.jobs.get(id);
+        job?.held.forEach(chunk => chunk.drop());
+        this.jobs.delete(id);
+        this.boards.forget(id);
+    }
+
+    private async claimWhileRunning(): Promise<void> {
+        const { clock } = this.options;
+        while (!this.stopping.signal.aborted) {
+            await this.expireJobs();
+            for (let reads = 0; reads < ReadsPerPass && this.wantsWork(); reads++) {
+                const job = this.claimTurns.choose(this.getClaimable(), clock.wallNow());
+                if (job === undefined) {
+                    break;
+                }
+                await this.claimFrom(job.active);
+            }
+            this.startItems();
+            await clock.sleep(TickMilliseconds, this.stopping.signal);
+        }
+    }
+
+    private wantsWork(): boolean {
+        const chunks = this.getHeldChunks().filter(chunk => !chunk.isComplete());
+        const waiting = chunks.reduce((count, chunk) => count + chunk.getWaitingCount(), 0);
+        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
+        const isLoading = chunks.some(chunk => !chunk.hasBeenLoaded());
+        return capacity > 0 && !isLoading && chunks.length < MaximumHeldChunks && waiting < capacity * ItemsAhead;
+    }
+
+    private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: ActiveJob })[] {
+        const { clock } = this.options;
+        return [...this.jobs.values()]
+            .filter(job => job.recheckAt <= clock.now() && job.record.deadlineAt > clock.wallNow())
+            .map(active => ({ ...toCandidate(active.record), active }));
+    }
+
+    private async claimFrom(job: ActiveJob): Promise<void> {
+        const { membership, clock } = this.options;
+        const { record } = job;
+        const recheck = RecheckMilliseconds + RecheckMillisecondsPerInstance * membership.getLiveInstances().length;
+        const read = await this.boards.read(record.id, RecheckMilliseconds);
+        const claimer = this.createClaimer();
+        const open = read.ok ? boards.getOpenChunks(read.board, record, claimer) : [];
+        if (open.length === 0) {
+            job.isExhausted = read.ok;
+            job.recheckAt = clock.now() + recheck;
+            await this.endJobIfEnded(job, read);
+            return;
+        }
+        // A share of what is open: the other instances look at the same board.
+        const wanted = open.slice(0, Math.ceil(open.length / Math.max(1, membership.getLiveInstances().length)));
+        const result = await this.boards.update(record.id, platform.CallPurpose.Claim, board =>
+            boards.claimChunks(board, record, wanted.slice(0, this.getRoom(record)), claimer),
+        );
+        if (!result.ok) {
+            job.recheckAt = clock.now() + recheck;
+            return;
+        }
+        job.isExhausted = boards.getOpenChunks(result.board, record, claimer).length === 0;
+        this.holdClaimed(job, result.board);
+    }
+
+    /** Chunks that may be claimed at once: enough for what can run, not more than fit. */
+    private getRoom(record: jobRecords.JobRecord): number {
+        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
+        const itemsOfChunk = Math.max(1, record.total / record.chunkItems.length);
+        const held = this.getHeldChunks().filter(chunk => !chunk.isComplete()).length;
+        return Math.max(1, Math.min(MaximumHeldChunks - held, Math.ceil((capacity * ItemsAhead) / itemsOfChunk)));
+    }
+
+    /** Takes up all chunks that the board says are this process's, also those whose claim's reply was lost. */
+    private holdClaimed(job: ActiveJob, board: boards.Board): void {
+        if (boards.hasEnded(board)) {
+            return;
+        }
+        for (const [name, progress] of Object.entries(board.chunks)) {
+            const chunk = Number(name);
+            if (progress.claim?.process !== this.process || job.held.has(chunk)) {
+                continue;
+            }
+            const held = new heldChunk.HeldChunk(
+                job.record,
+                jobRecords.getChunkRange(job.record, chunk),
+                progress.claim.id,
+            );
+            job.held.set(chunk, held);
+            this.options.telemetry.record(telemetry.events.ChunkClaimed, {
+                job: job.record.id,
+                text: `chunk ${chunk}`,
+            });
+            void chunkLoader
+                .loadChunk(held, progress, { ...this.options, vault: this.vault, signal: this.stopping.signal })
+                .then(() => this.startItems());
+        }
+    }
+
+    private createClaimer(): boards.Claimer {
+        const { instance, membership, clock } = this.options;
+        const now = clock.wallNow();
+        const isAbandoned = (claim: boards.Claim): boolean =>
+            claim.process !== this.process &&
+            (claim.instance === instance ||
+                membership.isGone(claim.instance) ||
+                now - claim.renewedAt > ClaimMilliseconds);
+        return { instance, process: this.process, now, createId: this.createId, isAbandoned };
+    }
+
+    private startItems(): void {
+        if (this.stopping.signal.aborted) {
+            return;
+        }
+        const { executor, clock } = this.options;
+        for (let free = executor.getFreeSlots(); free > 0; free--) {
+            const ready = this.getHeldChunks().filter(chunk => chunk.hasReadyItem(clock.now()));
+            const candidates = ready.map(chunk => ({ ...toCandidate(chunk.job), chunk }));
+            const chosen = this.itemTurns.choose(candidates, clock.wallNow());
+            const waiting = chosen?.chunk.takeReadyItem(clock.now());
+            if (chosen === undefined || waiting === undefined) {
+                return;
+            }
+            void this.runItem(chosen.chunk, waiting);
+        }
+    }
+
+    private async runItem(chunk: heldChunk.HeldChunk, waiting: heldChunk.WaitingItem): Promise<void> {
+        const { clock, getItemAttempts, telemetry: events } = this.options;
+        const index = chunk.range.firstItem + waiting.position;
+        const item = jobInput.parseItem(waiting.line, index, chunk.job.endpoint);
+        if (typeof item === "string") {
+            // Checked when the job was submitted, so its input is gone: the item ends as failed, not the chunk.
+            const unreadable = { index, customId: "", method: "", url: chunk.job.endpoint, body: undefined };
+            chunk.endFailed(waiting.position, unreadable, { code: "input_missing", text: item });
+            return;
+        }
+        const outcome = await this.execute(chunk, waiting.position, item);
+        if (chunk.isDropped) {
+            return;
+        }
+        const limit = getItemAttempts?.() ?? DefaultItemAttempts;
+        const hasEnded = chunk.endAttempt(waiting, item, outcome, { now: clock.now(), limit });
+        if (hasEnded && outcome.kind !== types.ItemOutcomeKind.Succeeded) {
+            events.record(telemetry.events.ItemFailed, { job: chunk.job.id, text: `item ${index}` });
+        }
+        this.startItems();
+    }
+
+    private async execute(
+        chunk: heldChunk.HeldChunk,
+        position: number,
+        item: types.JobItem,
+    ): Promise<types.ItemOutcome> {
+        const { id: job, caller, generation, deadlineAt } = chunk.job;
+        const signal = chunk.startItem(position);
+        try {
+            return await this.options.executor.execute(item, { job, caller, generation, deadlineAt }, signal);
+        }
+        catch (error) {
+            // A defect in running one item must not end the runner; the attempt limit ends the item.
+            this.options.telemetry.record(telemetry.events.InternalDefect, { job, text: String(error) });
+            return { kind: types.ItemOutcomeKind.TryAgain, text: "a defect ended the attempt" };
+        }
+    }
+
+    private async checkpointWhileRunning(): Promise<void> {
+        const { clock } = this.options;
+        while (!this.stopping.signal.aborted) {
+            const due = [...this.jobs.values()].filter(job => this.isCheckpointDue(job));
+            await Promise.all(due.map(job => this.checkpoint(job, false)));
+            await clock.sleep(TickMilliseconds, this.stopping.signal);
+        }
+    }
+
+    private isCheckpointDue(job: ActiveJob): boolean {
+        const { clock, membership, checkpointMilliseconds = DefaultCheckpointMilliseconds } = this.options;
+        const chunks = [...job.held.values()];
+        const passed = clock.now() - job.checkpointedAt;
+        if (job.checkpoints.hasPending()) {
+            return passed >= TickMilliseconds;
+        }
+        if (!chunks.some(chunk => chunk.hasEndedItems())) {
+            return chunks.length > 0 && passed >= RenewMilliseconds;
+        }
+        const fleet = membership.getLiveInstances().length * CheckpointMillisecondsPerInstance;
+        const bytes = chunks.reduce((total, chunk) => total + chunk.getEndedBytes(), 0);
+        const isLast = job.isExhausted && chunks.every(chunk => chunk.isComplete());
+        return isLast || bytes >= checkpointer.CheckpointBytes || passed >= Math.max(checkpointMilliseconds, fleet);
+    }
+
+    private async checkpoint(job: ActiveJob, releases: boolean): Promise<void> {
+        if (job.isCheckpointing || job.held.size === 0) {
+            return;
+        }
+        job.isCheckpointing = true;
+        const outcome = await job.checkpoints.record([...job.held.values()], releases);
+        job.isCheckpointing = false;
+        job.checkpointedAt = this.options.clock.now();
+        outcome.lost.forEach(chunk => this.loseChunk(job, chunk));
+        for (const [chunk, held] of job.held) {
+            if (outcome.board?.chunks[chunk]?.hasEnded === true) {
+                job.held.delete(chunk);
+                this.options.telemetry.record(telemetry.events.ChunkFinished, {
+                    job: held.job.id,
+                    text: `chunk ${chunk}`,
+                });
+            }
+        }
+        if (outcome.board !== undefined && boards.hasEnded(outcome.board)) {
+            await this.endJobIfEnded(job, { ok: true, board: outcome.board });
+        }
+    }
+
+    private loseChunk(job: ActiveJob, chunk: number): void {
+        job.held.get(chunk)?.drop();
+        job.held.delete(chunk);
+        this.options.telemetry.record(telemetry.events.ChunkLost, { job: job.record.id, text: `chunk ${chunk}` });
+    }
+
+    /** Ends jobs whose deadline has passed; one instance does it, and the others where that one is not quick. */
+    private async expireJobs(): Promise<void> {
+        const { clock, membership, instance } = this.options;
+        for (const job of [...this.jobs.values()]) {
+            const late = clock.wallNow() - job.record.deadlineAt;
+            const isDuty = membership.tryGetHolder(`job/${job.record.id}`) === instance || job.held.size > 0;
+            if (late < 0 || job.recheckAt > clock.now() || (!isDuty && late < ClaimMilliseconds)) {
+                continue;
+            }
+            job.recheckAt = clock.now() + RecheckMilliseconds;
+            const now = clock.wallNow();
+            const result = await this.boards.update(job.record.id, platform.CallPurpose.Claim, board =>
+                boards.endBoard(board, types.JobState.Expired, now),
+            );
+            await this.endJobIfEnded(job, result);
+        }
+    }
+
+    private async endJobIfEnded(job: ActiveJob, read: boardStore.BoardResult): Promise<void> {
+        if (!read.ok || !boards.hasEnded(read.board)) {
+            return;
+        }
+        this.dropJob(job.record.id);
+        const isWritten = await jobStore.endJobRecord(this.options.keyValue, job.record, read.board);
+        if (isWritten) {
+            this.options.telemetry.record(telemetry.events.JobFinished, {
+                job: job.record.id,
+                text: read.board.state,
+            });
+            return;
+        }
+        // The record still says that the job runs: it is looked at again until its end is written.
+        this.addJob(job.record);
+        const again = this.jobs.get(job.record.id);
+        if (again !== undefined) {
+            again.recheckAt = this.options.clock.now() + RecheckMilliseconds;
+        }
+    }
+
+    /** The holder of a job's duty looks for chunks of lost instances at once, the others when they recheck the job. */
+    private lookForAbandonedChunks(): void {
+        const { membership, instance } = this.options;
+        for (const job of this.jobs.values()) {
+            if (membership.tryGetHolder(`job/${job.record.id}`) === instance) {
+                this.boards.forget(job.record.id);
+                job.recheckAt = 0;
+            }
+        }
+    }
+
+    private getHeldChunks(): readonly heldChunk.HeldChunk[] {
+        return [...this.jobs.values()].flatMap(job => [...job.held.values()]);
+    }
+
+    private getRunningCount(): number {
+        return this.getHeldChunks().reduce((count, chunk) => count + chunk.getRunningCount(), 0);
+    }
+}
+
+function toCandidate(record: jobRecords.JobRecord): jobSelection.JobCandidate {
+    const { id, caller, createdAt, deadlineAt } = record;
+    return { id, caller, createdAt, deadlineAt };
+}
