--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -1,3 +1,6 @@
 /** Ledger of non-idempotent calls, jobs, chunks, results, cancel. */
 export * from "./types.js";
 export * from "./services.js";
+export * from "./ledger.js";
+export { createJobStore, KeyValueJobStore, type KeyValueJobStoreOptions } from "./jobStore.js";
+export * from "./jobRunner.js";
