--- /dev/null
+++ b/packages/decisions/src/admissionQueue.ts
@@ -0,0 +1,276 @@
+import type * as core from "@boragedale/core";
+import * as estimates from "./estimates.js";
+import * as priorityQueue from "./priorityQueue.js";
+
+/** A request that asks to run. */
+export interface AdmissionItem<T> {
+    readonly value: T;
+    readonly caller: core.CallerId;
+    /** Relative share of the caller, over 0. */
+    readonly weight: number;
+    /** Expected work in any unit that is the same for all items, such as 1 a request or tokens; over 0. */
+    readonly cost: number;
+    /** When the answer must be there. */
+    readonly deadlineAt: core.MonotonicMilliseconds;
+}
+
+export enum AdmissionKind {
+    /** Runs now; tell its end by `complete`. */
+    Admitted = "Admitted",
+    /** Waits; comes back from `take`, or from `expire` once it can't be served in time. */
+    Queued = "Queued",
+    /** Can't be served in time: answer now. */
+    Refused = "Refused",
+}
+
+export type AdmissionDecision =
+    | { readonly kind: AdmissionKind.Admitted }
+    | { readonly kind: AdmissionKind.Queued; readonly waitMilliseconds: number }
+    | AdmissionRefusal;
+
+export interface AdmissionRefusal {
+    readonly kind: AdmissionKind.Refused;
+    /** How long the request would have waited. */
+    readonly waitMilliseconds: number;
+    readonly retryAfterMilliseconds: number;
+}
+
+export interface AdmissionSettings {
+    /** Requests that may run at once; changes by `setLimit`. */
+    readonly limit: number;
+    /** Time that one unit of cost takes, as long as nothing has been learned. */
+    readonly expectedMillisecondsPerCost: number;
+    /** From 0 up to 1; spreads the times to come back, so that refused callers don't all return together. */
+    readonly random: () => number;
+}
+
+/** Part of the time left that a request may spend waiting; the rest is for being served and for one retry. */
+const WaitShare = 0.5;
+/** Shortest time to come back; a caller that retries faster only adds load. */
+const MinimumRetryAfter = 100;
+
+interface Entry<T> {
+    readonly item: AdmissionItem<T>;
+    readonly startTag: number;
+    isWaiting: boolean;
+}
+
+interface CallerState<T> {
+    readonly waiting: Entry<T>[];
+    finishTag: number;
+}
+
+/**
+ * Admits, queues or refuses the requests of one class for one model.
+ *
+ * Load: bursts and minutes of saturation, where one caller may send most of the requests.
+ *
+ * Harm prevented: a queue without a bound turns an overload into an outage, since each request is answered after its
+ * caller has gone; a queue in order of arrival lets one caller's thousand requests stand before everybody's one. So
+ * callers share by start-time fair queueing (weight, cost), and a request is refused on arrival when the wait that its
+ * share gives would use more than half of its time. The bound is a wait and not a length, since a length that suits 20
+ * token answers is a hundred times too long for 2,000 token ones.
+ *
+ * A class and a model have a queue of their own: nothing ever waits here behind the other class.
+ */
+export class AdmissionQueue<T> {
+    private readonly callers = new Map<core.CallerId, CallerState<T>>();
+    private readonly byStartTag = new priorityQueue.PriorityQueue<Entry<T>>();
+    private readonly byDeadline = new priorityQueue.PriorityQueue<Entry<T>>();
+    private readonly millisecondsPerCost: estimates.MovingAverage;
+    private expired: AdmissionItem<T>[] = [];
+    private virtualTime = 0;
+    private running = 0;
+    private waitingCount = 0;
+    private waitingCost = 0;
+    private waitingWeight = 0;
+    private limit: number;
+
+    constructor(private readonly settings: AdmissionSettings) {
+        this.limit = settings.limit;
+        this.millisecondsPerCost = new estimates.MovingAverage(0.02, settings.expectedMillisecondsPerCost);
+    }
+
+    /** Sets how many may run at once, as upstreams come, go and fill. */
+    setLimit(limit: number): void {
+        this.limit = Math.max(0, limit);
+    }
+
+    offer(item: AdmissionItem<T>, now: core.MonotonicMilliseconds): AdmissionDecision {
+        if (this.waitingCount === 0 && this.running < this.limit) {
+            this.running++;
+            this.advanceVirtualTime(item);
+            return { kind: AdmissionKind.Admitted };
+        }
+        const waitMilliseconds = this.estimateWait(item);
+        const allowed = Math.min((item.deadlineAt - now) * WaitShare, this.getLatestStart(item) - now);
+        if (waitMilliseconds > allowed) {
+            return this.createRefusal(waitMilliseconds, Math.max(0, allowed));
+        }
+        this.enqueue(item);
+        return { kind: AdmissionKind.Queued, waitMilliseconds };
+    }
+
+    /** The next request to run, or undefined when none waits or nothing is free. Tell its end by `complete`. */
+    take(now: core.MonotonicMilliseconds): AdmissionItem<T> | undefined {
+        while (this.running < this.limit) {
+            const entry = this.byStartTag.pop();
+            if (entry === undefined) {
+                return undefined;
+            }
+            if (!entry.isWaiting) {
+                continue;
+            }
+            this.removeWaiting(entry);
+            this.virtualTime = Math.max(this.virtualTime, entry.startTag);
+            if (this.getLatestStart(entry.item) < now) {
+                // Running it would spend capacity on an answer that comes too late.
+                this.expired.push(entry.item);
+                continue;
+            }
+            this.running++;
+            return entry.item;
+        }
+        return undefined;
+    }
+
+    /** A request that was admitted or taken has ended after `serviceMilliseconds`; undefined teaches nothing. */
+    complete(cost: number, serviceMilliseconds: number | undefined): void {
+        this.running = Math.max(0, this.running - 1);
+        if (serviceMilliseconds !== undefined && cost > 0) {
+            this.millisecondsPerCost.add(serviceMilliseconds / cost);
+        }
+    }
+
+    /** Requests that can no longer be served in time. They have not run; answer them at once. */
+    expire(now: core.MonotonicMilliseconds): readonly AdmissionItem<T>[] {
+        for (let entry = this.byDeadline.peek(); entry !== undefined; entry = this.byDeadline.peek()) {
+            if (entry.isWaiting && this.getLatestStart(entry.item) >= now) {
+                break;
+            }
+            this.byDeadline.pop();
+            if (entry.isWaiting) {
+                this.removeWaiting(entry);
+                this.expired.push(entry.item);
+            }
+        }
+        const result = this.expired;
+        this.expired = [];
+        return result;
+    }
+
+    /** Takes a waiting request out because its caller has gone; false where it does not wait. */
+    cancel(value: T, caller: core.CallerId): boolean {
+        const entry = this.callers.get(caller)?.waiting.find(waiting => waiting.item.value === value);
+        if (entry === undefined) {
+            return false;
+        }
+        this.removeWaiting(entry);
+        return true;
+    }
+
+    /** When a refused or expired request should come back, in milliseconds. */
+    getRetryAfter(): number {
+        return this.spread(this.toWait(this.waitingCost / 2));
+    }
+
+    getWaitingCount(): number {
+        return this.waitingCount;
+    }
+
+    getRunningCount(): number {
+        return this.running;
+    }
+
+    /** When `complete` has taught nothing yet, the setting; else the learned mean. */
+    getMillisecondsPerCost(): number {
+        return this.millisecondsPerCost.getMean();
+    }
+
+    /** What would be before the item: all that waits, but of each other caller only what its share lets pass. */
+    private estimateWait(item: AdmissionItem<T>): number {
+        const startTag = this.getStartTag(item);
+        const passing = (startTag - this.virtualTime) * (this.waitingWeight + item.weight);
+        const ownTurn = item.cost;
+        return this.toWait(Math.min(this.waitingCost, passing) + ownTurn);
+    }
+
+    private toWait(cost: number): number {
+        return (cost * this.millisecondsPerCost.getMean()) / Math.max(1, this.limit);
+    }
+
+    /** Latest time to start and still answer in time, by what service usually takes. */
+    private getLatestStart(item: AdmissionItem<T>): core.MonotonicMilliseconds {
+        return item.deadlineAt - item.cost * this.millisecondsPerCost.getHigh();
+    }
+
+    private createRefusal(waitMilliseconds: number, allowedMilliseconds: number): AdmissionRefusal {
+        return {
+            kind: AdmissionKind.Refused,
+            waitMilliseconds,
+            retryAfterMilliseconds: this.spread(waitMilliseconds - allowedMilliseconds),
+        };
+    }
+
+    private spread(milliseconds: number): number {
+        return Math.round(Math.max(MinimumRetryAfter, milliseconds) * (1 + this.settings.random()));
+    }
+
+    private enqueue(item: AdmissionItem<T>): void {
+        const startTag = this.getStartTag(item);
+        const entry: Entry<T> = { item, startTag, isWaiting: true };
+        const state = this.getCallerState(item.caller);
+        if (state.waiting.length === 0) {
+            this.waitingWeight += item.weight;
+        }
+        state.waiting.push(entry);
+        state.finishTag = startTag + item.cost / item.weight;
+        this.byStartTag.push(entry, startTag);
+        this.byDeadline.push(entry, item.deadlineAt);
+        this.waitingCount++;
+        this.waitingCost += item.cost;
+    }
+
+    private removeWaiting(entry: Entry<T>): void {
+        const state = this.getCallerState(entry.item.caller);
+        state.waiting.splice(state.waiting.indexOf(entry), 1);
+        entry.isWaiting = false;
+        this.waitingCount--;
+        this.waitingCost -= entry.item.cost;
+        if (state.waiting.length === 0) {
+            this.waitingWeight -= entry.item.weight;
+        }
+        if (this.waitingCount === 0) {
+            this.forgetAll();
+        }
+    }
+
+    /** An idle queue starts anew: old tags would hold a caller's past against it, and the maps would only grow. */
+    private forgetAll(): void {
+        this.callers.clear();
+        this.byStartTag.filter(() => false);
+        this.byDeadline.filter(() => false);
+        this.virtualTime = 0;
+        this.waitingCost = 0;
+        this.waitingWeight = 0;
+    }
+
+    private advanceVirtualTime(item: AdmissionItem<T>): void {
+        if (this.callers.size > 0) {
+            this.getCallerState(item.caller).finishTag = this.getStartTag(item) + item.cost / item.weight;
+        }
+    }
+
+    private getStartTag(item: AdmissionItem<T>): number {
+        return Math.max(this.virtualTime, this.callers.get(item.caller)?.finishTag ?? 0);
+    }
+
+    private getCallerState(caller: core.CallerId): CallerState<T> {
+        let state = this.callers.get(caller);
+        if (state === undefined) {
+            state = { waiting: [], finishTag: 0 };
+            this.callers.set(caller, state);
+        }
+        return state;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/batchGate.ts
@@ -0,0 +1,209 @@
+import type * as core from "@boragedale/core";
+import * as estimates from "./estimates.js";
+import * as stepCost from "./stepCost.js";
+
+export interface BatchGateSettings {
+    /** Requests that the upstream may run at once, of both classes. */
+    readonly concurrency: number;
+    /** 0: batch takes only what online can't notice; 1: batch throughput counts as much as online latency. */
+    readonly batchWeight: number;
+    /** When this instance became the upstream's home. */
+    readonly startedAt: core.MonotonicMilliseconds;
+}
+
+/** What one instance tells of its online work on the upstream. */
+export interface OnlinePressure {
+    readonly instance: core.InstanceId;
+    readonly inFlight: number;
+    readonly queued: number;
+}
+
+export interface GateDecision {
+    /** Batch streams that may be started now. */
+    readonly mayStart: number;
+    /** Streams to cancel now, the ones that lose least; their tokens are kept and they resume later. */
+    readonly streamsToCancel: readonly string[];
+}
+
+interface BatchStream {
+    readonly id: string;
+    /** Tokens that the engine would have to read again on resume. */
+    heldTokens: number;
+    hasFirstToken: boolean;
+    isCancelling: boolean;
+}
+
+/** How long online work that was told counts without being told again, in milliseconds: its instance may be gone. */
+const PressureLife = 5_000;
+/** Window in which a rise of online work is measured, in milliseconds: two steps of an engine, a message and a poll. */
+const ReactionTime = 250;
+/** Time in which the remembered rise halves, in milliseconds: lessons start on the hour, roll calls on the quarter. */
+const ReserveHalfLife = 600_000;
+/** Places kept free for online work even where no burst was ever seen. */
+const LeastReserve = 1;
+/** A new home knows nothing yet: it starts with few streams and doubles them each step, in milliseconds. */
+const SlowStartStep = 100;
+const SlowStartFirst = 2;
+/** No batch prompt is sent for so long after online work was seen to queue, in milliseconds. */
+const HoldAfterQueue = 200;
+
+/**
+ * How many batch streams one upstream may hold: the decision of the upstream's home.
+ *
+ * Load: batch work without end beside online work that is idle for seconds and then bursts. Harm prevented: engines
+ * know no priorities and admit as requests come, so a batch stream that is there slows each online token, holds a place
+ * and memory that a burst needs, and can't be overtaken. Three limits, each against one of these:
+ *
+ * - places: concurrency less online in flight less a reserve that covers the largest recent rise within the time it
+ *   takes to notice and to cancel. Without it a burst waits inside the engine behind streams that last seconds. While a
+ *   burst eats the reserve streams are cancelled, cheapest first, down to half of it: all of it would cancel at each
+ *   single request, none would cancel too late.
+ * - step time: as many streams as lengthen the engine's step, which is online's time between tokens, by no more than the
+ *   operators' weight allows. The slope is learned from the streams themselves.
+ * - prompts: few batch prompts are read at once, since reading one stops all streams of the engine for a step.
+ */
+export class BatchGate {
+    private readonly pressures = new Map<
+        core.InstanceId,
+        { readonly pressure: OnlinePressure; readonly heardAt: core.MonotonicMilliseconds }
+    >();
+    private readonly streams = new Map<string, BatchStream>();
+    private readonly rise = new estimates.DecayingMaximum(ReserveHalfLife);
+    private readonly cost = new stepCost.StepCost();
+    private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
+    private queuedAt: core.MonotonicMilliseconds = -Infinity;
+    private concurrency: number;
+    private batchWeight: number;
+    private homes = 1;
+
+    constructor(private readonly settings: BatchGateSettings) {
+        this.concurrency = settings.concurrency;
+        this.batchWeight = settings.batchWeight;
+    }
+
+    /** Applies a release note. */
+    configure(concurrency: number, batchWeight: number): void {
+        this.concurrency = concurrency;
+        this.batchWeight = batchWeight;
+    }
+
+    /**
+     * How many instances may believe to be the home: 2 while a lagging instance list moves the duty. Each then takes
+     * half, so that both together hold no more than one would.
+     */
+    setHomes(count: number): void {
+        this.homes = Math.max(1, count);
+    }
+
+    onOnlinePressure(pressure: OnlinePressure, now: core.MonotonicMilliseconds): void {
+        this.pressures.set(pressure.instance, { pressure, heardAt: now });
+        if (pressure.queued > 0) {
+            this.queuedAt = now;
+        }
+        this.noteRise(now);
+    }
+
+    onStarted(id: string, promptTokens: number): void {
+        this.streams.set(id, { id, heldTokens: promptTokens, hasFirstToken: false, isCancelling: false });
+    }
+
+    onFirstToken(id: string): void {
+        const stream = this.streams.get(id);
+        if (stream !== undefined) {
+            stream.hasFirstToken = true;
+        }
+    }
+
+    /** A stream got `tokens` within `milliseconds`, both since the last call; call it every so many tokens. */
+    onProgress(id: string, tokens: number, milliseconds: number, now: core.MonotonicMilliseconds): void {
+        const stream = this.streams.get(id);
+        if (stream === undefined || tokens <= 0) {
+            return;
+        }
+        stream.heldTokens += tokens;
+        this.cost.add(this.streams.size + this.getOnline(now), milliseconds / tokens);
+    }
+
+    onEnded(id: string): void {
+        this.streams.delete(id);
+    }
+
+    decide(now: core.MonotonicMilliseconds): GateDecision {
+        const reserve = this.getReserve(now);
+        const streamsToCancel = this.chooseCancelled(this.getLimit(Math.floor(reserve / 2), now));
+        const remaining = this.streams.size;
+        const places = this.getLimit(reserve, now) - remaining;
+        return { mayStart: Math.max(0, Math.min(places, this.getPromptPlaces(now))), streamsToCancel };
+    }
+
+    /** Online requests on the upstream, over all instances heard of lately: what the home tells back. */
+    getOnline(now: core.MonotonicMilliseconds): number {
+        let sum = 0;
+        for (const { pressure, heardAt } of this.pressures.values()) {
+            sum += now - heardAt > PressureLife ? 0 : pressure.inFlight + pressure.queued;
+        }
+        return sum;
+    }
+
+    /** Batch streams held now, those being cancelled included. */
+    getStreamCount(): number {
+        return this.streams.size;
+    }
+
+    /** Places kept free for bursts. */
+    getReserve(now: core.MonotonicMilliseconds): number {
+        const learned = this.rise.get(now) * (1 - this.batchWeight);
+        return Math.max(LeastReserve, Math.ceil(learned));
+    }
+
+    private getLimit(reserve: number, now: core.MonotonicMilliseconds): number {
+        const online = this.getOnline(now);
+        const byPlaces = this.concurrency - online - reserve;
+        const byStep = this.cost.getMostStreams(online, getTolerance(this.batchWeight));
+        const limit = Math.min(byPlaces, byStep, this.getSlowStartLimit(now));
+        return Math.max(0, Math.floor(limit / this.homes));
+    }
+
+    private getSlowStartLimit(now: core.MonotonicMilliseconds): number {
+        return SlowStartFirst * 2 ** Math.min(30, (now - this.settings.startedAt) / SlowStartStep);
+    }
+
+    /** Batch prompts that may be sent now. */
+    private getPromptPlaces(now: core.MonotonicMilliseconds): number {
+        if (now - this.queuedAt < HoldAfterQueue * (1 - this.batchWeight)) {
+            return 0;
+        }
+        let reading = 0;
+        for (const stream of this.streams.values()) {
+            reading += stream.hasFirstToken ? 0 : 1;
+        }
+        return 1 + Math.floor(this.batchWeight * 3) - reading;
+    }
+
+    /** The streams that lose least: resuming reads the prompt and what was generated again. */
+    private chooseCancelled(limit: number): readonly string[] {
+        const running = [...this.streams.values()].filter(stream => !stream.isCancelling);
+        const excess = running.length - limit;
+        if (excess <= 0) {
+            return [];
+        }
+        const chosen = running.sort((left, right) => left.heldTokens - right.heldTokens).slice(0, excess);
+        for (const stream of chosen) {
+            stream.isCancelling = true;
+        }
+        return chosen.map(stream => stream.id);
+    }
+
+    private noteRise(now: core.MonotonicMilliseconds): void {
+        const online = this.getOnline(now);
+        this.recentLows = this.recentLows.filter(low => now - low.at <= ReactionTime);
+        const lowest = Math.min(online, ...this.recentLows.map(low => low.online));
+        this.recentLows.push({ at: now, online });
+        this.rise.add(online - lowest, now);
+    }
+}
+
+/** How much longer batch may make an engine's step, as a part of what it would be without. */
+function getTolerance(batchWeight: number): number {
+    return batchWeight >= 1 ? Infinity : 0.1 / (1 - batchWeight) ** 2;
+}
--- /dev/null
+++ b/packages/decisions/src/placement.ts
@@ -0,0 +1,406 @@
+import * as core from "@boragedale/core";
+import * as breaker from "./breaker.js";
+import * as hashing from "./hashing.js";
+import * as prefixShares from "./prefixShares.js";
+import * as upstreamHealth from "./upstreamHealth.js";
+
+/** What placement needs to know of an upstream; a `core.UpstreamDescription` fits. */
+export interface PlacementCandidate {
+    readonly id: core.UpstreamId;
+    readonly dataCentre: core.DataCentre;
+    readonly role: core.UpstreamRole;
+    readonly models: readonly core.ModelId[];
+    /** Requests that it may run at once. */
+    readonly concurrency: number;
+    readonly isLeaving: boolean;
+}
+
+export interface PlacementRequest {
+    readonly model: core.ModelId;
+    /** Hash of the beginning of the prompt; equal for prompts that share a cached prefix. */
+    readonly prefixHash: string;
+    readonly requestClass: core.RequestClass;
+    /** Upstreams that this request has tried. */
+    readonly exclude?: ReadonlySet<core.UpstreamId>;
+}
+
+export enum PlacementKind {
+    Placed = "Placed",
+    None = "None",
+}
+
+export type PlacementDecision =
+    | { readonly kind: PlacementKind.Placed; readonly upstream: core.UpstreamId }
+    | { readonly kind: PlacementKind.None; readonly retryAfterMilliseconds: number };
+
+/** How a request that was sent came to its end without an answer. */
+export enum SendFailure {
+    /** The upstream died or its connection broke. */
+    Died = "Died",
+    /** It answered with an error of its own, or was silent. */
+    Failed = "Failed",
+    /** It said that it is full or not ready. */
+    Busy = "Busy",
+    /** Ended by us or by the caller; tells nothing of the upstream. */
+    Abandoned = "Abandoned",
+}
+
+export interface PlacementSettings {
+    /** From 0 up to 1. */
+    readonly random: () => number;
+}
+
+/** An upstream may be this far above the mean load before a prefix's request goes elsewhere. */
+const BoundFactor = 1.25;
+/** Requests above the bound that are let pass, so that a nearly idle fleet keeps its prefixes together. */
+const BoundSlack = 2;
+/** Upstreams for a prefix, in relation to its share of the traffic: a hot one needs room to be spread over. */
+const ReplicaFactor = 1.5;
+/** One request in so many may probe a slow upstream: 0.2% stays out of the p99 even if every probe is slow. */
+const RequestsPerProbe = 500;
+/** What is known of other instances' load halves its weight in this time, in milliseconds. */
+const HintHalfLife = 1_000;
+/** Hints older than this are not used at all, in milliseconds. */
+const HintLife = 5_000;
+/** When to come back if nothing better is known, in milliseconds; about a short answer's time. */
+const DefaultRetryAfter = 250;
+
+/** What this instance knows of the load of one upstream. */
+class LoadRecord {
+    readonly breaker: breaker.Breaker;
+    /** Requests of each class that this instance has there. */
+    online = 0;
+    batch = 0;
+    /** Online requests of other instances, as of `hintedAt`. */
+    others = 0;
+    hintedAt: core.MonotonicMilliseconds = -Infinity;
+    waiting = 0;
+    reportedAt: core.MonotonicMilliseconds = -Infinity;
+
+    constructor(random: () => number) {
+        this.breaker = new breaker.Breaker(random);
+    }
+}
+
+interface SentRequest {
+    readonly upstream: core.UpstreamId;
+    readonly requestClass: core.RequestClass;
+}
+
+/**
+ * Chooses the upstream of a request.
+ *
+ * Load: prompts that share prefixes, one of them perhaps half of the traffic; upstreams that differ in speed; 3 to 400
+ * instances that each see a part. Harm prevented: by load alone every prompt is prefilled anew; by prefix alone the hot
+ * prefix overruns one upstream; by load reports alone all instances run after the same stale minimum.
+ *
+ * So: the prefix ranks the upstreams by rendezvous; a prefix with a share of the traffic gets as many of the first
+ * ranks as the share needs (each instance works out the same ones); within these the least loaded wins; and none may
+ * be more than a quarter above the mean. The base of the load is what this instance has in flight, which is never
+ * stale; totals told by the homes are added while fresh, and engines' reports only count where they show a queue.
+ */
+export class Placement {
+    private readonly records = new Map<core.UpstreamId, LoadRecord>();
+    private readonly sent = new Map<string, SentRequest>();
+    private readonly health = new upstreamHealth.UpstreamHealth();
+    private readonly shares = new prefixShares.PrefixShares();
+    private requestsSinceProbe = 0;
+    private sharing = 1;
+
+    constructor(private readonly settings: PlacementSettings) {}
+
+    /** How many instances send to each upstream: the fleet's size times the part of the upstreams that each uses. */
+    setSharing(instances: number): void {
+        this.sharing = Math.max(1, instances);
+    }
+
+    choose(
+        request: PlacementRequest,
+        candidates: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): PlacementDecision {
+        const eligible = candidates.filter(candidate => isEligible(candidate, request));
+        const usable = eligible.filter(candidate => this.isUsable(candidate, request, now));
+        const quick = usable.filter(candidate => this.isQuick(candidate, now));
+        const probe = this.tryChooseProbe(usable, quick, now);
+        if (probe !== undefined) {
+            return { kind: PlacementKind.Placed, upstream: probe.id };
+        }
+        const chosen = this.tryChooseByPrefix(request, eligible, quick.length > 0 ? quick : usable, now);
+        return chosen === undefined
+            ? { kind: PlacementKind.None, retryAfterMilliseconds: this.getRetryAfter(eligible, now) }
+            : { kind: PlacementKind.Placed, upstream: chosen.id };
+    }
+
+    /** Online requests that this instance may have in flight for a model: the limit of its admission queue. */
+    getCapacity(
+        model: core.ModelId,
+        requestClass: core.RequestClass,
+        candidates: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): number {
+        const request = { model, requestClass, prefixHash: "" };
+        return candidates
+            .filter(candidate => isEligible(candidate, request))
+            .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now) && this.isQuick(candidate, now))
+            .reduce((sum, candidate) => sum + this.getOwnLimit(candidate), 0);
+    }
+
+    onSent(
+        id: string,
+        upstream: core.UpstreamId,
+        requestClass: core.RequestClass,
+        now: core.MonotonicMilliseconds,
+    ): void {
+        this.sent.set(id, { upstream, requestClass });
+        const record = this.getRecord(upstream);
+        record.breaker.onSent();
+        if (requestClass === core.RequestClass.Online) {
+            record.online++;
+            this.health.onSent(upstream, id, now);
+        }
+        else {
+            record.batch++;
+        }
+    }
+
+    onFirstToken(id: string, now: core.MonotonicMilliseconds): void {
+        const sent = this.sent.get(id);
+        if (sent !== undefined) {
+            this.health.onFirstToken(sent.upstream, id, now);
+        }
+    }
+
+    /** Some tokens came, `milliseconds` after the ones before; call it every so many tokens, not at each. */
+    onProgress(id: string, tokens: number, milliseconds: number, now: core.MonotonicMilliseconds): void {
+        const sent = this.sent.get(id);
+        if (sent !== undefined) {
+            this.health.onProgress(sent.upstream, tokens, milliseconds, now);
+        }
+    }
+
+    onFinished(id: string): void {
+        const sent = this.forgetSent(id);
+        if (sent !== undefined) {
+            this.getRecord(sent.upstream).breaker.onSuccess();
+        }
+    }
+
+    onFailed(id: string, failure: SendFailure, now: core.MonotonicMilliseconds): void {
+        const sent = this.forgetSent(id);
+        if (sent === undefined) {
+            return;
+        }
+        const upstreamBreaker = this.getRecord(sent.upstream).breaker;
+        switch (failure) {
+            case SendFailure.Died:
+                upstreamBreaker.onDeath(now);
+                break;
+            case SendFailure.Failed:
+            case SendFailure.Busy:
+                upstreamBreaker.onFailure(now);
+                break;
+            case SendFailure.Abandoned:
+                upstreamBreaker.onAbandoned();
+                break;
+        }
+    }
+
+    /** The upstream's home told how many online requests all instances have there. */
+    onOnlineTotal(upstream: core.UpstreamId, inFlight: number, now: core.MonotonicMilliseconds): void {
+        const record = this.getRecord(upstream);
+        record.others = Math.max(0, inFlight - record.online);
+        record.hintedAt = now;
+    }
+
+    /** The engine's own report; a hint, since it lags and counts batch work that gives way. */
+    onLoadReport(
+        upstream: core.UpstreamId,
+        report: { readonly waiting: number; readonly ageMilliseconds: number },
+        now: core.MonotonicMilliseconds,
+    ): void {
+        const record = this.getRecord(upstream);
+        record.waiting = report.waiting;
+        record.reportedAt = now - report.ageMilliseconds;
+    }
+
+    /** Online requests that this instance has on the upstream: what it tells the home. */
+    getOnlineInFlight(upstream: core.UpstreamId): number {
+        return this.records.get(upstream)?.online ?? 0;
+    }
+
+    getSpeedState(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): upstreamHealth.SpeedState {
+        return this.health.getState(upstream, now);
+    }
+
+    /** Forgets upstreams that the release note no longer lists, once nothing runs there. */
+    retain(upstreams: ReadonlySet<core.UpstreamId>): void {
+        this.health.retain(upstreams);
+        for (const [id, record] of this.records) {
+            if (!upstreams.has(id) && record.online + record.batch === 0) {
+                this.records.delete(id);
+            }
+        }
+    }
+
+    private tryChooseByPrefix(
+        request: PlacementRequest,
+        eligible: readonly PlacementCandidate[],
+        usable: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): PlacementCandidate | undefined {
+        const byId = new Map(usable.map(candidate => [candidate.id, candidate]));
+        const share = this.shares.add(request.prefixHash, now);
+        // Ranks are taken over all eligible ones: an upstream that rests must not move everybody else's prefixes.
+        const ranked = hashing
+            .rankByRendezvous(
+                `${request.model}/${request.prefixHash}`,
+                eligible.map(candidate => candidate.id),
+            )
+            .map(id => byId.get(id))
+            .filter(candidate => candidate !== undefined);
+        const replicas = Math.max(1, Math.ceil(share * eligible.length * ReplicaFactor));
+        const bound = this.getLoadBound(usable, now);
+        const loadOf = (candidate: PlacementCandidate): number => this.getLoad(candidate, now);
+        const preferred = getLeast(ranked.slice(0, replicas), loadOf);
+        if (preferred !== undefined && loadOf(preferred) <= bound) {
+            return preferred;
+        }
+        return ranked.slice(replicas).find(candidate => loadOf(candidate) <= bound) ?? getLeast(ranked, loadOf);
+    }
+
+    private getLoadBound(usable: readonly PlacementCandidate[], now: core.MonotonicMilliseconds): number {
+        const sum = usable.reduce((total, candidate) => total + this.getLoad(candidate, now), 0);
+        return (BoundFactor * sum) / Math.max(1, usable.length) + BoundSlack;
+    }
+
+    /** Online requests there: our own, and the other instances' as far as the hint is fresh. */
+    private getLoad(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): number {
+        const record = this.getRecord(candidate.id);
+        const age = now - record.hintedAt;
+        const others = age > HintLife ? 0 : record.others * 2 ** -(age / HintHalfLife);
+        return record.online + others;
+    }
+
+    private isUsable(
+        candidate: PlacementCandidate,
+        request: PlacementRequest,
+        now: core.MonotonicMilliseconds,
+    ): boolean {
+        const record = this.getRecord(candidate.id);
+        if (!record.breaker.isAvailable(now)) {
+            return false;
+        }
+        // Batch has its limit from the upstream's home, and never takes a place of online work here.
+        return request.requestClass === core.RequestClass.Batch || this.hasRoom(candidate, record, now);
+    }
+
+    private hasRoom(candidate: PlacementCandidate, record: LoadRecord, now: core.MonotonicMilliseconds): boolean {
+        const queuesInside = record.waiting > 0 && now - record.reportedAt < HintHalfLife;
+        return record.online < (queuesInside ? this.getFairPart(candidate) : this.getOwnLimit(candidate));
+    }
+
+    /**
+     * The part of the upstream's concurrency that this instance may use: its even share, and twice the square root of
+     * it, by which the instances' numbers differ by chance. Less leaves places empty while requests queue here; more
+     * lets the queue build up in the engine, where it is first come first served.
+     */
+    private getOwnLimit(candidate: PlacementCandidate): number {
+        const share = candidate.concurrency / this.sharing;
+        return Math.min(candidate.concurrency, Math.ceil(share + (this.sharing > 1 ? 2 * Math.sqrt(share) : 0)));
+    }
+
+    private getFairPart(candidate: PlacementCandidate): number {
+        return Math.max(1, Math.round(candidate.concurrency / this.sharing));
+    }
+
+    private isQuick(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+        const share = this.health.getShare(candidate.id, now);
+        return share >= 1 || (share > 0 && this.settings.random() < share);
+    }
+
+    private tryChooseProbe(
+        usable: readonly PlacementCandidate[],
+        quick: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): PlacementCandidate | undefined {
+        this.requestsSinceProbe++;
+        if (quick.length === usable.length || this.requestsSinceProbe < RequestsPerProbe) {
+            return undefined;
+        }
+        const probe = usable.find(
+            candidate =>
+                this.health.getState(candidate.id, now) === upstreamHealth.SpeedState.Slow &&
+                !this.health.isAwaiting(candidate.id),
+        );
+        this.requestsSinceProbe = probe === undefined ? this.requestsSinceProbe : 0;
+        return probe;
+    }
+
+    private getRetryAfter(eligible: readonly PlacementCandidate[], now: core.MonotonicMilliseconds): number {
+        const rests = eligible
+            .map(candidate => this.getRecord(candidate.id).breaker.getRemainingRest(now))
+            .filter(rest => rest > 0);
+        const shortest = rests.length > 0 ? Math.min(...rests) : DefaultRetryAfter;
+        return Math.round(Math.max(DefaultRetryAfter, shortest) * (1 + this.settings.random()));
+    }
+
+    private forgetSent(id: string): SentRequest | undefined {
+        const sent = this.sent.get(id);
+        if (sent === undefined) {
+            return undefined;
+        }
+        this.sent.delete(id);
+        const record = this.getRecord(sent.upstream);
+        if (sent.requestClass === core.RequestClass.Online) {
+            record.online--;
+            this.health.onEnded(sent.upstream, id);
+        }
+        else {
+            record.batch--;
+        }
+        return sent;
+    }
+
+    private getRecord(upstream: core.UpstreamId): LoadRecord {
+        let record = this.records.get(upstream);
+        if (record === undefined) {
+            record = new LoadRecord(this.settings.random);
+            this.records.set(upstream, record);
+        }
+        return record;
+    }
+}
+
+function isEligible(candidate: PlacementCandidate, request: PlacementRequest): boolean {
+    return (
+        !candidate.isLeaving &&
+        candidate.models.includes(request.model) &&
+        servesClass(candidate.role, request.requestClass) &&
+        request.exclude?.has(candidate.id) !== true
+    );
+}
+
+function servesClass(role: core.UpstreamRole, requestClass: core.RequestClass): boolean {
+    switch (role) {
+        case core.UpstreamRole.Mixed:
+            return true;
+        case core.UpstreamRole.Online:
+            return requestClass === core.RequestClass.Online;
+        case core.UpstreamRole.Batch:
+            return requestClass === core.RequestClass.Batch;
+    }
+}
+
+function getLeast<T>(items: readonly T[], getValue: (item: T) => number): T | undefined {
+    let least: T | undefined;
+    let leastValue = Infinity;
+    for (const item of items) {
+        const value = getValue(item);
+        if (value < leastValue) {
+            least = item;
+            leastValue = value;
+        }
+    }
+    return least;
+}
