--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -27,6 +27,15 @@
     "model '{0}' keeps a floor of {1} upstreams for {2}, but only {3} are assigned",
 );
 
+export const NoteExists = createMessage(2006, "{0} '{1}' exists already; list it under 'changed'");
+export const NoteMissing = createMessage(2007, "{0} '{1}' does not exist, so it can't be {2}");
+export const NoteFloorBlocks = createMessage(
+    2008,
+    "model '{0}' keeps a floor of {1} upstreams for {2} and has no more, so it could never change; lower the floor",
+);
+export const NoteEmpty = createMessage(2009, "the release note changes nothing");
+export const NoteTooLarge = createMessage(2010, "the release note is over the limit of {0} bytes");
+
 export const NotAuthorized = createMessage(3001, "the bearer token is missing or belongs to no caller");
 export const BodyInvalid = createMessage(3002, "the request body is not usable: {0}");
 export const BodyTooLarge = createMessage(3003, "the request body is over the limit of {0} bytes");
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * as membership from "./membership/index.js";
--- /dev/null
+++ b/packages/entry/src/membership/index.ts
@@ -0,0 +1,3 @@
+/** Who is in the fleet, and who holds which duty. */
+export * from "./fleetMembership.js";
+export * from "./rendezvous.js";
--- /dev/null
+++ b/packages/protocol/src/codec.ts
@@ -0,0 +1,131 @@
+import * as core from "@boragedale/core";
+import * as msgpackr from "msgpackr";
+import * as zod from "zod";
+import * as types from "./types.js";
+
+/** What goes over a connection: a message, and how it belongs to a request. */
+export interface Frame {
+    /** Set on a request and, the same, on its reply. */
+    readonly correlation?: number;
+    readonly isReply?: boolean;
+    readonly message: types.Message;
+}
+
+export enum FrameFindingKind {
+    TooLarge = "TooLarge",
+    NotMessagePack = "NotMessagePack",
+    Shape = "Shape",
+}
+
+export interface FrameFinding {
+    readonly kind: FrameFindingKind;
+    readonly text: string;
+}
+
+export type DecodedFrame =
+    { readonly ok: true; readonly frame: Frame } | { readonly ok: false; readonly finding: FrameFinding };
+
+/**
+ * Largest frame of a lane, in bytes. Control and online frames stay small, so that none delays the next for long; a
+ * release note travels in the bulk lane, where the limit is the note's own with room for its parsed form.
+ */
+export function getFrameLimit(lane: types.Lane): number {
+    switch (lane) {
+        case types.Lane.Control:
+            return 16_384;
+        case types.Lane.Online:
+            return 4_194_304;
+        case types.Lane.Bulk:
+            return 16_777_216;
+    }
+}
+
+const name = zod.string().max(200);
+const payload = zod.instanceof(Uint8Array);
+const shard = zod.int().min(0);
+const count = zod.number().min(0);
+
+const MessageSchema = zod.discriminatedUnion("kind", [
+    zod.object({ kind: zod.literal(types.MessageKind.Challenge), challenge: name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.Hello),
+        version: zod.int().min(1),
+        instance: name,
+        lane: zod.enum(types.Lane),
+        challenge: name,
+        proof: name,
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.Heartbeat),
+        generation: zod.int().min(0),
+        logicalTime: count,
+        state: zod.enum(core.LifeState),
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.Leaving), instance: name }),
+    zod.object({ kind: zod.literal(types.MessageKind.NoteRequest), newerThan: zod.int().min(0) }),
+    // The release package owns the shape of a note and checks it again with its own schema.
+    zod.object({ kind: zod.literal(types.MessageKind.NoteReply), note: zod.custom<core.NoteInForce>().optional() }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerBegin), shard, payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerBegun), payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerFinish), shard, payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerFinished), payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerRead), shard, payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.LedgerRecord), payload }),
+    zod.object({ kind: zod.literal(types.MessageKind.JobCancelled), job: name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.OnlinePressure),
+        upstream: name,
+        inFlight: count,
+        queued: count,
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.SuspectReport), fingerprint: name, deaths: count }),
+    zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
+]);
+
+const FrameSchema = zod.object({
+    correlation: zod.int().min(0).optional(),
+    isReply: zod.boolean().optional(),
+    message: MessageSchema,
+});
+
+const packer = new msgpackr.Packr({ useRecords: false, encodeUndefinedAsNil: false });
+
+/** Packs a frame, or tells why its lane can't carry it. */
+export function encodeFrame(
+    frame: Frame,
+    lane: types.Lane,
+): { readonly ok: true; readonly bytes: Uint8Array } | { readonly ok: false; readonly finding: FrameFinding } {
+    const bytes = packer.pack(dropUndefined(frame));
+    const limit = getFrameLimit(lane);
+    if (bytes.byteLength > limit) {
+        const text = `${frame.message.kind} of ${bytes.byteLength} bytes is over the lane's limit of ${limit}`;
+        return { ok: false, finding: { kind: FrameFindingKind.TooLarge, text } };
+    }
+    return { ok: true, bytes };
+}
+
+/** Reads a frame. Whatever the bytes are, the result is a frame or a finding, never an exception. */
+export function decodeFrame(bytes: Uint8Array, lane: types.Lane): DecodedFrame {
+    if (bytes.byteLength > getFrameLimit(lane)) {
+        return createFailure(FrameFindingKind.TooLarge, `${bytes.byteLength} bytes`);
+    }
+    let value: unknown;
+    try {
+        value = packer.unpack(bytes);
+    }
+    catch (error) {
+        return createFailure(FrameFindingKind.NotMessagePack, String(error));
+    }
+    const parsed = FrameSchema.safeParse(value);
+    return parsed.success
+        ? { ok: true, frame: parsed.data }
+        : createFailure(FrameFindingKind.Shape, parsed.error.issues[0]?.message ?? "unknown");
+}
+
+function createFailure(kind: FrameFindingKind, text: string): DecodedFrame {
+    return { ok: false, finding: { kind, text } };
+}
+
+function dropUndefined(frame: Frame): Frame {
+    return frame.correlation === undefined ? { message: frame.message } : frame;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,2 +1,5 @@
-/** The inner protocol: messages, codec, peer link. */
+/** The inner protocol: messages, codec, peer links. */
 export * from "./types.js";
+export * from "./codec.js";
+export * from "./handshake.js";
+export * from "./webSocketPeerNetwork.js";
--- /dev/null
+++ b/packages/protocol/src/peerLink.ts
@@ -0,0 +1,138 @@
+import type * as core from "@boragedale/core";
+import * as codec from "./codec.js";
+import type * as connections from "./connection.js";
+import * as types from "./types.js";
+
+/** Most bytes that may wait in one lane; beyond it a notice is dropped rather than queued without bound. */
+const LargestBacklogBytes = 33_554_432;
+
+interface PendingRequest {
+    readonly finish: (result: types.PeerResult) => void;
+}
+
+/** Handles a message that is not a reply; the result, where there is one, goes back to a request. */
+export type Dispatch = (message: types.Message, from: core.InstanceId) => Promise<types.Message | undefined>;
+
+/** One open lane to one peer: requests with their correlation ids, replies, notices. */
+export class PeerLink {
+    lastHeard: core.MonotonicMilliseconds;
+    lastUsed: core.MonotonicMilliseconds;
+    private nextCorrelation = 0;
+    private readonly pending = new Map<number, PendingRequest>();
+
+    constructor(
+        readonly peer: core.InstanceId,
+        readonly lane: types.Lane,
+        readonly connection: connections.Connection,
+        /** Whether this end opened it; only that end may let it go as idle, since the other can't know its plans. */
+        readonly isDialled: boolean,
+        private readonly clock: core.Clock,
+    ) {
+        this.lastHeard = clock.now();
+        this.lastUsed = clock.now();
+    }
+
+    async request(message: types.Message, timeoutMilliseconds: number): Promise<types.PeerResult> {
+        const correlation = this.nextCorrelation++;
+        this.lastUsed = this.clock.now();
+        return new Promise<types.PeerResult>(resolve => {
+            const stop = this.clock.schedule(timeoutMilliseconds, () =>
+                finish(createFailure(types.PeerFailureKind.TimedOut, `${this.peer} did not reply in time`)),
+            );
+            const finish = (result: types.PeerResult): void => {
+                stop();
+                this.pending.delete(correlation);
+                resolve(result);
+            };
+            this.pending.set(correlation, { finish });
+            const failure = this.send({ correlation, message });
+            if (failure !== undefined) {
+                finish(createFailure(types.PeerFailureKind.NotConnected, failure));
+            }
+        });
+    }
+
+    notify(message: types.Message): boolean {
+        this.lastUsed = this.clock.now();
+        return this.beat(message);
+    }
+
+    /** Sends what only keeps the link alive, which is no use of it. */
+    beat(message: types.Message): boolean {
+        return this.connection.getBacklog() < LargestBacklogBytes && this.send({ message }) === undefined;
+    }
+
+    /** Handles messages until the connection is over. A malformed one ends it: what follows can't be trusted. */
+    async run(dispatch: Dispatch): Promise<void> {
+        try {
+            for (;;) {
+                const bytes = await this.connection.read();
+                if (bytes === undefined) {
+                    return;
+                }
+                const decoded = codec.decodeFrame(bytes, this.lane);
+                if (!decoded.ok) {
+                    return;
+                }
+                this.lastHeard = this.clock.now();
+                this.take(decoded.frame, dispatch);
+            }
+        }
+        finally {
+            this.failPending();
+        }
+    }
+
+    private take(frame: codec.Frame, dispatch: Dispatch): void {
+        if (frame.isReply === true) {
+            // A reply that comes after its time-out has no waiter any more and is dropped.
+            this.pending.get(frame.correlation ?? -1)?.finish(toResult(frame.message));
+            return;
+        }
+        if (frame.message.kind !== types.MessageKind.Heartbeat) {
+            this.lastUsed = this.clock.now();
+        }
+        void this.answer(frame, dispatch);
+    }
+
+    private async answer(frame: codec.Frame, dispatch: Dispatch): Promise<void> {
+        const reply = await dispatch(frame.message, this.peer);
+        if (frame.correlation === undefined) {
+            return;
+        }
+        const message = reply ?? createRefused(`${frame.message.kind} is not handled here`);
+        const failure = this.send({ correlation: frame.correlation, isReply: true, message });
+        if (failure !== undefined) {
+            this.send({ correlation: frame.correlation, isReply: true, message: createRefused(failure) });
+        }
+    }
+
+    private send(frame: codec.Frame): string | undefined {
+        const encoded = codec.encodeFrame(frame, this.lane);
+        if (!encoded.ok) {
+            return encoded.finding.text;
+        }
+        return this.connection.send(encoded.bytes) ? undefined : `the link to ${this.peer} is closed`;
+    }
+
+    /** The requests had left, so the peer may have acted on them: that is a time-out, not "not connected". */
+    private failPending(): void {
+        for (const request of [...this.pending.values()]) {
+            request.finish(createFailure(types.PeerFailureKind.TimedOut, `the link to ${this.peer} was lost`));
+        }
+    }
+}
+
+function toResult(message: types.Message): types.PeerResult {
+    return message.kind === types.MessageKind.Refused
+        ? createFailure(types.PeerFailureKind.Refused, message.text)
+        : { ok: true, message };
+}
+
+export function createFailure(kind: types.PeerFailureKind, text: string): types.PeerResult {
+    return { ok: false, kind, text };
+}
+
+function createRefused(text: string): types.Refused {
+    return { kind: types.MessageKind.Refused, text };
+}
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -14,6 +14,7 @@
 }
 
 export enum MessageKind {
+    Challenge = "Challenge",
     Hello = "Hello",
     Heartbeat = "Heartbeat",
     Leaving = "Leaving",
@@ -31,11 +32,19 @@
     Refused = "Refused",
 }
 
+/** First frame of the accepting end: what the other end's proof must cover, so that an old proof is worth nothing. */
+export interface Challenge {
+    readonly kind: MessageKind.Challenge;
+    readonly challenge: string;
+}
+
 export interface Hello {
     readonly kind: MessageKind.Hello;
     readonly version: number;
     readonly instance: core.InstanceId;
     readonly lane: Lane;
+    /** What the other end's answer must cover. */
+    readonly challenge: string;
     /** Proof of the shared key over both ends' challenges, in hexadecimal. */
     readonly proof: string;
 }
@@ -62,7 +71,7 @@
 
 export interface NoteReply {
     readonly kind: MessageKind.NoteReply;
-    readonly note: core.NoteInForce | undefined;
+    readonly note?: core.NoteInForce;
 }
 
 /** Opaque to the protocol: the work package encodes its own records. */
@@ -121,6 +130,7 @@
 }
 
 export type Message =
+    | Challenge
     | Hello
     | Heartbeat
     | Leaving
--- /dev/null
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -0,0 +1,416 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as core from "@boragedale/core";
+import * as telemetry from "@boragedale/telemetry";
+import * as websocket from "ws";
+import * as codec from "./codec.js";
+import * as connections from "./connection.js";
+import * as handshake from "./handshake.js";
+import * as peerLinks from "./peerLink.js";
+import * as types from "./types.js";
+
+/** Where a peer's face is. */
+export interface PeerAddress {
+    readonly id: core.InstanceId;
+    /** Such as `ws://127.0.0.1:7001`. */
+    readonly url: string;
+}
+
+export interface PeerNetworkOptions {
+    readonly instance: core.InstanceId;
+    readonly host: string;
+    /** 0 lets the system choose. */
+    readonly port: number;
+    /** Shared keys: the first proves this instance, any proves a peer, so that keys can be rotated. */
+    readonly keys: readonly string[];
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    /** Peers to keep linked all the time: a bounded number of neighbours. */
+    readonly getNeighbours: () => readonly PeerAddress[];
+    /** Address of any peer, for links that are opened when they are needed. */
+    readonly tryGetAddress: (peer: core.InstanceId) => PeerAddress | undefined;
+    readonly createHeartbeat: () => types.Heartbeat;
+    /** Called when a peer could not be reached or went silent. */
+    readonly onUnreachable?: (peer: core.InstanceId) => void;
+    readonly heartbeatMilliseconds?: number;
+    readonly idleMilliseconds?: number;
+}
+
+type AnyHandler = (message: types.Message, from: core.InstanceId) => Promise<types.Message | undefined>;
+
+const HeartbeatMilliseconds = 1_000;
+/** A link in use that nobody needs any more costs heartbeats; one that is needed every few seconds stays. */
+const IdleMilliseconds = 20_000;
+/** Silent intervals after which a link is given up: one lost packet or a pause for garbage costs less than that. */
+const SilentIntervals = 3;
+const HandshakeMilliseconds = 2_000;
+const OpenMilliseconds = 1_500;
+
+/**
+ * Links over WebSocket, one connection a lane and peer. Every connection has one task, written straight down:
+ * handshake, register, read until it is over, clean up. Neighbours stay linked; other peers are dialled when a
+ * message for them comes up and let go when idle, so that a fleet of hundreds is not a full mesh.
+ */
+export class WebSocketPeerNetwork extends types.PeerNetwork implements AsyncDisposable {
+    private readonly handlers = new Map<types.MessageKind, AnyHandler>();
+    private readonly links = new Map<string, peerLinks.PeerLink[]>();
+    private readonly dials = new Map<string, Promise<peerLinks.PeerLink | undefined>>();
+    private readonly tasks = new Set<Promise<void>>();
+    private readonly open = new Set<connections.Connection>();
+    private readonly stopper = new AbortController();
+    private closedBytesSent = 0;
+    private closedBytesReceived = 0;
+
+    private constructor(
+        private readonly options: PeerNetworkOptions,
+        private readonly httpServer: http.Server,
+        private readonly server: websocket.WebSocketServer,
+    ) {
+        super();
+    }
+
+    /** Listens on the peer face and starts linking. */
+    static async start(options: PeerNetworkOptions): Promise<WebSocketPeerNetwork> {
+        const httpServer = http.createServer((request, response) => {
+            request.resume();
+            response.writeHead(426).end();
+        });
+        const limit = codec.getFrameLimit(types.Lane.Bulk);
+        const server = new websocket.WebSocketServer({
+            server: httpServer,
+            maxPayload: limit,
+            perMessageDeflate: false,
+        });
+        const network = new WebSocketPeerNetwork(options, httpServer, server);
+        server.on("connection", socket => network.track(network.serve(new connections.Connection(socket))));
+        await new Promise<void>((resolve, reject) => {
+            httpServer.once("error", reject);
+            httpServer.listen(options.port, options.host, resolve);
+        });
+        network.track(network.runHeartbeats());
+        return network;
+    }
+
+    /** Port of the peer face. */
+    getPort(): number {
+        return (this.httpServer.address() as net.AddressInfo).port;
+    }
+
+    /** Payload bytes that all links have carried. */
+    getTraffic(): { readonly sent: number; readonly received: number } {
+        const live = [...this.open];
+        return {
+            sent: this.closedBytesSent + live.reduce((sum, connection) => sum + connection.bytesSent, 0),
+            received: this.closedBytesReceived + live.reduce((sum, connection) => sum + connection.bytesReceived, 0),
+        };
+    }
+
+    override async request(
+        peer: core.InstanceId,
+        message: types.Message,
+        options: types.RequestOptions,
+    ): Promise<types.PeerResult> {
+        const deadline = this.options.clock.now() + options.timeoutMilliseconds;
+        const link = this.tryGetLink(peer, options.lane) ?? (await this.dial(peer, options.lane, deadline));
+        if (link === undefined) {
+            return peerLinks.createFailure(types.PeerFailureKind.NotConnected, `no link to ${peer}`);
+        }
+        return link.request(message, Math.max(1, deadline - this.options.clock.now()));
+    }
+
+    override notify(peer: core.InstanceId, message: types.Message, lane: types.Lane): boolean {
+        const link = this.tryGetLink(peer, lane);
+        if (link === undefined) {
+            // The next notice finds a link; notices are hints that are repeated.
+            void this.dial(peer, lane, this.options.clock.now() + OpenMilliseconds);
+            return false;
+        }
+        return link.notify(message);
+    }
+
+    override handle<K extends types.MessageKind>(kind: K, handler: types.MessageHandler<K>): void {
+        this.handlers.set(kind, handler as AnyHandler);
+    }
+
+    override getConnectedPeers(): readonly core.InstanceId[] {
+        const peers = [...this.links.values()].flat().map(link => link.peer);
+        return [...new Set(peers)];
+    }
+
+    /** Tells every linked peer that this instance leaves. */
+    announceLeaving(): void {
+        const message: types.Leaving = { kind: types.MessageKind.Leaving, instance: this.options.instance };
+        for (const peer of this.getConnectedPeers()) {
+            this.tryGetLink(peer, types.Lane.Control)?.notify(message);
+        }
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopper.abort();
+        for (const connection of this.open) {
+            connection.abandon();
+        }
+        this.server.close();
+        await new Promise<void>(resolve => this.httpServer.close(() => resolve()));
+        await Promise.allSettled([...this.tasks]);
+    }
+
+    /** The task of a connection that a peer opened. */
+    private async serve(connection: connections.Connection): Promise<void> {
+        await using owned = connection;
+        this.open.add(owned);
+        try {
+            const link = await this.acceptPeer(owned);
+            if (link !== undefined) {
+                await this.runLink(link);
+            }
+        }
+        finally {
+            this.forget(owned);
+        }
+    }
+
+    /** The task of a connection that this instance opens; `onLinked` learns the link or that there is none. */
+    private async connect(
+        address: PeerAddress,
+        lane: types.Lane,
+        onLinked: (link: peerLinks.PeerLink | undefined) => void,
+    ): Promise<void> {
+        const socket = new websocket.WebSocket(address.url, {
+            handshakeTimeout: OpenMilliseconds,
+            maxPayload: codec.getFrameLimit(lane),
+            perMessageDeflate: false,
+        });
+        await using connection = new connections.Connection(socket);
+        this.open.add(connection);
+        try {
+            const link = await this.introduce(connection, address.id, lane);
+            if (link === undefined) {
+                this.options.onUnreachable?.(address.id);
+                onLinked(undefined);
+                return;
+            }
+            await this.runLink(link, () => onLinked(link));
+        }
+        finally {
+            onLinked(undefined);
+            this.forget(connection);
+        }
+    }
+
+    private async runLink(link: peerLinks.PeerLink, onRegistered?: () => void): Promise<void> {
+        const key = getLinkKey(link.peer, link.lane);
+        this.links.set(key, [...(this.links.get(key) ?? []), link]);
+        this.options.telemetry.record(telemetry.events.PeerConnected, { text: `${link.peer} ${link.lane}` });
+        if (link.lane === types.Lane.Control) {
+            link.beat(this.options.createHeartbeat());
+        }
+        onRegistered?.();
+        await link.run((message, from) => this.dispatch(message, from));
+        const others = (this.links.get(key) ?? []).filter(other => other !== link);
+        this.links.set(key, others);
+        if (others.length === 0) {
+            this.links.delete(key);
+        }
+        this.options.telemetry.record(telemetry.events.PeerLost, { text: `${link.peer} ${link.lane}` });
+    }
+
+    /** Server side of the handshake: challenge, check the proof, prove this side. */
+    private async acceptPeer(connection: connections.Connection): Promise<peerLinks.PeerLink | undefined> {
+        const serverChallenge = handshake.createChallenge();
+        sendOne(connection, { kind: types.MessageKind.Challenge, challenge: serverChallenge });
+        const hello = await this.readOne(connection, types.MessageKind.Hello);
+        if (hello === undefined) {
+            this.refuse("no hello");
+            return undefined;
+        }
+        const terms: handshake.HandshakeTerms = {
+            clientChallenge: hello.challenge,
+            serverChallenge,
+            lane: hello.lane,
+            version: hello.version,
+            instance: hello.instance,
+        };
+        const isProved = handshake.isProofValid(this.options.keys, handshake.Side.Client, terms, hello.proof);
+        if (!isProved || !handshake.isVersionSpoken(hello.version)) {
+            this.refuse(`${hello.instance}: ${isProved ? `version ${hello.version}` : "wrong proof"}`);
+            return undefined;
+        }
+        sendOne(connection, this.createHello(handshake.Side.Server, terms, serverChallenge));
+        return new peerLinks.PeerLink(hello.instance, hello.lane, connection, false, this.options.clock);
+    }
+
+    /** Client side of the handshake. The peer must prove the key and that it is the instance that was dialled. */
+    private async introduce(
+        connection: connections.Connection,
+        peer: core.InstanceId,
+        lane: types.Lane,
+    ): Promise<peerLinks.PeerLink | undefined> {
+        if (!(await connection.waitForOpen())) {
+            return undefined;
+        }
+        const challenge = await this.readOne(connection, types.MessageKind.Challenge);
+        if (challenge === undefined) {
+            return undefined;
+        }
+        const terms: handshake.HandshakeTerms = {
+            clientChallenge: handshake.createChallenge(),
+            serverChallenge: challenge.challenge,
+            lane,
+            version: types.ProtocolVersion,
+            instance: this.options.instance,
+        };
+        sendOne(connection, this.createHello(handshake.Side.Client, terms, terms.clientChallenge));
+        const hello = await this.readOne(connection, types.MessageKind.Hello);
+        if (hello === undefined) {
+            return undefined;
+        }
+        const expected = { ...terms, version: hello.version, instance: peer };
+        if (!handshake.isProofValid(this.options.keys, handshake.Side.Server, expected, hello.proof)) {
+            this.refuse(`${peer}: wrong proof`);
+            return undefined;
+        }
+        return new peerLinks.PeerLink(peer, lane, connection, true, this.options.clock);
+    }
+
+    private createHello(side: handshake.Side, terms: handshake.HandshakeTerms, challenge: string): types.Hello {
+        const own = { ...terms, version: types.ProtocolVersion, instance: this.options.instance };
+        const key = core.Debug.checkDefined(this.options.keys[0], "a peer network has a key");
+        return {
+            kind: types.MessageKind.Hello,
+            version: types.ProtocolVersion,
+            instance: this.options.instance,
+            lane: terms.lane,
+            challenge,
+            proof: handshake.createProof(key, side, own),
+        };
+    }
+
+    private async readOne<K extends types.MessageKind>(
+        connection: connections.Connection,
+        kind: K,
+    ): Promise<types.MessageOf<K> | undefined> {
+        const bytes = await connection.readWithin(HandshakeMilliseconds, this.options.clock);
+        const decoded = bytes === undefined ? undefined : codec.decodeFrame(bytes, types.Lane.Control);
+        return decoded?.ok === true && decoded.frame.message.kind === kind
+            ? (decoded.frame.message as types.MessageOf<K>)
+            : undefined;
+    }
+
+    private refuse(text: string): void {
+        this.options.telemetry.record(telemetry.events.PeerRefused, { text });
+    }
+
+    private async dispatch(message: types.Message, from: core.InstanceId): Promise<types.Message | undefined> {
+        if (message.kind === types.MessageKind.Heartbeat) {
+            this.options.telemetry.timeLine.observe(message.logicalTime);
+        }
+        try {
+            return await this.handlers.get(message.kind)?.(message, from);
+        }
+        catch (error) {
+            this.options.telemetry.record(telemetry.events.InternalDefect, {
+                text: `${message.kind}: ${String(error)}`,
+            });
+            return { kind: types.MessageKind.Refused, text: "a defect ended the request" };
+        }
+    }
+
+    private tryGetLink(peer: core.InstanceId, lane: types.Lane): peerLinks.PeerLink | undefined {
+        return this.links.get(getLinkKey(peer, lane))?.findLast(link => link.connection.isOpen());
+    }
+
+    /** Opens a link, once for all who ask at the same time. */
+    private async dial(
+        peer: core.InstanceId,
+        lane: types.Lane,
+        deadline: core.MonotonicMilliseconds,
+    ): Promise<peerLinks.PeerLink | undefined> {
+        const key = getLinkKey(peer, lane);
+        const address = this.options.tryGetAddress(peer);
+        if (address === undefined || peer === this.options.instance || this.stopper.signal.aborted) {
+            return undefined;
+        }
+        const dial = this.dials.get(key) ?? this.startDial(address, lane, key);
+        return this.waitUntil(deadline, dial);
+    }
+
+    private startDial(address: PeerAddress, lane: types.Lane, key: string): Promise<peerLinks.PeerLink | undefined> {
+        const dial = new Promise<peerLinks.PeerLink | undefined>(resolve => {
+            this.track(this.connect(address, lane, resolve));
+        }).finally(() => this.dials.delete(key));
+        this.dials.set(key, dial);
+        return dial;
+    }
+
+    private async waitUntil<T>(deadline: core.MonotonicMilliseconds, value: Promise<T>): Promise<T | undefined> {
+        const controller = new AbortController();
+        const limit = this.options.clock.sleep(Math.max(0, deadline - this.options.clock.now()), controller.signal);
+        const result = await Promise.race([value, limit.then(() => undefined)]);
+        controller.abort();
+        return result;
+    }
+
+    /** One round an interval: link the neighbours, beat, give up what is silent, let go what is idle. */
+    private async runHeartbeats(): Promise<void> {
+        const interval = this.options.heartbeatMilliseconds ?? HeartbeatMilliseconds;
+        const signal = this.stopper.signal;
+        while (!signal.aborted) {
+            const neighbours = this.options.getNeighbours();
+            for (const peer of neighbours) {
+                if (this.tryGetLink(peer.id, types.Lane.Control) === undefined) {
+                    void this.dial(peer.id, types.Lane.Control, this.options.clock.now() + interval);
+                }
+            }
+            const kept = new Set(neighbours.map(peer => peer.id));
+            for (const link of [...this.links.values()].flat()) {
+                this.tend(link, interval, kept);
+            }
+            await this.options.clock.sleep(interval, signal);
+        }
+    }
+
+    /**
+     * Every lane beats: something between the ends may lose track of one connection while others work, and only
+     * traffic in that very connection shows it.
+     */
+    private tend(link: peerLinks.PeerLink, interval: number, kept: ReadonlySet<core.InstanceId>): void {
+        const now = this.options.clock.now();
+        if (now - link.lastHeard > SilentIntervals * interval) {
+            link.connection.abandon();
+            this.options.onUnreachable?.(link.peer);
+            return;
+        }
+        const isKept = !link.isDialled || (kept.has(link.peer) && link.lane === types.Lane.Control);
+        if (!isKept && now - link.lastUsed > (this.options.idleMilliseconds ?? IdleMilliseconds)) {
+            link.connection.abandon();
+            return;
+        }
+        link.beat(this.options.createHeartbeat());
+    }
+
+    private forget(connection: connections.Connection): void {
+        this.open.delete(connection);
+        this.closedBytesSent += connection.bytesSent;
+        this.closedBytesReceived += connection.bytesReceived;
+    }
+
+    private track(task: Promise<void>): void {
+        const tracked = task
+            .catch((error: unknown) => {
+                this.options.telemetry.record(telemetry.events.InternalDefect, { text: String(error) });
+            })
+            .finally(() => this.tasks.delete(tracked));
+        this.tasks.add(tracked);
+    }
+}
+
+function sendOne(connection: connections.Connection, message: types.Message): void {
+    const encoded = codec.encodeFrame({ message }, types.Lane.Control);
+    core.Debug.assert(encoded.ok, "a handshake message fits its lane");
+    connection.send(encoded.bytes);
+}
+
+function getLinkKey(peer: core.InstanceId, lane: types.Lane): string {
+    return `${lane}/${peer}`;
+}
--- /dev/null
+++ b/packages/release/src/keyValueNotePublisher.ts
@@ -0,0 +1,251 @@
+import * as crypto from "node:crypto";
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import * as telemetry from "@boragedale/telemetry";
+import * as noteChecker from "./noteChecker.js";
+import * as noteStore from "./noteStore.js";
+import * as services from "./services.js";
+import * as types from "./types.js";
+
+export interface PublisherOptions {
+    readonly keyValue: platform.KeyValueService;
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    /** Makes the text by which a publisher recognises its own write; random by default. */
+    readonly createNonce?: () => string;
+}
+
+/** Tries of one publish while the service does not answer, and the wait before the second; each wait doubles. */
+const Attempts = 5;
+const FirstWaitMilliseconds = 50;
+const HistoryPageSize = 200;
+
+interface CurrentNote {
+    readonly revision: platform.Revision;
+    readonly note: core.NoteInForce | undefined;
+}
+
+type Attempt =
+    | { readonly isFinal: true; readonly outcome: types.PublishOutcome }
+    | { readonly isFinal: false; readonly text: string };
+
+/**
+ * Publishes by one compare-and-swap on the current note. Of two operators who replace the same generation one finds
+ * the revision changed and is shown the note that won. A reply that is lost after the write is read back and known by
+ * its nonce, so that neither the operator nor this class ever publishes one note twice.
+ */
+export class KeyValueNotePublisher extends services.NotePublisher {
+    private readonly createNonce: () => string;
+
+    constructor(private readonly options: PublisherOptions) {
+        super();
+        this.createNonce = options.createNonce ?? ((): string => crypto.randomUUID());
+    }
+
+    override async publish(request: types.PublishRequest): Promise<types.PublishOutcome> {
+        const nonce = this.createNonce();
+        let text = "";
+        for (let attempt = 0; attempt < Attempts; attempt++) {
+            if (attempt > 0) {
+                await this.options.clock.sleep(FirstWaitMilliseconds * 2 ** (attempt - 1));
+            }
+            const result = await this.tryPublish(request, nonce);
+            if (result.isFinal) {
+                return result.outcome;
+            }
+            text = result.text;
+        }
+        return { kind: types.PublishKind.Unavailable, text };
+    }
+
+    override async readHistory(): Promise<core.Outcome<readonly types.HistoryEntry[]>> {
+        const current = await this.readCurrent();
+        if (!current.ok) {
+            return createUnavailable();
+        }
+        const entries: types.HistoryEntry[] = [];
+        let after: string | undefined;
+        for (;;) {
+            const page = await this.options.keyValue.list({
+                prefix: noteStore.getHistoryPrefix(),
+                after,
+                limit: HistoryPageSize,
+                purpose: platform.CallPurpose.Read,
+            });
+            if (!page.ok) {
+                return createUnavailable();
+            }
+            entries.push(...page.value.flatMap(entry => createHistoryEntry(entry)));
+            after = page.value.at(-1)?.key;
+            if (page.value.length < HistoryPageSize) {
+                return core.createSuccess(addMissingCurrent(entries, current.value.note));
+            }
+        }
+    }
+
+    /** One try. Repeating it is harmless: the revision that it replaces can be replaced only once. */
+    private async tryPublish(request: types.PublishRequest, nonce: string): Promise<Attempt> {
+        const current = await this.readCurrent();
+        if (!current.ok) {
+            return { isFinal: false, text: current.text };
+        }
+        const { note, revision } = current.value;
+        if (note !== undefined && isSamePublish(note, request, nonce)) {
+            return this.finish(note, []);
+        }
+        if ((note?.generation ?? 0) !== request.replaces) {
+            return this.resolveConflict(request, nonce, note);
+        }
+        const checked = noteChecker.checkNote(request.source, request.file, note?.fleet);
+        if (!checked.ok) {
+            return { isFinal: true, outcome: { kind: types.PublishKind.Invalid, findings: checked.findings } };
+        }
+        if (note !== undefined) {
+            await this.writeHistory(note, undefined);
+        }
+        return this.swap(this.createNote(request, checked.value, nonce), revision, checked);
+    }
+
+    private createNote(request: types.PublishRequest, checked: types.CheckedNote, nonce: string): core.NoteInForce {
+        return {
+            generation: request.replaces + 1,
+            fleet: checked.fleet,
+            source: request.source,
+            author: request.author,
+            publishedAt: this.options.clock.wallNow(),
+            nonce,
+        };
+    }
+
+    private async swap(
+        note: core.NoteInForce,
+        revision: platform.Revision,
+        checked: core.Checked<types.CheckedNote> & { readonly ok: true },
+    ): Promise<Attempt> {
+        const value = noteStore.encodeNote(note);
+        if (value.byteLength > platform.MaximumValueBytes) {
+            return { isFinal: true, outcome: createTooLarge(note) };
+        }
+        const result = await this.options.keyValue.compareAndSwap({
+            key: noteStore.CurrentNoteKey,
+            expectedRevision: revision,
+            value,
+            purpose: platform.CallPurpose.Note,
+        });
+        if (!result.ok) {
+            return { isFinal: false, text: result.failure.text };
+        }
+        if (!result.value.swapped) {
+            // The next try reads the winner, or finds that the write of an earlier try was this one's own.
+            return { isFinal: false, text: "another note was published at the same moment" };
+        }
+        await this.writeHistory(note, checked.value.differences);
+        return this.finish(note, checked.findings);
+    }
+
+    /**
+     * The generation is not the one to replace. After a lost reply the own note may have been in force and been
+     * replaced already; its record in the history still carries the nonce.
+     */
+    private async resolveConflict(
+        request: types.PublishRequest,
+        nonce: string,
+        current: core.NoteInForce | undefined,
+    ): Promise<Attempt> {
+        const key = noteStore.getHistoryKey(request.replaces + 1);
+        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Note);
+        if (!entry.ok) {
+            return { isFinal: false, text: entry.failure.text };
+        }
+        const record = entry.value === undefined ? undefined : noteStore.tryDecodeHistory(entry.value.value);
+        if (record?.nonce === nonce && current !== undefined) {
+            return this.finish(current, []);
+        }
+        return { isFinal: true, outcome: { kind: types.PublishKind.Conflict, current } };
+    }
+
+    private finish(note: core.NoteInForce, findings: readonly core.Finding[]): Attempt {
+        this.options.telemetry.record(telemetry.events.NotePublished, { generation: note.generation });
+        return { isFinal: true, outcome: { kind: types.PublishKind.Published, note, findings } };
+    }
+
+    /**
+     * Best effort: a publisher that dies between the note and its record leaves a hole, which the next publisher
+     * fills before it replaces the note. The key must be absent, so writing it twice is harmless.
+     */
+    private async writeHistory(note: core.NoteInForce, differences: readonly string[] | undefined): Promise<void> {
+        const record: noteStore.HistoryRecord = {
+            generation: note.generation,
+            author: note.author,
+            publishedAt: note.publishedAt,
+            differences: differences ?? [],
+            source: note.source,
+            nonce: note.nonce,
+        };
+        await this.options.keyValue.compareAndSwap({
+            key: noteStore.getHistoryKey(note.generation),
+            expectedRevision: 0,
+            value: noteStore.encodeHistory(record),
+            purpose: platform.CallPurpose.Note,
+        });
+    }
+
+    private async readCurrent(): Promise<
+        { readonly ok: true; readonly value: CurrentNote } | { readonly ok: false; readonly text: string }
+    > {
+        const result = await this.options.keyValue.get(noteStore.CurrentNoteKey, platform.CallPurpose.Note);
+        if (!result.ok) {
+            return { ok: false, text: result.failure.text };
+        }
+        if (result.value === undefined) {
+            return { ok: true, value: { revision: 0, note: undefined } };
+        }
+        const note = noteStore.tryDecodeNote(result.value.value);
+        return note === undefined
+            ? { ok: false, text: "the stored note can't be read by this version" }
+            : { ok: true, value: { revision: result.value.revision, note } };
+    }
+}
+
+/** The own write of an earlier try, or the same note published again by an operator who never saw the answer. */
+function isSamePublish(note: core.NoteInForce, request: types.PublishRequest, nonce: string): boolean {
+    const isRepeated = note.source === request.source && note.author === request.author;
+    return note.generation === request.replaces + 1 && (note.nonce === nonce || isRepeated);
+}
+
+function createHistoryEntry(entry: platform.Entry): readonly types.HistoryEntry[] {
+    const record = noteStore.tryDecodeHistory(entry.value);
+    if (record === undefined) {
+        return [];
+    }
+    const { generation, author, publishedAt, differences } = record;
+    return [{ generation, author, publishedAt, differences }];
+}
+
+function addMissingCurrent(
+    entries: readonly types.HistoryEntry[],
+    note: core.NoteInForce | undefined,
+): readonly types.HistoryEntry[] {
+    if (note === undefined || entries.some(entry => entry.generation === note.generation)) {
+        return entries;
+    }
+    const { generation, author, publishedAt } = note;
+    return [...entries, { generation, author, publishedAt, differences: [] }];
+}
+
+function createTooLarge(note: core.NoteInForce): types.PublishOutcome {
+    const place: core.Place = { kind: core.PlaceKind.Request, path: `generation ${note.generation}` };
+    const finding = core.createFinding(core.messages.NoteTooLarge, place, platform.MaximumValueBytes);
+    return { kind: types.PublishKind.Invalid, findings: [finding] };
+}
+
+function createUnavailable(): core.Outcome<never> {
+    return core.createFailure(
+        core.createRefusal({
+            kind: core.RefusalKind.KeyValueDown,
+            message: core.messages.KeyValueDown,
+            certainty: core.RunCertainty.NotRun,
+            retryAfterMilliseconds: 1_000,
+        }),
+    );
+}
--- /dev/null
+++ b/packages/release/src/noteChecker.ts
@@ -0,0 +1,234 @@
+import * as core from "@boragedale/core";
+import * as noteDifferences from "./noteDifferences.js";
+import * as noteDocument from "./noteDocument.js";
+import * as noteMerge from "./noteMerge.js";
+import * as noteSchema from "./noteSchema.js";
+import type * as types from "./types.js";
+
+/**
+ * Reads a release note and puts it upon `base`, the fleet of the note in force (undefined for the first one). Reports
+ * everything that is wrong at once, each finding with its line and column; nothing is written anywhere.
+ */
+export function checkNote(
+    source: string,
+    file: string,
+    base: core.FleetDescription | undefined,
+): core.Checked<types.CheckedNote> {
+    if (Buffer.byteLength(source) > noteDocument.MaximumSourceBytes) {
+        const place: core.Place = { kind: core.PlaceKind.File, file, line: 1, column: 1 };
+        const limit = noteDocument.MaximumSourceBytes;
+        return { ok: false, findings: [core.createFinding(core.messages.NoteTooLarge, place, limit)] };
+    }
+    const document = new noteDocument.NoteDocument(source, file);
+    const syntaxFindings = document.getSyntaxFindings();
+    if (syntaxFindings.length > 0) {
+        return { ok: false, findings: syntaxFindings };
+    }
+    const plain = document.read();
+    if (!plain.ok) {
+        return plain;
+    }
+    const parsed = noteSchema.NoteSchema.safeParse(plain.value);
+    if (!parsed.success) {
+        return { ok: false, findings: document.createShapeFindings(parsed.error.issues) };
+    }
+    return checkContent(source, parsed.data, base, document);
+}
+
+function checkContent(
+    source: string,
+    note: noteSchema.Note,
+    base: core.FleetDescription | undefined,
+    document: noteDocument.NoteDocument,
+): core.Checked<types.CheckedNote> {
+    const merge = noteMerge.mergeNote(note, base, document);
+    const checker = new FleetChecker(merge, base, document);
+    const differences = noteDifferences.describeDifferences(base, merge.fleet);
+    const findings = [...merge.findings, ...checker.check()];
+    if (findings.length === 0 && differences.length === 0) {
+        findings.push(core.createWarning(core.messages.NoteEmpty, document.getPlace([])));
+    }
+    findings.sort(compareByPlace);
+    if (core.hasErrors(findings)) {
+        return { ok: false, findings };
+    }
+    const affected = noteDifferences.getAffectedUpstreams(base, merge.fleet);
+    const checked: types.CheckedNote = {
+        source,
+        fleet: merge.fleet,
+        differences,
+        affectedUpstreams: affected.map(upstream => upstream.id),
+        loads: affected.filter(upstream => upstream.needsLoad).length,
+    };
+    return { ok: true, value: checked, findings };
+}
+
+function compareByPlace(left: core.Finding, right: core.Finding): number {
+    if (left.place.kind !== core.PlaceKind.File || right.place.kind !== core.PlaceKind.File) {
+        return 0;
+    }
+    return left.place.line - right.place.line || left.place.column - right.place.column;
+}
+
+/** Checks what no single entry shows: references, floors, addresses used twice. */
+class FleetChecker {
+    private readonly findings: core.Finding[] = [];
+    private readonly fleet: core.FleetDescription;
+
+    constructor(
+        private readonly merge: noteMerge.Merge,
+        private readonly base: core.FleetDescription | undefined,
+        private readonly document: noteDocument.NoteDocument,
+    ) {
+        this.fleet = merge.fleet;
+    }
+
+    check(): readonly core.Finding[] {
+        this.checkUpstreams();
+        this.checkServices();
+        this.checkCallers();
+        for (const model of this.fleet.models) {
+            this.checkFloor(model, core.RequestClass.Online, model.onlineFloor);
+            this.checkFloor(model, core.RequestClass.Batch, model.batchFloor);
+        }
+        return this.findings;
+    }
+
+    private checkUpstreams(): void {
+        const models = new Set(this.fleet.models.map(model => model.id));
+        const urls = new Set<string>();
+        for (const upstream of this.fleet.upstreams) {
+            const subject = `upstream/${upstream.id}`;
+            const unknown = upstream.models.filter(model => !models.has(model));
+            unknown.forEach(model => this.reportReference(subject, ["models"], "model", model));
+            if (new Set(upstream.models).size < upstream.models.length) {
+                this.report(core.messages.NoteDuplicate, subject, ["models"], "a model of upstream", upstream.id);
+            }
+            if (upstream.kind === core.UpstreamKind.Service && upstream.models.length > 0) {
+                const text = "a plain service holds no models";
+                this.report(core.messages.NoteShape, subject, ["models"], `${upstream.id}.models`, text);
+            }
+            if (urls.has(upstream.url)) {
+                this.report(core.messages.NoteDuplicate, subject, ["url"], "the address", upstream.url);
+            }
+            urls.add(upstream.url);
+        }
+    }
+
+    private checkServices(): void {
+        const upstreams = new Map(this.fleet.upstreams.map(upstream => [upstream.id, upstream]));
+        for (const service of this.fleet.services) {
+            const subject = `service/${service.id}`;
+            for (const id of service.upstreams) {
+                const upstream = upstreams.get(id);
+                if (upstream === undefined) {
+                    this.reportReference(subject, ["upstreams"], "upstream", id);
+                }
+                else if (upstream.kind !== core.UpstreamKind.Service) {
+                    const text = `upstream '${id}' is a model engine`;
+                    this.report(core.messages.NoteShape, subject, ["upstreams"], `${service.id}.upstreams`, text);
+                }
+            }
+            service.routes.forEach((route, index) => this.checkRoute(subject, service, route, index));
+        }
+    }
+
+    private checkRoute(
+        subject: string,
+        service: core.ServiceDescription,
+        route: core.RouteDescription,
+        index: number,
+    ): void {
+        const isAskable = route.safety === core.CallSafety.Askable;
+        const name = `${service.id}.routes.${index}.askPath`;
+        if (isAskable && route.askPath?.includes("{key}") !== true) {
+            const text = "an askable route needs a path with '{key}'";
+            this.report(core.messages.NoteShape, subject, ["routes", index, "askPath"], name, text);
+        }
+        if (!isAskable && route.askPath !== undefined) {
+            const text = `only a route of safety '${core.CallSafety.Askable}' has one`;
+            this.report(core.messages.NoteShape, subject, ["routes", index, "askPath"], name, text);
+        }
+        const isSame = (other: core.RouteDescription): boolean =>
+            other.method === route.method && other.path === route.path;
+        if (service.routes.findIndex(isSame) < index) {
+            const text = `${route.method} ${route.path}`;
+            this.report(core.messages.NoteDuplicate, subject, ["routes", index], "the route", text);
+        }
+    }
+
+    /** Two callers with one token could not be told apart, so each would read the other's results. */
+    private checkCallers(): void {
+        const hashes = new Set<string>();
+        for (const caller of this.fleet.callers) {
+            if (hashes.has(caller.tokenHash)) {
+                const subject = `caller/${caller.id}`;
+                this.report(core.messages.NoteDuplicate, subject, ["tokenHash"], "the token of caller", caller.id);
+            }
+            hashes.add(caller.tokenHash);
+        }
+    }
+
+    /**
+     * A floor that the assigned upstreams can't hold would stop the rollout for good: halfway, which is the failure
+     * that release notes exist to prevent. So it is refused before anything is written.
+     */
+    private checkFloor(model: core.ModelDescription, requestClass: core.RequestClass, floor: number): void {
+        const assigned = countAssigned(this.fleet, model.id, requestClass);
+        const subject = `model/${model.id}`;
+        const field = requestClass === core.RequestClass.Online ? "onlineFloor" : "batchFloor";
+        if (floor > assigned) {
+            const message = core.messages.NoteFloorUnreachable;
+            this.report(message, subject, [field], model.id, floor, requestClass, assigned);
+        }
+        else if (floor > 0 && floor === assigned && this.changesHeldModel(model)) {
+            this.report(core.messages.NoteFloorBlocks, subject, [field], model.id, floor, requestClass);
+        }
+    }
+
+    private changesHeldModel(model: core.ModelDescription): boolean {
+        const before = this.base?.models.find(candidate => candidate.id === model.id);
+        const isSame = (left: core.ModelDescription, right: core.ModelDescription): boolean =>
+            JSON.stringify([left.version, left.adapters]) === JSON.stringify([right.version, right.adapters]);
+        return before !== undefined && !isSame(before, model);
+    }
+
+    private reportReference(subject: string, path: noteDocument.Path, noun: string, key: string): void {
+        // A reference breaks either where it stands or, when the note left that alone, where its target was withdrawn.
+        const start = this.merge.places.get(subject) ?? this.merge.places.get(`${noun}/${key}`) ?? [];
+        const place = this.document.getPlace(this.merge.places.has(subject) ? [...start, ...path] : start);
+        this.findings.push(core.createFinding(core.messages.NoteUnknownReference, place, noun, key));
+    }
+
+    private report(
+        message: core.messages.Message,
+        subject: string,
+        path: noteDocument.Path,
+        ...values: readonly core.messages.Value[]
+    ): void {
+        const place = this.document.getPlace([...(this.merge.places.get(subject) ?? []), ...path]);
+        this.findings.push(core.createFinding(message, place, ...values));
+    }
+}
+
+/** Upstreams that the note assigns to a model for a class of requests and that are not leaving. */
+export function countAssigned(
+    fleet: core.FleetDescription,
+    model: core.ModelId,
+    requestClass: core.RequestClass,
+): number {
+    return fleet.upstreams.filter(
+        upstream => upstream.models.includes(model) && !upstream.isLeaving && servesClass(upstream.role, requestClass),
+    ).length;
+}
+
+export function servesClass(role: core.UpstreamRole, requestClass: core.RequestClass): boolean {
+    switch (role) {
+        case core.UpstreamRole.Mixed:
+            return true;
+        case core.UpstreamRole.Online:
+            return requestClass === core.RequestClass.Online;
+        case core.UpstreamRole.Batch:
+            return requestClass === core.RequestClass.Batch;
+    }
+}
--- a/packages/release/src/services.ts
+++ b/packages/release/src/services.ts
@@ -8,6 +8,14 @@
     abstract onNote(listener: (note: core.NoteInForce) => void): () => void;
     /** Whether the platform or a peer confirmed the note within the last seconds. */
     abstract isConfirmed(): boolean;
+    /** Whether a rollout is about to change the upstream: it takes no new work, so that what it runs can end. */
+    isChanging(upstream: core.UpstreamId): boolean {
+        return this.getChangingUpstreams().has(upstream);
+    }
+    /** The upstreams that a rollout is changing. */
+    getChangingUpstreams(): ReadonlySet<core.UpstreamId> {
+        return new Set();
+    }
     abstract [Symbol.asyncDispose](): Promise<void>;
 }
 
--- /dev/null
+++ b/packages/release/src/upstreamRollout.ts
@@ -0,0 +1,467 @@
+import * as core from "@boragedale/core";
+import type * as platform from "@boragedale/platform";
+import type * as protocol from "@boragedale/protocol";
+import * as telemetry from "@boragedale/telemetry";
+import * as upstreams from "@boragedale/upstreams";
+import * as rolloutClaims from "./rolloutClaims.js";
+import * as rolloutPlan from "./rolloutPlan.js";
+import * as services from "./services.js";
+import * as types from "./types.js";
+
+export interface RolloutOptions {
+    readonly membership: protocol.Membership;
+    readonly keeper: services.NoteKeeper;
+    readonly getEngine: (upstream: core.UpstreamDescription) => upstreams.EngineClient;
+    readonly keyValue: platform.KeyValueService;
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    readonly limits?: Partial<rolloutPlan.RolloutLimits>;
+}
+
+/** An upstream on its way is looked at twice a second; one at rest every three, in case a late order changes it. */
+const ActiveMilliseconds = 500;
+const RestMilliseconds = 3_000;
+/** Floors only need reports that are newer than the claims; asking all engines of a big model at once is enough. */
+const MostReports = 300;
+
+/** What this home knows of an upstream. All of it may be lost with the home; the next one finds it out anew. */
+interface Tenure {
+    readonly upstream: core.UpstreamId;
+    readonly stopper: AbortController;
+    readonly homeSince: core.MonotonicMilliseconds;
+    hasLooked: boolean;
+    unreachableSince: core.MonotonicMilliseconds | undefined;
+    loadingSince: core.MonotonicMilliseconds | undefined;
+    claim: rolloutClaims.Claim | undefined;
+    claimedSince: core.MonotonicMilliseconds | undefined;
+    lastOrder: rolloutPlan.SentOrder | undefined;
+    retryAt: core.MonotonicMilliseconds | undefined;
+    failures: number;
+    failure: string;
+    target: string;
+}
+
+/**
+ * One task for each engine whose home this instance is: read its report, decide, act, look again. Nothing is
+ * remembered that matters: a home that dies at any step is followed by one that reads the same report.
+ */
+export class UpstreamRollout extends services.Rollout {
+    private readonly tenures = new Map<core.UpstreamId, Tenure>();
+    private readonly progress = new Map<core.UpstreamId, types.UpstreamProgress>();
+    private readonly tasks = new Set<Promise<void>>();
+    private readonly claims: rolloutClaims.ClaimStore;
+    private readonly limits: rolloutPlan.RolloutLimits;
+    private readonly stops: readonly (() => void)[];
+    private wake = new AbortController();
+
+    constructor(private readonly options: RolloutOptions) {
+        super();
+        const { keyValue, clock, membership, keeper } = options;
+        this.limits = { ...rolloutPlan.DefaultLimits, ...options.limits };
+        this.claims = new rolloutClaims.ClaimStore(keyValue, clock, membership.getSelf());
+        const refresh = (): void => this.refreshTenures();
+        this.stops = [membership.onChange(refresh), keeper.onNote(refresh)];
+        refresh();
+    }
+
+    override getProgress(): readonly types.UpstreamProgress[] {
+        return [...this.progress.values()];
+    }
+
+    override async [Symbol.asyncDispose](): Promise<void> {
+        this.stops.forEach(stop => stop());
+        for (const tenure of this.tenures.values()) {
+            tenure.stopper.abort();
+        }
+        await Promise.all([...this.tasks]);
+        await this.claims[Symbol.asyncDispose]();
+    }
+
+    /** Starts and ends tasks so that there is one for each engine of the note whose home this is. */
+    private refreshTenures(): void {
+        const wanted = new Set(this.getHomed().map(upstream => upstream.id));
+        for (const [id, tenure] of this.tenures) {
+            if (!wanted.has(id)) {
+                tenure.stopper.abort();
+                this.tenures.delete(id);
+                this.progress.delete(id);
+            }
+        }
+        for (const id of wanted) {
+            if (!this.tenures.has(id)) {
+                this.startTenure(id);
+            }
+        }
+        // Tasks that sleep look at the new note at once.
+        const sleeping = this.wake;
+        this.wake = new AbortController();
+        sleeping.abort();
+    }
+
+    private getHomed(): readonly core.UpstreamDescription[] {
+        const { keeper, membership } = this.options;
+        const engines = (keeper.tryGetNote()?.fleet.upstreams ?? []).filter(
+            upstream => upstream.kind === core.UpstreamKind.Engine,
+        );
+        return engines.filter(upstream => {
+            const home = membership.tryGetHolderIn(upstream.dataCentre, `upstream/${upstream.id}`);
+            return home === membership.getSelf();
+        });
+    }
+
+    private startTenure(upstream: core.UpstreamId): void {
+        const tenure: Tenure = {
+            upstream,
+            stopper: new AbortController(),
+            homeSince: this.options.clock.now(),
+            hasLooked: false,
+            unreachableSince: undefined,
+            loadingSince: undefined,
+            claim: undefined,
+            claimedSince: undefined,
+            lastOrder: undefined,
+            retryAt: undefined,
+            failures: 0,
+            failure: "",
+            target: "",
+        };
+        this.tenures.set(upstream, tenure);
+        const task = this.runTenure(tenure)
+            .catch((error: unknown) => {
+                const subject = { upstream, text: String(error) };
+                this.options.telemetry.record(telemetry.events.InternalDefect, subject);
+            })
+            .finally(() => this.tasks.delete(task));
+        this.tasks.add(task);
+    }
+
+    /** The task of one upstream. */
+    private async runTenure(tenure: Tenure): Promise<void> {
+        const signal = tenure.stopper.signal;
+        while (!signal.aborted) {
+            const note = this.options.keeper.tryGetNote();
+            const upstream = note?.fleet.upstreams.find(candidate => candidate.id === tenure.upstream);
+            const wakeSignal = this.wake.signal;
+            const wait =
+                note === undefined || upstream === undefined
+                    ? ActiveMilliseconds
+                    : await this.tend(tenure, note, upstream);
+            await this.options.clock.sleep(wait, AbortSignal.any([signal, wakeSignal]));
+        }
+        // A claim under which an order may be on its way is left to the next home; an unused one frees its place.
+        if (tenure.claim !== undefined && tenure.lastOrder === undefined) {
+            await this.claims.remove(tenure.claim);
+        }
+    }
+
+    /** One look and one step; returns how long to wait for the next. */
+    private async tend(tenure: Tenure, note: core.NoteInForce, upstream: core.UpstreamDescription): Promise<number> {
+        const target = rolloutPlan.getTarget(note.fleet, upstream);
+        this.retarget(tenure, rolloutPlan.formatTarget(target));
+        if (!tenure.hasLooked) {
+            tenure.hasLooked = await this.takeOver(tenure, note);
+        }
+        const engine = this.options.getEngine(upstream);
+        const state = await engine.tryReadState();
+        const load = tenure.claim === undefined ? undefined : await engine.tryReadLoad();
+        this.observe(tenure, state);
+        const step = rolloutPlan.decideStep(this.createView(tenure, upstream, target, state, load));
+        if (tenure.stopper.signal.aborted) {
+            return 0;
+        }
+        const report = (phase: types.UpstreamPhase, reason: string): void =>
+            this.report(tenure, note, target, state, phase, reason);
+        switch (step.kind) {
+            case rolloutPlan.StepKind.Rest:
+                tenure.failures = 0;
+                tenure.retryAt = undefined;
+                tenure.lastOrder = undefined;
+                await this.release(tenure);
+                report(types.UpstreamPhase.Reached, "");
+                return tenure.claim === undefined ? RestMilliseconds : ActiveMilliseconds;
+            case rolloutPlan.StepKind.Observe:
+                report(step.phase, step.reason);
+                return ActiveMilliseconds;
+            case rolloutPlan.StepKind.Adopt:
+                await this.adopt(tenure, note);
+                report(types.UpstreamPhase.Loading, "loads");
+                return ActiveMilliseconds;
+            case rolloutPlan.StepKind.Claim: {
+                const obstacle = await this.tryClaim(tenure, note, step.needsLoad, state);
+                report(types.UpstreamPhase.Waiting, obstacle ?? "may change");
+                return obstacle === undefined ? 0 : ActiveMilliseconds;
+            }
+            case rolloutPlan.StepKind.Order: {
+                const text = await this.order(tenure, note, upstream, target);
+                report(types.UpstreamPhase.Ordered, text);
+                return ActiveMilliseconds;
+            }
+            case rolloutPlan.StepKind.GiveUp:
+                this.fail(tenure, step.reason);
+                await this.release(tenure);
+                report(step.phase, step.reason);
+                return ActiveMilliseconds;
+        }
+    }
+
+    /** A note that asks something else starts over: what failed for the old target says nothing of the new one. */
+    private retarget(tenure: Tenure, target: string): void {
+        if (tenure.target !== target) {
+            tenure.target = target;
+            tenure.failures = 0;
+            tenure.retryAt = undefined;
+        }
+    }
+
+    /** Looks once for a claim that an earlier home left, so that its place is kept and not counted twice. */
+    private async takeOver(tenure: Tenure, note: core.NoteInForce): Promise<boolean> {
+        const claims = await this.claims.tryList();
+        const left = claims?.find(claim => claim.upstream === tenure.upstream);
+        if (claims === undefined || left === undefined) {
+            return claims !== undefined;
+        }
+        if (!this.mayReplace(tenure, left, note)) {
+            return false;
+        }
+        tenure.claim = await this.claims.tryWrite({ ...left, generation: note.generation, replaces: left });
+        tenure.claimedSince = tenure.claim === undefined ? undefined : this.options.clock.now();
+        return tenure.claim !== undefined;
+    }
+
+    /**
+     * A claim made under a newer note belongs to a home that knows more. One of a home that is still live may be in
+     * the middle of an order; it is taken over only once that order must have ended.
+     */
+    private mayReplace(tenure: Tenure, claim: rolloutClaims.Claim, note: core.NoteInForce): boolean {
+        const { membership, clock } = this.options;
+        const isOwn = claim.instance === membership.getSelf();
+        const isHolderLive = membership.getLiveInstances().some(instance => instance.id === claim.instance);
+        const isWaitedOut = clock.now() - tenure.homeSince >= this.limits.longestOrderMilliseconds;
+        return claim.generation <= note.generation && (isOwn || !isHolderLive || isWaitedOut);
+    }
+
+    private observe(tenure: Tenure, state: upstreams.UpstreamState | undefined): void {
+        const now = this.options.clock.now();
+        tenure.unreachableSince = state === undefined ? (tenure.unreachableSince ?? now) : undefined;
+        tenure.loadingSince = state?.isLoading === true ? (tenure.loadingSince ?? now) : undefined;
+        // A lease that lapsed (a pause, an outage) took the claim along: another home may hold the place now.
+        if (tenure.claim !== undefined && !this.claims.isLeaseValid()) {
+            this.dropClaim(tenure);
+        }
+    }
+
+    private createView(
+        tenure: Tenure,
+        upstream: core.UpstreamDescription,
+        target: rolloutPlan.Target,
+        state: upstreams.UpstreamState | undefined,
+        load: upstreams.LoadReport | undefined,
+    ): rolloutPlan.UpstreamView {
+        return {
+            ...tenure,
+            now: this.options.clock.now(),
+            target,
+            state,
+            load,
+            checksFencing: upstream.checksFencing,
+            isNoteConfirmed: this.options.keeper.isConfirmed(),
+            limits: this.limits,
+        };
+    }
+
+    /** Counts a load that is under way already; the limits can't be asked about it any more. */
+    private async adopt(tenure: Tenure, note: core.NoteInForce): Promise<void> {
+        const claims = await this.claims.tryList();
+        const replaces = claims?.find(claim => claim.upstream === tenure.upstream);
+        if (claims === undefined || (replaces !== undefined && !this.mayReplace(tenure, replaces, note))) {
+            return;
+        }
+        const { upstream } = tenure;
+        const request = { upstream, generation: note.generation, needsLoad: true, replaces };
+        tenure.claim = await this.claims.tryWrite(request);
+        tenure.claimedSince = tenure.claim === undefined ? undefined : this.options.clock.now();
+    }
+
+    /**
+     * Asks for leave to change the upstream; returns why it can't be had now. A look before the write saves a write
+     * and a delete in each round while others are at work; what counts is the look after it.
+     */
+    private async tryClaim(
+        tenure: Tenure,
+        note: core.NoteInForce,
+        needsLoad: boolean,
+        state: upstreams.UpstreamState | undefined,
+    ): Promise<string | undefined> {
+        const unanswered = "the key-value service does not answer";
+        const before = await this.claims.tryList();
+        const { upstream } = tenure;
+        const replaces = before?.find(claim => claim.upstream === upstream);
+        if (before === undefined || state === undefined) {
+            return unanswered;
+        }
+        if (replaces !== undefined && !this.mayReplace(tenure, replaces, note)) {
+            return `${replaces.instance} is changing it under generation ${replaces.generation}`;
+        }
+        const { generation } = note;
+        const instance = this.options.membership.getSelf();
+        const draft = replaces ?? { upstream, instance, generation, needsLoad, order: Infinity, revision: 0 };
+        const expected = await this.tryGetObstacle(note, { ...draft, needsLoad }, before, state);
+        if (expected !== undefined) {
+            return expected;
+        }
+        const claim = await this.claims.tryWrite({ upstream, generation, needsLoad, replaces });
+        if (claim === undefined) {
+            return unanswered;
+        }
+        const after = await this.claims.tryList();
+        const obstacle = after === undefined ? unanswered : await this.tryGetObstacle(note, claim, after, state);
+        tenure.claim = claim;
+        tenure.claimedSince = this.options.clock.now();
+        if (obstacle !== undefined) {
+            await this.release(tenure);
+        }
+        return obstacle;
+    }
+
+    private async tryGetObstacle(
+        note: core.NoteInForce,
+        claim: rolloutClaims.Claim,
+        claims: readonly rolloutClaims.Claim[],
+        state: upstreams.UpstreamState,
+    ): Promise<string | undefined> {
+        const peers = rolloutPlan.getFloorPeers(note.fleet, claim.upstream, state).slice(0, MostReports);
+        const reports = await Promise.all(
+            peers.map(async peer => ({
+                upstream: peer.id,
+                state: await this.options.getEngine(peer).tryReadState(),
+            })),
+        );
+        const others = reports.flatMap(report =>
+            report.state === undefined ? [] : [{ upstream: report.upstream, state: report.state }],
+        );
+        return rolloutPlan.tryGetObstacle({ fleet: note.fleet, claim, claims, state, others });
+    }
+
+    /**
+     * Renews the claim, then orders under its new revision. The renewal is the last proof that this home still holds
+     * the claim, and gives every order a number of its own, higher than all before it.
+     */
+    private async order(
+        tenure: Tenure,
+        note: core.NoteInForce,
+        upstream: core.UpstreamDescription,
+        target: rolloutPlan.Target,
+    ): Promise<string> {
+        const held = core.Debug.checkDefined(tenure.claim, "an order has a claim");
+        const renewed = await this.claims.tryWrite({ ...held, generation: note.generation, replaces: held });
+        if (renewed === undefined) {
+            this.dropClaim(tenure);
+            return "another home took over";
+        }
+        tenure.claim = renewed;
+        if (tenure.stopper.signal.aborted || !this.claims.isLeaseValid()) {
+            return "no longer this home's";
+        }
+        tenure.retryAt = undefined;
+        tenure.loadingSince = undefined;
+        tenure.lastOrder = { at: this.options.clock.now(), target: rolloutPlan.formatTarget(target) };
+        this.options.telemetry.record(telemetry.events.UpstreamOrdered, {
+            upstream: upstream.id,
+            generation: note.generation,
+            text: `${renewed.revision}: ${rolloutPlan.formatTarget(target)}`,
+        });
+        const order: upstreams.UpstreamOrder = { fencing: renewed.revision, ...target };
+        return this.takeOutcome(tenure, await this.sendOrder(upstream, order));
+    }
+
+    /** Waits no longer than an order may take: an engine that never answers must not hold up its own read back. */
+    private async sendOrder(
+        upstream: core.UpstreamDescription,
+        order: upstreams.UpstreamOrder,
+    ): Promise<upstreams.OrderOutcome> {
+        const answered = new AbortController();
+        const late = { kind: upstreams.OrderOutcomeKind.Failed, text: "no answer in time" };
+        const limit = this.options.clock.sleep(this.limits.longestOrderMilliseconds, answered.signal);
+        const outcome = await Promise.race([
+            this.options.getEngine(upstream).order(order),
+            limit.then((): upstreams.OrderOutcome => late),
+        ]);
+        answered.abort();
+        return outcome;
+    }
+
+    private takeOutcome(tenure: Tenure, outcome: upstreams.OrderOutcome): string {
+        switch (outcome.kind) {
+            case upstreams.OrderOutcomeKind.Accepted:
+                return "ordered";
+            case upstreams.OrderOutcomeKind.Fenced:
+                tenure.lastOrder = undefined;
+                this.dropClaim(tenure);
+                return `a newer order was there first: ${outcome.text}`;
+            case upstreams.OrderOutcomeKind.Failed:
+                // It may have arrived all the same; the upstream's report tells.
+                return `the order failed: ${outcome.text}`;
+        }
+    }
+
+    private fail(tenure: Tenure, reason: string): void {
+        tenure.failures++;
+        tenure.failure = reason;
+        tenure.lastOrder = undefined;
+        tenure.loadingSince = undefined;
+        tenure.retryAt = this.options.clock.now() + rolloutPlan.getRetryWait(tenure.failures, this.limits);
+    }
+
+    private async release(tenure: Tenure): Promise<void> {
+        if (tenure.claim !== undefined && (await this.claims.remove(tenure.claim))) {
+            this.dropClaim(tenure);
+        }
+    }
+
+    private dropClaim(tenure: Tenure): void {
+        tenure.claim = undefined;
+        tenure.claimedSince = undefined;
+    }
+
+    private report(
+        tenure: Tenure,
+        note: core.NoteInForce,
+        target: rolloutPlan.Target,
+        state: upstreams.UpstreamState | undefined,
+        phase: types.UpstreamPhase,
+        reason: string,
+    ): void {
+        if (this.tenures.get(tenure.upstream) !== tenure) {
+            return;
+        }
+        const previous = this.progress.get(tenure.upstream);
+        const isSame = previous?.phase === phase && previous.generation === note.generation;
+        this.progress.set(tenure.upstream, {
+            upstream: tenure.upstream,
+            generation: note.generation,
+            phase,
+            desired: rolloutPlan.formatTarget(target),
+            actual: state === undefined ? "unknown" : rolloutPlan.formatTarget(state),
+            reason,
+            since: isSame ? previous.since : this.options.clock.wallNow(),
+        });
+        if (!isSame) {
+            this.recordPhase(tenure.upstream, note.generation, phase, reason);
+        }
+    }
+
+    private recordPhase(
+        upstream: core.UpstreamId,
+        generation: core.Generation,
+        phase: types.UpstreamPhase,
+        text: string,
+    ): void {
+        const subject = { upstream, generation, text };
+        if (phase === types.UpstreamPhase.Reached) {
+            this.options.telemetry.record(telemetry.events.UpstreamReached, subject);
+        }
+        else if (phase === types.UpstreamPhase.Failed || phase === types.UpstreamPhase.Unreachable) {
+            this.options.telemetry.record(telemetry.events.UpstreamBlocked, subject);
+        }
+    }
+}
--- /dev/null
+++ b/packages/release/test/noteChecker.test.ts
@@ -0,0 +1,116 @@
+import * as fileSystem from "node:fs";
+import * as path from "node:path";
+import * as core from "@boragedale/core";
+import * as release from "@boragedale/release";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as fixtures from "./fixtures.js";
+
+const suite = uvu.suite("release note");
+
+const base = fixtures.createFleet({ engines: 3 });
+
+function check(...lines: readonly string[]): core.Checked<release.CheckedNote> {
+    return release.checkNote(lines.join("\n"), "note.yaml", base);
+}
+
+suite("the example note is in order and names three loads", () => {
+    const file = path.resolve(import.meta.dirname, "../../../../docs/examples/first-note.yaml");
+    const checked = release.checkNote(fileSystem.readFileSync(file, "utf8"), file, undefined);
+    assert.ok(checked.ok);
+    assert.equal(checked.findings, []);
+    assert.is(checked.value.loads, 3);
+    assert.equal(checked.value.affectedUpstreams, ["engine-1", "engine-2", "engine-3"]);
+});
+
+suite("findings of the shape come together, each at its own line and column", () => {
+    const checked = check(
+        "changed:",
+        "    models:",
+        "        - id: heron",
+        "          version: 2",
+        "    upstreams:",
+        "        - { id: engine-1, colour: blue }",
+    );
+    assert.equal(fixtures.formatPlaces(checked.findings), ["4:20 2002", "6:27 2002"]);
+});
+
+suite("findings of the content come together, in the order of the file", () => {
+    const checked = check(
+        "added:",
+        "    models:",
+        '        - { id: heron, version: "1" }',
+        "changed:",
+        "    models:",
+        '        - { id: egret, version: "2" }',
+        "    upstreams:",
+        "        - { id: engine-1, models: [heron, plover] }",
+        "        - { id: engine-1, concurrency: 3 }",
+        "withdrawn:",
+        "    callers: [nobody]",
+    );
+    assert.not.ok(checked.ok);
+    assert.equal(fixtures.formatPlaces(checked.findings), [
+        "3:11 2006",
+        "6:11 2007",
+        "8:35 2004",
+        "9:11 2003",
+        "11:15 2007",
+    ]);
+});
+
+suite("broken YAML is told with its place and nothing else", () => {
+    const checked = check("added: [", "changed: {}");
+    assert.not.ok(checked.ok);
+    assert.ok(checked.findings.every(finding => finding.code === core.messages.NoteNotYaml.code));
+});
+
+suite("a withdrawn model that an engine still names is found where it is withdrawn", () => {
+    const checked = check("withdrawn:", "    models: [heron]");
+    assert.equal(fixtures.formatPlaces(checked.findings), ["2:14 2004", "2:14 2004", "2:14 2004"]);
+});
+
+suite("a floor over the assigned upstreams is refused", () => {
+    const checked = check("changed:", "    models:", "        - { id: heron, onlineFloor: 4 }");
+    assert.equal(fixtures.formatPlaces(checked.findings), ["3:37 2005"]);
+});
+
+// The operator publishes an upgrade whose floor equals the number of engines. No engine could ever be taken down, so
+// the fleet would stay on the old version for good; the note is refused before it is written.
+suite("a floor that would block the upgrade for ever is refused", () => {
+    const checked = check("changed:", "    models:", '        - { id: heron, version: "2", onlineFloor: 3 }');
+    assert.equal(fixtures.formatPlaces(checked.findings), ["3:51 2008"]);
+});
+
+suite("a change keeps what it does not name", () => {
+    const checked = check(
+        "changed:",
+        "    upstreams:",
+        "        - { id: engine-1, role: Batch }",
+        "policy: { batchWeight: 0.7 }",
+    );
+    assert.ok(checked.ok);
+    const engine = checked.value.fleet.upstreams.find(upstream => upstream.id === "engine-1");
+    assert.equal(engine, { ...base.upstreams[1], role: core.UpstreamRole.Batch });
+    assert.equal(checked.value.fleet.policy, { ...base.policy, batchWeight: 0.7 });
+    assert.equal(checked.value.differences, [
+        "~ upstream engine-1: role Mixed -> Batch",
+        "~ policy: batchWeight 0.3 -> 0.7",
+    ]);
+    assert.is(checked.value.loads, 0);
+});
+
+suite("a note that changes nothing is a warning", () => {
+    const checked = check("{}");
+    assert.ok(checked.ok);
+    assert.equal(fixtures.formatPlaces(checked.findings), ["1:1 2009"]);
+});
+
+suite("a note stored for the fleet reads back the same, and a damaged one reads as nothing", () => {
+    const note = fixtures.createNote(7);
+    const value = release.encodeNote(note);
+    assert.equal(release.tryDecodeNote(value), note);
+    assert.is(release.tryDecodeNote(value.subarray(0, value.byteLength / 2)), undefined);
+});
+
+suite.run();
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -53,6 +53,12 @@
     EventLevel.Warn,
     "An upstream does not get there; see why.",
 );
+export const NoteConfirmationLost = define(
+    206,
+    "NoteConfirmationLost",
+    EventLevel.Warn,
+    "Neither platform nor peers confirm the note.",
+);
 
 // 300: online requests
 export const RequestAdmitted = define(300, "RequestAdmitted", EventLevel.Debug, "A request was admitted.");
