--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,3 +1,6 @@
 /** Engine and service clients. */
 export * from "./types.js";
 export * from "./clients.js";
+export * from "./connections.js";
+export * from "./httpEngineClient.js";
+export * from "./httpServiceClient.js";
