--- /dev/null
+++ b/packages/entry/src/dispatch/refusals.ts
@@ -0,0 +1,117 @@
+import * as core from "@boragedale/core";
+
+/** Come back after this long when nothing better is known, in milliseconds. */
+const DefaultRetryAfter = 1_000;
+/** An outage of the key-value service is seldom over sooner, in milliseconds. */
+const KeyValueRetryAfter = 2_000;
+
+export function createNoNote(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.NoNoteInForce,
+        message: core.messages.NoNoteInForce,
+        certainty: core.RunCertainty.NotRun,
+        retryAfterMilliseconds: DefaultRetryAfter,
+    });
+}
+
+export function createModelUnknown(model: core.ModelId): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.ModelUnknown,
+        message: core.messages.ModelUnknown,
+        values: [model],
+        certainty: core.RunCertainty.NotRun,
+    });
+}
+
+export function createServiceUnknown(service: string): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.NotFound,
+        message: core.messages.ServiceUnknown,
+        values: [service],
+        certainty: core.RunCertainty.NotRun,
+    });
+}
+
+export function createOverloaded(
+    certainty: core.RunCertainty,
+    retryAfterMilliseconds = DefaultRetryAfter,
+): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.Overloaded,
+        message: certainty === core.RunCertainty.NotRun ? core.messages.Overloaded : core.messages.UpstreamFailed,
+        values: certainty === core.RunCertainty.NotRun ? [retryAfterMilliseconds] : ["no other upstream is free"],
+        certainty,
+        retryAfterMilliseconds,
+    });
+}
+
+export function createBodyInvalid(text: string, certainty: core.RunCertainty): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.BodyInvalid,
+        message: core.messages.BodyInvalid,
+        values: [text],
+        certainty,
+    });
+}
+
+export function createUpstreamFailed(text: string, certainty: core.RunCertainty): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.UpstreamFailed,
+        message: core.messages.UpstreamFailed,
+        values: [text],
+        certainty,
+        retryAfterMilliseconds: DefaultRetryAfter,
+    });
+}
+
+export function createDeadlinePassed(certainty: core.RunCertainty): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.DeadlinePassed,
+        message: core.messages.DeadlinePassed,
+        certainty,
+        retryAfterMilliseconds: DefaultRetryAfter,
+    });
+}
+
+export function createLeaving(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.InstanceLeaving,
+        message: core.messages.InstanceLeaving,
+        certainty: core.RunCertainty.NotRun,
+        retryAfterMilliseconds: 0,
+    });
+}
+
+export function createKeyReused(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.KeyReused,
+        message: core.messages.KeyReused,
+        certainty: core.RunCertainty.NotRun,
+    });
+}
+
+export function createCallInFlight(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.CallInFlight,
+        message: core.messages.CallInFlight,
+        certainty: core.RunCertainty.MayHaveRun,
+        retryAfterMilliseconds: DefaultRetryAfter,
+    });
+}
+
+export function createOutcomeUnknown(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.OutcomeUnknown,
+        message: core.messages.OutcomeUnknown,
+        certainty: core.RunCertainty.MayHaveRun,
+    });
+}
+
+export function createKeyValueDown(): core.Refusal {
+    return core.createRefusal({
+        kind: core.RefusalKind.KeyValueDown,
+        message: core.messages.KeyValueDown,
+        certainty: core.RunCertainty.NotRun,
+        retryAfterMilliseconds: KeyValueRetryAfter,
+    });
+}
--- /dev/null
+++ b/packages/upstreams/test/engineClient.test.ts
@@ -0,0 +1,176 @@
+import * as assert from "node:assert/strict";
+import type * as net from "node:net";
+import * as uvu from "uvu";
+import * as core from "@boragedale/core";
+import * as upstreams from "@boragedale/upstreams";
+import * as fixtures from "./fixtures.js";
+
+const suite = uvu.suite("HttpEngineClient");
+
+suite("streams an answer and asks for its usage", async () => {
+    let asked: Record<string, unknown> = {};
+    await using server = await fixtures.startServer(({ request, response, body }) => {
+        asked = JSON.parse(body) as Record<string, unknown>;
+        const id = String(request.headers["x-request-id"]);
+        response.writeHead(200);
+        response.end(
+            fixtures.formatToken(id, "a cot ") + fixtures.formatToken(id, "is free") + fixtures.formatEnd(id, 2),
+        );
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const events = await fixtures.collect(client.run(fixtures.createEngineRequest(), fixtures.neverAborted));
+    assert.equal(fixtures.joinTokens(events), "a cot is free");
+    assert.deepEqual(events.at(-1), {
+        kind: upstreams.EngineEventKind.Finished,
+        reason: "stop",
+        usage: { promptTokens: 3, completionTokens: 2, cachedTokens: 0 },
+    });
+    assert.deepEqual([asked.stream, asked.model], [true, "model-1"]);
+});
+
+suite("resumes behind the text delivered and lowers the caller's token limit by it", async () => {
+    let asked: Record<string, unknown> = {};
+    await using server = await fixtures.startServer(({ response, body }) => {
+        asked = JSON.parse(body) as Record<string, unknown>;
+        response.writeHead(200);
+        response.end(fixtures.formatEnd("request-1", 0));
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const body = { messages: [{ role: "user", content: "hello" }], max_tokens: 10 };
+    const request = fixtures.createEngineRequest({ body, resumeAfter: { text: "so far", tokens: 4 } });
+    await fixtures.collect(client.run(request, fixtures.neverAborted));
+    assert.equal(asked.max_tokens, 6);
+    assert.equal(asked.continue_final_message, true);
+    assert.deepEqual((asked.messages as unknown[]).at(-1), { role: "assistant", content: "so far" });
+
+    const whole = fixtures.createEngineRequest({ body, resumeAfter: { text: "all of it", tokens: 10 } });
+    const events = await fixtures.collect(client.run(whole, fixtures.neverAborted));
+    assert.equal(events[0]?.kind, upstreams.EngineEventKind.Finished);
+});
+
+suite("tells by the status whether the engine is busy, rejects or broke", async () => {
+    let status = 0;
+    await using server = await fixtures.startServer(({ response }) => {
+        response.writeHead(status);
+        response.end("why");
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const expected: readonly [number, upstreams.EngineFailureKind][] = [
+        [400, upstreams.EngineFailureKind.Rejected],
+        [429, upstreams.EngineFailureKind.Busy],
+        [503, upstreams.EngineFailureKind.Busy],
+        [500, upstreams.EngineFailureKind.Broken],
+    ];
+    for (const [given, kind] of expected) {
+        status = given;
+        const events = await fixtures.collect(client.run(fixtures.createEngineRequest(), fixtures.neverAborted));
+        assert.equal(fixtures.getFailureKind(events), kind);
+    }
+});
+
+suite("says not sent only where no byte can have left", async () => {
+    // The caller of a refused connection may be told "not run". One whose engine read the request and died without an
+    // answer may not, although both look alike to it: the engine may have worked on it.
+    await using closed = fixtures.createEngineClient(await fixtures.getClosedUrl());
+    const refused = await fixtures.collect(closed.run(fixtures.createEngineRequest(), fixtures.neverAborted));
+    assert.equal(fixtures.getFailureKind(refused), upstreams.EngineFailureKind.NotSent);
+
+    await using server = await fixtures.startServer(({ request }) => request.socket.destroy());
+    await using client = fixtures.createEngineClient(server.url);
+    const died = await fixtures.collect(client.run(fixtures.createEngineRequest(), fixtures.neverAborted));
+    assert.equal(fixtures.getFailureKind(died), upstreams.EngineFailureKind.Broken);
+});
+
+suite("gives a stream up that goes silent, and the idle connections beside it", async () => {
+    // The caller sees its stream stop. The engine sent one token, then the way between lost track of the connection:
+    // nothing arrives and nothing closes. Only the silence between two tokens tells, and the next request must not go
+    // on a connection that lay idle beside the lost one, since that is probably lost too.
+    const clock = new core.VirtualClock();
+    const sockets: net.Socket[] = [];
+    await using server = await fixtures.startServer(({ request, response }) => {
+        sockets.push(request.socket);
+        response.writeHead(200);
+        response.write(fixtures.formatToken("request-1", "one"));
+        if (sockets.length > 1) {
+            response.end(fixtures.formatEnd("request-1", 1));
+        }
+    });
+    await using client = fixtures.createEngineClient(server.url, clock, { interTokenMilliseconds: 400 });
+    const run = (): AsyncIterable<upstreams.EngineEvent> =>
+        client.run(fixtures.createEngineRequest(), fixtures.neverAborted);
+    const events: upstreams.EngineEvent[] = [];
+    const reading = (async () => {
+        for await (const event of run()) {
+            events.push(event);
+        }
+    })();
+    await fixtures.waitUntil(() => events.length === 2);
+    await fixtures.collect(run());
+    await clock.advance(399);
+    assert.equal(events.length, 2);
+    await clock.advance(20_000);
+    await reading;
+    assert.equal(fixtures.getFailureKind(events), upstreams.EngineFailureKind.Silent);
+    assert.equal(fixtures.joinTokens(await fixtures.collect(run())), "one");
+    assert.equal(new Set(sockets).size, 3);
+});
+
+suite("closes the connection when the caller goes away", async () => {
+    // A caller that closed its page would else keep a place in the engine's batch until its answer's end.
+    let isClosed = false;
+    await using server = await fixtures.startServer(({ response }) => {
+        response.on("close", () => (isClosed = true));
+        response.writeHead(200);
+        response.write(fixtures.formatToken("request-1", "one"));
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const controller = new AbortController();
+    const kinds: upstreams.EngineEventKind[] = [];
+    for await (const event of client.run(fixtures.createEngineRequest(), controller.signal)) {
+        kinds.push(event.kind);
+        if (event.kind === upstreams.EngineEventKind.Token) {
+            controller.abort();
+        }
+    }
+    await fixtures.waitUntil(() => isClosed);
+    assert.equal(kinds.at(-1), upstreams.EngineEventKind.Failed);
+});
+
+suite("holds the engine back when the caller reads slowly", async () => {
+    // A caller that reads nothing while its engine sends megabytes: without a bound its answer fills this process's
+    // memory, and enough such callers end the instance for everybody.
+    const line = fixtures.formatToken("request-1", "x".repeat(1_000));
+    let sent = 0;
+    let isDone = false;
+    await using server = await fixtures.startServer(({ response }) => {
+        response.writeHead(200);
+        const write = (): void => {
+            while (sent < 40_000) {
+                sent++;
+                if (!response.write(line)) {
+                    response.once("drain", write);
+                    return;
+                }
+            }
+            isDone = true;
+            response.end(fixtures.formatEnd("request-1", sent));
+        };
+        write();
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const iterator = client.run(fixtures.createEngineRequest(), fixtures.neverAborted)[Symbol.asyncIterator]();
+    await iterator.next();
+    let previous = -1;
+    while (previous !== sent) {
+        previous = sent;
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    assert.equal(isDone, false);
+    let received = 0;
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+        received += next.value.kind === upstreams.EngineEventKind.Token ? 1 : 0;
+    }
+    assert.equal(received, 40_000);
+});
+
+suite.run();
