--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -35,7 +35,7 @@
     async download(path: string): Promise<ClientResult<AsyncIterable<Uint8Array>>> {
         try {
             const response = await undici.fetch(this.baseUrl + path, { headers: this.createHeaders({}) });
-            if (!response.ok || response.body === null) {
+            if (!response.ok || !response.body) {
                 return { ok: false, isReached: true, status: response.status, text: await response.text() };
             }
             return { ok: true, status: response.status, body: response.body as AsyncIterable<Uint8Array> };
--- a/packages/cli/src/fleetView.ts
+++ b/packages/cli/src/fleetView.ts
@@ -1,4 +1,4 @@
-import * as core from "@boragedale/core";
+import type * as core from "@boragedale/core";
 import type * as entry from "@boragedale/entry";
 import type * as release from "@boragedale/release";
 import * as telemetry from "@boragedale/telemetry";
@@ -24,10 +24,7 @@
 }
 
 /** Asks one instance for the others, then every one of them. Undefined where the first did not answer. */
-export async function readFleet(
-    operatorUrl: string,
-    token: string,
-): Promise<client.ClientResult<FleetView>> {
+export async function readFleet(operatorUrl: string, token: string): Promise<client.ClientResult<FleetView>> {
     const first = await new client.FaceClient(operatorUrl, token).get<entry.InstanceStatus>("/operator/status");
     if (!first.ok) {
         return first;
--- a/packages/cli/src/operatorCommands.ts
+++ b/packages/cli/src/operatorCommands.ts
@@ -135,7 +135,9 @@
     switch (outcome.kind) {
         case release.PublishKind.Published:
             output.print(context.isJson, outcome, () =>
-                [...outcome.findings.map(core.formatFinding), `published generation ${outcome.note.generation}`].join("\n"),
+                [...outcome.findings.map(core.formatFinding), `published generation ${outcome.note.generation}`].join(
+                    "\n",
+                ),
             );
             return exitCodes.ExitCode.Success;
         case release.PublishKind.Conflict: {
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,9 +1,12 @@
 /** Writes a table of texts with aligned columns. */
 export function formatTable(header: readonly string[], rows: readonly (readonly string[])[]): string {
     const lines = [header, ...rows];
-    const widths = header.map((_title, column) => Math.max(...lines.map(line => (line[column] ?? "").length)));
+    const widths = header.map((title, column) => Math.max(...lines.map(line => (line[column] ?? "").length)));
     const formatLine = (line: readonly string[]): string =>
-        line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ").trimEnd();
+        line
+            .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+            .join("  ")
+            .trimEnd();
     return lines.map(formatLine).join("\n");
 }
 
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -58,7 +58,11 @@
         addOption(command, setting);
     }
     // cac hands flags over in camel case; settings are known by the flag as it is written.
-    command.action((flags: Flags): Action => () => entryCommand.runEntry(restoreFlagNames(flags)));
+    command.action(
+        (flags: Flags): Action =>
+            () =>
+                entryCommand.runEntry(restoreFlagNames(flags)),
+    );
 }
 
 function addOperatorCommands(program: cac.CAC): void {
@@ -75,15 +79,18 @@
         });
     addOperatorOptions(program.command("check <file>", "Check a release note and show what it changes")).action(
         (file: string, flags: Flags): Action =>
-            () => withOperator(flags, context => operatorCommands.check(context, file)),
+            () =>
+                withOperator(flags, context => operatorCommands.check(context, file)),
     );
     addOperatorOptions(program.command("status", "Show whether the note is in force and where upstreams stand")).action(
         (flags: Flags): Action =>
-            () => withOperator(flags, operatorCommands.status),
+            () =>
+                withOperator(flags, operatorCommands.status),
     );
     addOperatorOptions(program.command("history", "List the release notes")).action(
         (flags: Flags): Action =>
-            () => withOperator(flags, operatorCommands.history),
+            () =>
+                withOperator(flags, operatorCommands.history),
     );
     addOperatorOptions(program.command("timeline", "Show the events of all instances in causal order"))
         .option("--request <id>", "Only events of this request")
@@ -93,12 +100,16 @@
         .option("--number <number>", "Only events of this number")
         .action(
             (flags: Flags): Action =>
-                () => withOperator(flags, context => operatorCommands.timeline(context, createFilter(flags))),
+                () =>
+                    withOperator(flags, context => operatorCommands.timeline(context, createFilter(flags))),
         );
 }
 
 function addJobCommands(program: cac.CAC): void {
-    const command = program.command("jobs <action> [argument]", "submit FILE | list | show ID | cancel ID | results ID");
+    const command = program.command(
+        "jobs <action> [argument]",
+        "submit FILE | list | show ID | cancel ID | results ID",
+    );
     for (const setting of commandSettings.CallerSettings) {
         addOption(command, setting);
     }
@@ -110,7 +121,8 @@
         .option("--errors", "results: the error file instead of the output file")
         .action(
             (action: string, argument: string | undefined, flags: Flags): Action =>
-                () => withCaller(flags, context => runJobAction(context, action, argument, flags)),
+                () =>
+                    withCaller(flags, context => runJobAction(context, action, argument, flags)),
         );
 }
 
@@ -155,7 +167,12 @@
 
 function addOption(
     command: ReturnType<cac.CAC["command"]>,
-    setting: { readonly flag: string; readonly unit: string; readonly meaning: string; readonly default: string | undefined },
+    setting: {
+        readonly flag: string;
+        readonly unit: string;
+        readonly meaning: string;
+        readonly default: string | undefined;
+    },
 ): void {
     const variable = entry.getVariableName(setting.flag);
     const fallback = setting.default === undefined ? "required" : `default: ${setting.default || "none"}`;
@@ -203,9 +220,8 @@
 
 function createFilter(flags: Flags): URLSearchParams {
     const names = ["request", "job", "upstream", "generation", "number"];
-    return new URLSearchParams(
-        names.filter(name => flags[name] !== undefined).map(name => [name, String(flags[name])]),
-    );
+    const given = names.filter(name => flags[name] !== undefined);
+    return new URLSearchParams(Object.fromEntries(given.map(name => [name, String(flags[name])])));
 }
 
 function restoreFlagNames(flags: Flags): Flags {
--- a/packages/entry/src/callerFace/eventStream.ts
+++ b/packages/entry/src/callerFace/eventStream.ts
@@ -1,4 +1,3 @@
-import * as events from "node:events";
 import type * as fastify from "fastify";
 
 /** Server-sent events to one caller, with back-pressure: a slow caller holds up its own stream and buffers little. */
@@ -46,12 +45,13 @@
 
 /** A caller that goes away never drains; without the second event the stream's task would wait for good. */
 async function waitForDrain(response: fastify.FastifyReply["raw"]): Promise<void> {
-    const controller = new AbortController();
-    const options = { signal: controller.signal };
-    try {
-        await Promise.race([events.once(response, "drain", options), events.once(response, "close", options)]);
-    }
-    finally {
-        controller.abort();
-    }
+    await new Promise<void>(resolve => {
+        const finish = (): void => {
+            response.off("drain", finish);
+            response.off("close", finish);
+            resolve();
+        };
+        response.on("drain", finish);
+        response.on("close", finish);
+    });
 }
--- a/packages/entry/src/callerFace/server.ts
+++ b/packages/entry/src/callerFace/server.ts
@@ -24,6 +24,8 @@
     readonly jobs: work.JobStore;
     readonly bodyLimitBytes: number;
     readonly fileLimitBytes: number;
+    /** Whether the instance is leaving: the balancer should look elsewhere, though requests are still taken. */
+    readonly isAnnounced: () => boolean;
     /** Whether the instance takes no new requests. */
     readonly isDraining: () => boolean;
     /** Why the instance should get no requests from the balancer, or undefined when it should. */
@@ -60,11 +62,11 @@
 /** `/livez`, `/readyz` and `/metrics` need no token: the platform's balancer and scraper have none. */
 function registerHealth(server: fastify.FastifyInstance, options: CallerFaceOptions): void {
     server.get("/livez", async () => ({ status: "live" }));
-    server.get("/readyz", async (_request, reply) => {
-        const reason = options.isDraining() ? "leaving" : options.tryGetUnreadiness();
+    server.get("/readyz", async (request, reply) => {
+        const reason = options.isAnnounced() ? "leaving" : options.tryGetUnreadiness();
         return reason === undefined ? { status: "ready" } : reply.code(503).send({ status: "not ready", reason });
     });
-    server.get("/metrics", async (_request, reply) => reply.type("text/plain").send(options.telemetry.metrics.format()));
+    server.get("/metrics", async (request, reply) => reply.type("text/plain").send(options.telemetry.metrics.format()));
 }
 
 async function registerGuarded(server: fastify.FastifyInstance, options: CallerFaceOptions): Promise<void> {
@@ -87,7 +89,7 @@
     await server.register(async raw => {
         // Plain services get their body as it came, whatever its type.
         raw.removeAllContentTypeParsers();
-        raw.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
+        raw.addContentTypeParser("*", { parseAs: "buffer" }, async (request: unknown, body: unknown) => body);
         services.registerServices(raw, face);
     });
 }
@@ -179,6 +181,6 @@
 }
 
 function getErrorStatus(error: unknown): number {
-    const status = typeof error === "object" && error !== null ? (error as { statusCode?: unknown }).statusCode : 500;
+    const status = (error as { readonly statusCode?: unknown } | undefined)?.statusCode;
     return typeof status === "number" ? status : 500;
 }
--- a/packages/entry/src/callerFace/services.ts
+++ b/packages/entry/src/callerFace/services.ts
@@ -1,6 +1,6 @@
 import type * as fastify from "fastify";
 import * as core from "@boragedale/core";
-import * as work from "@boragedale/work";
+import type * as work from "@boragedale/work";
 import * as answers from "./answers.js";
 import * as eventStream from "./eventStream.js";
 import type * as parts from "./parts.js";
--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -20,40 +20,213 @@
     readonly instanceList: platform.InstanceList;
     readonly membership: membership.FleetMembership;
     readonly network: protocol.WebSocketPeerNetwork;
-    readonly keeper: release.KeyValueNoteKeeper;
+    readonly keeper: release.NoteKeeper;
     readonly publisher: release.NotePublisher;
     readonly ledger: work.CallLedger;
     readonly jobs: work.JobStore;
-    readonly dispatcher: dispatch.FleetDispatcher;
+    readonly dispatcher: dispatch.Dispatcher;
     readonly executor: work.ItemExecutor;
     readonly runner: work.JobRunner;
     readonly rollout: release.Rollout;
-    readonly directory: upstreams.EngineClient;
 }
 
 export type PartsContainer = awilix.AwilixContainer<Parts>;
 
-/** Makes the container with the parts that need no start. */
-export function createContainer(
-    entrySettings: settings.EntrySettings,
-    description: core.InstanceDescription,
-): PartsContainer {
+/**
+ * Makes the container. The parts that listen or read before they are of use (network, membership, keeper) are
+ * registered by `startParts` once they run; everything else is made when it is first asked for.
+ */
+export function createContainer(given: Pick<Parts, "settings" | "clock">): PartsContainer {
     const container = awilix.createContainer<Parts>({ strict: true });
     container.register({
-        settings: awilix.asValue(entrySettings),
-        description: awilix.asValue(description),
-        clock: awilix.asFunction(() => new core.SystemClock()).singleton(),
+        settings: awilix.asValue(given.settings),
+        clock: awilix.asValue(given.clock),
         telemetry: awilix.asFunction(createTelemetry).singleton(),
+        keyValue: awilix.asFunction(createKeyValue).singleton(),
         instanceList: awilix.asFunction(createInstanceList).singleton(),
+        publisher: awilix.asFunction(createPublisher).singleton(),
+        ledger: awilix.asFunction(createLedger).singleton(),
+        jobs: awilix.asFunction(createJobs).singleton(),
+        dispatcher: awilix.asFunction(createDispatcher).singleton(),
+        executor: awilix.asFunction(createExecutor).singleton(),
+        runner: awilix.asFunction(createRunner).singleton(),
+        rollout: awilix.asFunction(createRollout).singleton(),
     });
     return container;
 }
 
+/** What the peer network asks of parts that start after it, since they need its port. */
+interface LateParts {
+    membership?: membership.FleetMembership;
+    keeper?: release.NoteKeeper;
+}
+
+/** Starts the parts in the order in which they need each other; `owned` gives them back in reverse. */
+export async function startParts(
+    container: PartsContainer,
+    ports: FacePorts,
+    owned: core.DisposalStack,
+): Promise<Parts> {
+    const parts = container.cradle;
+    const late: LateParts = {};
+    const network = owned.use(await startNetwork(parts, late));
+    const description = createDescription(parts.settings, ports, network.getPort());
+    container.register({ network: awilix.asValue(network), description: awilix.asValue(description) });
+    const fleet = await membership.FleetMembership.start({ ...pick(parts), self: description });
+    late.membership = owned.use(fleet);
+    container.register({ membership: awilix.asValue(fleet) });
+    fleet.attach(network);
+    const keeper = owned.use(await startKeeper(parts));
+    late.keeper = keeper;
+    container.register({ keeper: awilix.asValue(keeper) });
+    owned.use(parts.ledger);
+    owned.use(parts.dispatcher);
+    owned.use(parts.rollout);
+    owned.use(parts.runner);
+    return parts;
+}
+
+export interface FacePorts {
+    readonly caller: number;
+    readonly operator: number;
+}
+
+function pick(parts: Parts): Pick<Parts, "instanceList" | "clock"> {
+    return { instanceList: parts.instanceList, clock: parts.clock };
+}
+
+function createDescription(
+    given: settings.EntrySettings,
+    ports: FacePorts,
+    peerPort: number,
+): core.InstanceDescription {
+    const host = given.advertisedHost;
+    return {
+        id: given.instance,
+        dataCentre: given.dataCentre,
+        state: core.LifeState.Live,
+        callerUrl: `http://${host}:${ports.caller}`,
+        operatorUrl: `http://${host}:${ports.operator}`,
+        peerUrl: `ws://${host}:${peerPort}`,
+    };
+}
+
+async function startNetwork(parts: Parts, late: LateParts): Promise<protocol.WebSocketPeerNetwork> {
+    const { settings: given, clock, telemetry: events } = parts;
+    return protocol.WebSocketPeerNetwork.start({
+        instance: given.instance,
+        host: given.host,
+        port: given.peerPort,
+        keys: [given.peerKey],
+        clock,
+        telemetry: events,
+        getNeighbours: () => late.membership?.getNeighbours() ?? [],
+        tryGetAddress: peer => late.membership?.tryGetAddress(peer),
+        createHeartbeat: () => ({
+            kind: protocol.MessageKind.Heartbeat,
+            generation: late.keeper?.tryGetNote()?.generation ?? 0,
+            logicalTime: events.timeLine.getLogicalTime(),
+            state: late.membership?.getState() ?? core.LifeState.Live,
+        }),
+        onUnreachable: peer => late.membership?.noteUnreachable(peer),
+    });
+}
+
+async function startKeeper(parts: Parts): Promise<release.KeyValueNoteKeeper> {
+    return release.KeyValueNoteKeeper.start({
+        keyValue: parts.keyValue,
+        network: parts.network,
+        heartbeats: parts.membership,
+        clock: parts.clock,
+        telemetry: parts.telemetry,
+        countInstances: () => parts.membership.getLiveInstances().length,
+        dataFolder: parts.settings.dataFolder,
+    });
+}
+
 function createTelemetry(parts: Parts): telemetry.Telemetry {
     const { instance, logLevel } = parts.settings;
     return new telemetry.Telemetry({ instance, logLevel }, parts.clock);
 }
 
+function createKeyValue(parts: Parts): platform.KeyValueService {
+    return new platform.HttpKeyValueService({ url: parts.settings.keyValueUrl }, parts.clock);
+}
+
 function createInstanceList(parts: Parts): platform.InstanceList {
     return new platform.HttpInstanceList({ url: parts.settings.instanceListUrl });
 }
+
+function createPublisher({ keyValue, clock, telemetry: events }: Parts): release.NotePublisher {
+    return new release.KeyValueNotePublisher({ keyValue, clock, telemetry: events });
+}
+
+function createExecutor({ clock, dispatcher }: Parts): work.ItemExecutor {
+    return new dispatch.DispatchingItemExecutor({ clock, dispatcher });
+}
+
+function createLedger(parts: Parts): work.CallLedger {
+    return work.createShardedCallLedger({ ...pickWork(parts), membership: parts.membership });
+}
+
+function createJobs(parts: Parts): work.JobStore {
+    return work.createJobStore(pickWork(parts));
+}
+
+function createRunner(parts: Parts): work.JobRunner {
+    return work.createJobRunner({
+        ...pickWork(parts),
+        membership: parts.membership,
+        executor: parts.executor,
+        getItemAttempts: () => parts.keeper.tryGetNote()?.fleet.policy.itemAttempts ?? 1,
+    });
+}
+
+function pickWork(parts: Parts): Omit<work.KeyValueJobStoreOptions, "createId"> {
+    return {
+        keyValue: parts.keyValue,
+        peers: parts.network,
+        clock: parts.clock,
+        telemetry: parts.telemetry,
+        instance: parts.settings.instance,
+    };
+}
+
+function createDispatcher(parts: Parts): dispatch.Dispatcher {
+    const { clock, telemetry: events } = parts;
+    return new dispatch.FleetDispatcher({
+        clock,
+        telemetry: events,
+        ledger: parts.ledger,
+        membership: parts.membership,
+        peers: parts.network,
+        dataCentre: parts.settings.dataCentre,
+        notes: parts.keeper,
+        createEngineClient: upstream =>
+            new upstreams.HttpEngineClient({ upstream: upstream.id, url: upstream.url, clock, telemetry: events }),
+        createServiceClient: upstream =>
+            new upstreams.HttpServiceClient({ upstream: upstream.id, url: upstream.url, clock }),
+    });
+}
+
+/** Orders go over clients of the rollout's own, so that they wait behind nothing that callers sent. */
+function createRollout(parts: Parts): release.Rollout {
+    const { clock, telemetry: events } = parts;
+    const clients = new Map<string, upstreams.EngineClient>();
+    const getEngine = (upstream: core.UpstreamDescription): upstreams.EngineClient => {
+        const key = `${upstream.id} ${upstream.url}`;
+        let client = clients.get(key);
+        if (client === undefined) {
+            client = new upstreams.HttpEngineClient({
+                upstream: upstream.id,
+                url: upstream.url,
+                clock,
+                telemetry: events,
+            });
+            clients.set(key, client);
+        }
+        return client;
+    };
+    const { membership: fleet, keeper, keyValue } = parts;
+    return new release.UpstreamRollout({ membership: fleet, keeper, getEngine, keyValue, clock, telemetry: events });
+}
--- a/packages/entry/src/operatorFace/server.ts
+++ b/packages/entry/src/operatorFace/server.ts
@@ -67,7 +67,7 @@
         }
         return undefined;
     });
-    server.setErrorHandler((error, _request, reply) => {
+    server.setErrorHandler((error, request, reply) => {
         const text = error instanceof Error ? error.message : String(error);
         return reply.code(400).send({ error: { code: "body_invalid", message: text } });
     });
@@ -82,18 +82,18 @@
 
 function registerReading(server: fastify.FastifyInstance, options: OperatorFaceOptions): void {
     server.get("/operator/status", async () => createStatus(options));
-    server.get("/operator/note", async (_request, reply) => {
+    server.get("/operator/note", async (request, reply) => {
         const note = options.keeper.tryGetNote();
         return note ?? reply.code(404).send({ error: { code: "not_found", message: "no note is in force" } });
     });
-    server.get("/operator/history", async (_request, reply) =>
+    server.get("/operator/history", async (request, reply) =>
         answers.sendOutcome(reply, await options.publisher.readHistory(), history => ({ history })),
     );
     server.get("/operator/timeline", async request => {
         const filter = TimeLineQuery.parse(request.query);
         return { events: options.telemetry.timeLine.read(filter) };
     });
-    server.get("/operator/outcomes-unknown", async (_request, reply) =>
+    server.get("/operator/outcomes-unknown", async (request, reply) =>
         answers.sendOutcome(reply, await options.ledger.listOutcomesUnknown(), calls => ({
             // The result is the caller's own; operators see who, when and where.
             calls: calls.map(call => ({ ...call, result: undefined })),
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -32,6 +32,7 @@
     readonly logLevel: "debug" | "info" | "warn" | "error" | "silent";
     readonly bodyLimitBytes: number;
     readonly fileLimitBytes: number;
+    readonly drainGraceMilliseconds: number;
     readonly keyValueWritesPerSecond: number;
     readonly keyValueReadsPerSecond: number;
 }
@@ -66,6 +67,14 @@
     ),
     define("bodyLimitBytes", "body-limit", "bytes", "4194304", "largest body of an online request", positive),
     define("fileLimitBytes", "file-limit", "bytes", "2147483648", "largest file of a batch job", positive),
+    define(
+        "drainGraceMilliseconds",
+        "drain-grace",
+        "ms",
+        "5000",
+        "how long a leaving instance still takes requests while the balancer finds out",
+        zod.coerce.number().int().min(0),
+    ),
     define(
         "keyValueWritesPerSecond",
         "key-value-writes",
@@ -165,7 +174,5 @@
     ]);
     return Object.keys(variables)
         .filter(variable => variable.startsWith("BORAGEDALE_") && !known.has(variable))
-        .map(variable =>
-            core.createFinding(core.messages.SettingUnknown, { kind: core.PlaceKind.Variable, variable }),
-        );
+        .map(variable => core.createFinding(core.messages.SettingUnknown, { kind: core.PlaceKind.Variable, variable }));
 }
--- a/packages/entry/test/callerFaceFixtures.ts
+++ b/packages/entry/test/callerFaceFixtures.ts
@@ -120,6 +120,7 @@
         jobs,
         bodyLimitBytes: BodyLimitBytes,
         fileLimitBytes: BodyLimitBytes,
+        isAnnounced: () => state.isDraining,
         isDraining: () => state.isDraining,
         tryGetUnreadiness: () => (keeper.note === undefined ? "no note" : undefined),
     });
--- a/packages/standins/src/memoryMembership.ts
+++ b/packages/standins/src/memoryMembership.ts
@@ -33,7 +33,7 @@
         return this.live[hash % Math.max(1, this.live.length)]?.id;
     }
 
-    override tryGetHolderIn(_dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined {
+    override tryGetHolderIn(dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined {
         return this.tryGetHolder(duty);
     }
 
--- a/packages/tools/src/demo.ts
+++ b/packages/tools/src/demo.ts
@@ -16,7 +16,10 @@
 async function main(): Promise<number> {
     const program = cac.cac("demo");
     program.option("--stay", "leave the fleet serving until interrupted");
-    program.option("--port <port>", `with --stay: caller faces from here on, operator faces 100 above (${DefaultPort})`);
+    program.option(
+        "--port <port>",
+        `with --stay: caller faces from here on, operator faces 100 above (${DefaultPort})`,
+    );
     program.help();
     const { options } = program.parse();
     if (options["help"] === true) {
--- a/packages/tools/src/demo/fleet.ts
+++ b/packages/tools/src/demo/fleet.ts
@@ -74,6 +74,7 @@
         ...["--caller-port", String(firstPort === undefined ? 0 : firstPort + index)],
         ...["--operator-port", String(firstPort === undefined ? 0 : firstPort + 100 + index)],
         ...["--peer-port", "0"],
+        ...["--drain-grace", "500"],
         ...["--key-value-url", fleet.keyValueUrl],
         ...["--instance-list-url", fleet.instanceListUrl],
         ...["--weight-store-url", fleet.weightStoreUrl],
--- a/packages/tools/src/demo/processes.ts
+++ b/packages/tools/src/demo/processes.ts
@@ -61,7 +61,8 @@
 }
 
 export async function stopProcess(started: StartedProcess, signal: NodeJS.Signals): Promise<number | string> {
-    if (started.child.exitCode === null && started.child.signalCode === null) {
+    const end = started.child.exitCode ?? started.child.signalCode ?? undefined;
+    if (end === undefined) {
         started.child.kill(signal);
     }
     return started.ended;
@@ -81,7 +82,7 @@
             ended.then(code => {
                 throw new Error(`${name} ended with ${code}:\n${errors.join("")}`);
             }),
-            new Promise<never>((_resolve, reject) => {
+            new Promise<never>((resolve, reject) => {
                 timer = setTimeout(() => reject(new Error(`${name} did not start`)), StartTimeoutMilliseconds);
             }),
         ]);
--- a/packages/tools/src/demo/scenario.ts
+++ b/packages/tools/src/demo/scenario.ts
@@ -65,7 +65,10 @@
         }
         await timers.setTimeout(PollMilliseconds);
     }
-    return { isReached: false, text: `status ends with ${String(last?.code)}:\n${last?.output ?? ""}${last?.errors ?? ""}` };
+    return {
+        isReached: false,
+        text: `status ends with ${String(last?.code)}:\n${last?.output ?? ""}${last?.errors ?? ""}`,
+    };
 }
 
 async function showOnline(url: string, report: reports.Report): Promise<void> {
@@ -128,7 +131,11 @@
     await removeFromList(fleet, killed);
     const done = before.request_counts.completed + before.request_counts.failed;
     const held = done < BatchItems;
-    report.add(`${killed.process.name} is killed in the middle of the batch`, held, `${done} of ${BatchItems} were done`);
+    report.add(
+        `${killed.process.name} is killed in the middle of the batch`,
+        held,
+        `${done} of ${BatchItems} were done`,
+    );
 }
 
 async function showDrain(fleet: fleetModule.Fleet, url: string, report: reports.Report): Promise<void> {
@@ -174,7 +181,7 @@
 }
 
 function createItems(count: number, impossible: number): string {
-    const lines = Array.from({ length: count }, (_unused, index) => {
+    const lines = Array.from({ length: count }, (unused, index) => {
         const isImpossible = index >= 10 && index < 10 + impossible;
         return JSON.stringify({
             custom_id: `notice-${index}`,
