--- a/packages/platform/src/httpKeyValueService.ts
+++ b/packages/platform/src/httpKeyValueService.ts
@@ -78,7 +78,11 @@
     override async *watch(request: types.WatchRequest): AsyncIterable<types.WatchEvent> {
         let afterRevision = request.afterRevision;
         let wait = this.options.watchRetryMilliseconds ?? DefaultWatchRetryMilliseconds;
-        while (!request.signal.aborted) {
+        for (;;) {
+            await request.admit?.();
+            if (request.signal.aborted) {
+                return;
+            }
             for await (const response of this.openWatch({ ...request, afterRevision })) {
                 wait = this.options.watchRetryMilliseconds ?? DefaultWatchRetryMilliseconds;
                 if (response.canceled === true) {
@@ -223,7 +227,8 @@
     }
     // A 4xx was refused as it stands. etcd gives "request timed out" as a 503 for writes that it applies later.
     const isRefused = (status >= 400 && status < 500) || RefusedBeforeWrite.test(text);
-    return { kind: isRefused ? types.KeyValueFailureKind.Unavailable : uncertain, text };
+    const kind = isRefused ? types.KeyValueFailureKind.Unavailable : uncertain;
+    return { kind, text, isAnswer: status < 500 };
 }
 
 function parseEntries(response: unknown): readonly types.Entry[] {
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -36,6 +36,8 @@
     readonly kind: KeyValueFailureKind;
     readonly text: string;
     readonly retryAfterMilliseconds?: number;
+    /** True where the service itself refused the call as it stands: it is up, and the same call would fail again. */
+    readonly isAnswer?: boolean;
 }
 
 export type KeyValueResult<T> =
@@ -70,6 +72,8 @@
     /** Changes after this revision are wanted. */
     readonly afterRevision: Revision;
     readonly signal: AbortSignal;
+    /** Awaited before each connection; the paced client counts them by it. */
+    readonly admit?: () => Promise<void>;
 }
 
 export enum WatchEventKind {
--- /dev/null
+++ b/packages/platform/test/pacedKeyValueService.test.ts
@@ -0,0 +1,244 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import * as standins from "@boragedale/standins";
+import * as telemetry from "@boragedale/telemetry";
+import * as random from "./random.js";
+
+const suite = uvu.suite("paced key-value service");
+
+interface Fixture {
+    readonly clock: core.VirtualClock;
+    readonly memory: standins.MemoryKeyValueService;
+    readonly telemetry: telemetry.Telemetry;
+    readonly service: platform.PacedKeyValueService;
+}
+
+function createFixture(options: Partial<platform.PacedKeyValueOptions> = {}): Fixture {
+    const clock = new core.VirtualClock();
+    const memory = new standins.MemoryKeyValueService(clock);
+    return { clock, memory, ...createClient(memory, clock, options) };
+}
+
+function createClient(
+    inner: platform.KeyValueService,
+    clock: core.Clock,
+    options: Partial<platform.PacedKeyValueOptions>,
+): Pick<Fixture, "telemetry" | "service"> {
+    const told = new telemetry.Telemetry({ instance: "a", logLevel: "silent" }, clock);
+    const defaults = { clock, telemetry: told, getFleetSize: () => 1, random: random.createRandom(7) };
+    return { telemetry: told, service: new platform.PacedKeyValueService(inner, { ...defaults, ...options }) };
+}
+
+function createSwap(key: string, purpose = platform.CallPurpose.Ledger): platform.SwapRequest {
+    return { key, expectedRevision: 0, value: Buffer.from(key), purpose };
+}
+
+function getKind(result: platform.KeyValueResult<unknown>): string {
+    return result.ok ? "ok" : result.failure.kind;
+}
+
+function getEventNames(told: telemetry.Telemetry): readonly string[] {
+    return told.timeLine.read().map(event => event.name);
+}
+
+/** Lets a call run to its end while time goes on. */
+async function finish<T>(clock: core.VirtualClock, call: Promise<T>, milliseconds = 10_000): Promise<T> {
+    await clock.advance(milliseconds);
+    return call;
+}
+
+// The service goes away under traffic. The first callers wait out a timeout; from the third failure on each caller
+// hears at once that nothing was written and when to come back. When the service answers the probe, calls go again.
+suite("an outage fails calls at once, is told, and ends by itself", async () => {
+    const { clock, memory, service, telemetry } = createFixture();
+    memory.faults.isDown = true;
+    for (let index = 0; index < 3; index++) {
+        await service.compareAndSwap(createSwap(`key${index}`));
+    }
+    const callsBefore = memory.calls.get(platform.CallPurpose.Ledger);
+    const refused = await service.compareAndSwap(createSwap("key"));
+    assert.is(getKind(refused), platform.KeyValueFailureKind.Unavailable);
+    assert.ok(!refused.ok && (refused.failure.retryAfterMilliseconds ?? 0) > 0);
+    assert.is(memory.calls.get(platform.CallPurpose.Ledger), callsBefore);
+    memory.faults.isDown = false;
+    await clock.advance(5_000);
+    assert.is(getKind(await service.compareAndSwap(createSwap("key"))), "ok");
+    assert.equal(getEventNames(telemetry), ["KeyValueDown", "KeyValueRestored"]);
+});
+
+// The service accepts calls and never answers. A write that has left ends as ReplyLost after the timeout; one that
+// waits in the queue when the outage is noticed ends as not written, at once.
+suite("a silent service gives ReplyLost for what left and Unavailable for what waits", async () => {
+    const budget = { writesPerSecond: 20, readsPerSecond: 20 };
+    const { clock, memory, service } = createFixture({ budget, timeoutMilliseconds: 1_000 });
+    memory.faults.delayMilliseconds = 1_000_000;
+    const calls = [...Array(30).keys()].map(index => service.compareAndSwap(createSwap(`key${index}`)));
+    const kinds = (await finish(clock, Promise.all(calls))).map(getKind);
+    const lost = kinds.filter(kind => kind === platform.KeyValueFailureKind.ReplyLost);
+    const unwritten = kinds.filter(kind => kind === platform.KeyValueFailureKind.Unavailable);
+    assert.is(lost.length, memory.calls.get(platform.CallPurpose.Ledger));
+    // Four at once, and one each 62.5 ms until the first timeout, have left; the others never do.
+    assert.equal([lost.length, unwritten.length], [19, 11]);
+});
+
+// A reader asks while an identical read is on its way, and has written in between. It must see its own write, so it
+// may not join the read that left before; joining that one made an instance take its own claim for nobody's.
+suite("a shared read never misses the reader's own write", async () => {
+    const { clock, memory, service } = createFixture();
+    const held = createHeldReads(memory);
+    const { service: client } = createClient(held.service, clock, {});
+    const early = client.get("key", platform.CallPurpose.Read);
+    await clock.advance(1);
+    await service.compareAndSwap(createSwap("key"));
+    const late = client.get("key", platform.CallPurpose.Read);
+    held.release();
+    await clock.advance(1);
+    held.release();
+    assert.ok((await early).ok);
+    const read = await finish(clock, late);
+    assert.ok(read.ok && read.value !== undefined, "the read shows the write made before it");
+});
+
+suite("identical reads that have not begun are made once", async () => {
+    const { clock, memory, service, telemetry } = createFixture();
+    memory.faults.delayMilliseconds = 10;
+    const reads = Array.from({ length: 50 }, () => service.get("key", platform.CallPurpose.Read));
+    await finish(clock, Promise.all(reads));
+    assert.is(memory.calls.get(platform.CallPurpose.Read), 2);
+    const shared = telemetry.metrics.getCount("boragedale_key_value_shared_reads_total", { purpose: "Read" });
+    assert.is(shared, 48);
+});
+
+suite("a read without an answer is repeated, a refused call is not", async () => {
+    const { clock, memory, service } = createFixture();
+    memory.faults.isDown = true;
+    const read = service.get("key", platform.CallPurpose.Read);
+    await clock.advance(10);
+    memory.faults.isDown = false;
+    assert.is(getKind(await finish(clock, read)), "ok");
+    const tooLarge = { ...createSwap("large"), value: new Uint8Array(platform.MaximumValueBytes + 1) };
+    for (let index = 0; index < 5; index++) {
+        await service.compareAndSwap(tooLarge);
+    }
+    assert.ok(!service.isDown(), "a service that refuses a call is up");
+});
+
+// Sixteen instances hold back their checkpoints through an outage of a minute. When the service is back they all have
+// a backlog; the service never sees a second with more writes than the fleet's budget, nor an instant with a burst.
+suite("a fleet's backlog drains within the budget", async () => {
+    const clock = new core.VirtualClock();
+    const memory = new standins.MemoryKeyValueService(clock);
+    const writes = countWrites(memory, clock);
+    const budget = { writesPerSecond: 160, readsPerSecond: 160 };
+    const fleet = [...Array(16).keys()].map(index => {
+        const options = { budget, getFleetSize: () => 16, random: random.createRandom(index) };
+        return createClient(writes.service, clock, options).service;
+    });
+    memory.faults.isDown = true;
+    const backlogs = fleet.map((service, index) => drain(service, clock, index));
+    await clock.advance(60_000);
+    memory.faults.isDown = false;
+    const restoredAt = clock.now();
+    await finish(clock, Promise.all(backlogs), 30_000);
+    const after = writes.times.filter(time => time >= restoredAt);
+    assert.is(after.length, 16 * 40);
+    assert.ok(getBusiest(after, 1_000) <= 160, `${getBusiest(after, 1_000)} writes in one second`);
+    assert.ok(getBusiest(after, 100) <= 48, `${getBusiest(after, 100)} writes in a tenth of a second`);
+});
+
+// The service is back and calls come at that very instant. They wait for a turn of their own phase, though the bucket
+// had time to fill in the outage: all instances come back together, and their full buckets would be spent at once.
+suite("the end of an outage is not answered with a burst", async () => {
+    const budget = { writesPerSecond: 50, readsPerSecond: 50 };
+    const { clock, memory, service } = createFixture({ budget, random: () => 0 });
+    memory.faults.isDown = true;
+    for (let index = 0; index < 3; index++) {
+        await service.compareAndSwap(createSwap(`key${index}`));
+    }
+    await clock.advance(60_000);
+    memory.faults.isDown = false;
+    while (service.isDown()) {
+        await clock.advance(10);
+    }
+    const before = memory.calls.get(platform.CallPurpose.Ledger);
+    const calls = Promise.all([...Array(20).keys()].map(index => service.compareAndSwap(createSwap(`late${index}`))));
+    await clock.advance(10);
+    assert.is(memory.calls.get(platform.CallPurpose.Ledger), before);
+    assert.equal(new Set((await finish(clock, calls)).map(getKind)), new Set(["ok"]));
+});
+
+suite("each opening of a watch is counted and paced", async () => {
+    const { clock, service, telemetry } = createFixture();
+    const controller = new AbortController();
+    const watch = service.watch({ prefix: "", afterRevision: 0, signal: controller.signal })[Symbol.asyncIterator]();
+    const next = watch.next();
+    await clock.advance(10);
+    await service.compareAndSwap(createSwap("key"));
+    assert.is(((await next).value as platform.WatchEvent).kind, platform.WatchEventKind.Changed);
+    const labels = { purpose: "Watch", result: "Answered" };
+    assert.is(telemetry.metrics.getCount("boragedale_key_value_calls_total", labels), 1);
+    controller.abort();
+    await watch.return?.();
+});
+
+suite("closing the client fails what waits as not written", async () => {
+    const { clock, service } = createFixture({ budget: { writesPerSecond: 5, readsPerSecond: 5 } });
+    const calls = [...Array(5).keys()].map(index => service.compareAndSwap(createSwap(`key${index}`)));
+    await service[Symbol.asyncDispose]();
+    await clock.advance(10);
+    const kinds = (await Promise.all(calls)).map(getKind);
+    assert.equal(kinds.slice(1), Array(4).fill(platform.KeyValueFailureKind.Unavailable));
+});
+
+/** Writes forty checkpoints one after the other, coming back when told to. */
+async function drain(service: platform.KeyValueService, clock: core.Clock, instance: number): Promise<void> {
+    for (let index = 0; index < 40;) {
+        const result = await service.compareAndSwap(
+            createSwap(`${instance}/${index}`, platform.CallPurpose.Checkpoint),
+        );
+        if (result.ok) {
+            index++;
+        }
+        else {
+            await clock.sleep(result.failure.retryAfterMilliseconds ?? 100);
+        }
+    }
+}
+
+/** The most times that fall into one span of `milliseconds`; `times` in order. */
+function getBusiest(times: readonly number[], milliseconds: number): number {
+    const counts = times.map(first => times.filter(time => time >= first && time < first + milliseconds).length);
+    return Math.max(0, ...counts);
+}
+
+function countWrites(
+    memory: standins.MemoryKeyValueService,
+    clock: core.Clock,
+): { readonly service: platform.KeyValueService; readonly times: number[] } {
+    const times: number[] = [];
+    const service = Object.create(memory) as platform.KeyValueService;
+    service.compareAndSwap = request => {
+        times.push(clock.now());
+        return memory.compareAndSwap(request);
+    };
+    return { service, times };
+}
+
+/** A service whose reads take effect at once and whose replies wait until they are released. */
+function createHeldReads(memory: standins.MemoryKeyValueService): {
+    readonly service: platform.KeyValueService;
+    readonly release: () => void;
+} {
+    const waiting: (() => void)[] = [];
+    const service = Object.create(memory) as platform.KeyValueService;
+    service.get = async (key, purpose) => {
+        const result = await memory.get(key, purpose);
+        await new Promise<void>(resolve => waiting.push(resolve));
+        return result;
+    };
+    return { service, release: () => waiting.splice(0).forEach(resolve => resolve()) };
+}
+
+suite.run();
