--- a/packages/work/src/callTable.ts
+++ b/packages/work/src/callTable.ts
@@ -22,6 +22,10 @@
         return this.calls.values();
     }
 
+    getCount(): number {
+        return this.calls.size;
+    }
+
     createDraft(sealed: ReadonlyMap<string, types.CallRecord>): CallDraft {
         return new CallDraft(this.calls, sealed);
     }
--- a/packages/work/src/codec.ts
+++ b/packages/work/src/codec.ts
@@ -17,11 +17,15 @@
     return packer.unpack(bytes) as T;
 }
 
+/** Small values are worked on in place: it takes less than a millisecond, and handing them to a thread as much. */
+const InPlaceBytes = 64_000;
+
 /** Compresses with low effort: values are written once, and the entry instances are small. */
 export async function compress(bytes: Uint8Array): Promise<Uint8Array> {
-    return deflate(bytes, { level: 2 });
+    const options = { level: 2 };
+    return bytes.byteLength <= InPlaceBytes ? zlib.deflateRawSync(bytes, options) : deflate(bytes, options);
 }
 
 export async function decompress(bytes: Uint8Array): Promise<Uint8Array> {
-    return inflate(bytes);
+    return bytes.byteLength <= InPlaceBytes ? zlib.inflateRawSync(bytes) : inflate(bytes);
 }
--- a/packages/work/src/files.ts
+++ b/packages/work/src/files.ts
@@ -105,6 +105,11 @@
         }
     }
 
+    async tryReadValue(key: string): Promise<Uint8Array | undefined> {
+        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Read);
+        return entry.ok ? entry.value?.value : undefined;
+    }
+
     /** Reads a value that must be there, trying again for a while. Throws `ContentUnavailableError`. */
     async readValue(key: string): Promise<Uint8Array> {
         const { keyValue, clock } = this.options;
--- a/packages/work/src/ledger.ts
+++ b/packages/work/src/ledger.ts
@@ -1,12 +1,13 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
 import type * as platform from "@boragedale/platform";
-import * as protocol from "@boragedale/protocol";
+import type * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
-import * as callTable from "./callTable.js";
-import * as codec from "./codec.js";
+import * as files from "./files.js";
+import * as ledgerRouter from "./ledgerRouter.js";
 import * as ledgerShard from "./ledgerShard.js";
 import * as requests from "./ledgerRequests.js";
+import * as resultBodies from "./resultBodies.js";
 import * as services from "./services.js";
 import * as types from "./types.js";
 
@@ -21,6 +22,8 @@
     readonly shards?: number;
     /** Commits that the whole fleet's ledger may make in a second. */
     readonly commitsPerSecond?: number;
+    /** How long calls stay readable, from the release note in force. */
+    readonly getRetentionMilliseconds?: () => number;
     /** Gives names that no other process gives; tests pass a counter. */
     readonly createId?: () => string;
 }
@@ -28,14 +31,20 @@
 export const DefaultLedgerShards = 4;
 export const DefaultLedgerCommitsPerSecond = 80;
 
-/** Longer than a peer holds a `Wait`, shorter than a caller's patience. */
-const PeerTimeoutMilliseconds = 3_000;
+const DefaultRetentionMilliseconds = 7 * 86_400_000;
+const RemovalMilliseconds = 60_000;
 /** A begin that takes longer than this is given up: nothing was sent, and its start is declared so. */
 const BeginBoundMilliseconds = 4_000;
+/**
+ * A start is good for sending only so long. A process that was paused with a start in its hands would otherwise wake
+ * after another instance had taken the call over, asked the service, heard "did not run", and sent it. Instances are
+ * taken as gone only after a longer silence than this.
+ */
+const SendWindowMilliseconds = 5_000;
+/** A caller is told that the outcome is not known after this time, whether or not that is recorded yet. */
+const MarkBoundMilliseconds = 1_000;
 const FirstRetryMilliseconds = 100;
 const LongestRetryMilliseconds = 2_000;
-/** Stand-by holders tried when a shard's holder doesn't answer; all instances try the same ones in the same order. */
-const StandbyHolders = 2;
 
 export function createShardedCallLedger(options: ShardedCallLedgerOptions): ShardedCallLedger {
     return new ShardedCallLedger(options);
@@ -47,43 +56,53 @@
  */
 export class ShardedCallLedger extends services.CallLedger {
     private readonly shards: readonly ledgerShard.LedgerShard[];
-    private readonly createId: () => string;
+    private readonly router: ledgerRouter.LedgerRouter;
+    private readonly bodies: resultBodies.ResultBodies;
     /** Names this process: a start by an earlier process of the same instance name may have been sent. */
     private readonly process: string;
     private nextStart = 0;
     /** Starts of this process that may be sent, from before they are asked for until their outcome is kept. */
-    private readonly running = new Set<string>();
+    private readonly running = new Map<string, core.MonotonicMilliseconds>();
     private readonly recordings = new Set<Promise<void>>();
     private readonly stopping = new AbortController();
+    private readonly removal: Promise<void>;
 
     constructor(private readonly options: ShardedCallLedgerOptions) {
         super();
-        this.createId = options.createId ?? crypto.randomUUID;
-        this.process = this.createId();
-        const shards = options.shards ?? DefaultLedgerShards;
+        const { createId = crypto.randomUUID, shards = DefaultLedgerShards, membership } = options;
+        this.process = createId();
         const commitsPerSecond = (options.commitsPerSecond ?? DefaultLedgerCommitsPerSecond) / shards;
-        const isGone = (instance: core.InstanceId): boolean => options.membership.isGone(instance);
-        const shared = { ...options, commitsPerSecond, createId: this.createId, isGone };
+        const isGone = (instance: core.InstanceId): boolean => membership.isGone(instance);
+        const shared = { ...options, commitsPerSecond, createId, isGone };
         this.shards = [...Array(shards).keys()].map(shard => new ledgerShard.LedgerShard({ ...shared, shard }));
-        this.handlePeers();
+        this.router = new ledgerRouter.LedgerRouter({
+            ...options,
+            shards: this.shards,
+            getRunState: startId => this.getRunState(startId),
+        });
+        this.bodies = new resultBodies.ResultBodies(new files.FileVault(options));
+        this.removal = this.removeOldWhileRunning();
     }
 
     override async begin(call: types.CallRequest): Promise<types.BeginOutcome> {
         const outcome = await this.tryBegin(call, undefined);
-        if (outcome.kind !== types.BeginKind.InFlight) {
-            return outcome;
-        }
-        const { startId } = outcome.record;
-        switch (await this.askRunState(outcome.record)) {
-            case requests.RunState.Running:
+        switch (outcome.kind) {
+            case types.BeginKind.InFlight:
+                return this.examineInFlight(call, outcome);
+            case types.BeginKind.Finished: {
+                const result = await this.bodies.moveIn(outcome.result);
+                return result === undefined ? createUnreadable() : { ...outcome, result };
+            }
+            default:
                 return outcome;
-            case requests.RunState.NeverSent:
-                return this.tryBegin(call, startId);
-            case requests.RunState.Lost:
-                return { kind: types.BeginKind.Orphaned, record: outcome.record };
         }
     }
 
+    override isSendAllowed(record: types.CallRecord): boolean {
+        const startedAt = this.running.get(record.startId ?? "");
+        return startedAt !== undefined && this.options.clock.now() - startedAt < SendWindowMilliseconds;
+    }
+
     override async finish(
         record: types.CallRecord,
         result: types.CallResult,
@@ -93,28 +112,24 @@
         const recording = this.recordUntilKept(record, result).then(kept => {
             isKept = kept;
         });
-        this.recordings.add(recording);
-        void recording.finally(() => this.recordings.delete(recording));
-        await this.withinBound(recording, boundMilliseconds);
+        await this.withinBound(this.keepRecording(recording), boundMilliseconds);
         return isKept;
     }
 
     override async release(record: types.CallRecord): Promise<void> {
+        // Where the request below is lost, whoever meets the record asks this process and hears "never sent".
         this.forget(record);
-        await this.ask(record, { kind: requests.LedgerRequestKind.Release, record });
+        const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.Release, record: toBare(record) };
+        await this.router.ask(record, request);
     }
 
     override async takeOver(record: types.CallRecord): Promise<types.CallRecord | undefined> {
-        const startId = this.createStartId();
-        this.running.add(startId);
         const { instance } = this.options;
-        const reply = await this.ask(record, {
-            kind: requests.LedgerRequestKind.TakeOver,
-            record: withoutResult(record),
-            instance,
-            startId,
-        });
-        if (reply.kind === requests.LedgerReplyKind.Recorded && reply.record?.startId === startId) {
+        const startId = this.addStart();
+        const kind = requests.LedgerRequestKind.TakeOver;
+        const asked = this.router.ask(record, { kind, record: toBare(record), instance, startId });
+        const reply = await this.withinBound(asked, BeginBoundMilliseconds);
+        if (reply?.kind === requests.LedgerReplyKind.Recorded && reply.record?.startId === startId) {
             return reply.record;
         }
         this.running.delete(startId);
@@ -122,35 +137,52 @@
     }
 
     override async markOutcomeUnknown(record: types.CallRecord): Promise<void> {
-        this.options.telemetry.record(telemetry.events.CallOutcomeUnknown, {
-            request: record.key,
-            text: record.service,
+        const subject = { request: record.key, caller: record.caller, text: record.service };
+        this.options.telemetry.record(telemetry.events.CallOutcomeUnknown, subject);
+        const kind = requests.LedgerRequestKind.MarkUnknown;
+        const marking = this.askUntilAnswered(record, { kind, record: toBare(record) }).then(reply => {
+            if (reply !== undefined) {
+                this.forget(record);
+            }
         });
-        this.forget(record);
-        await this.askUntilAnswered(record, { kind: requests.LedgerRequestKind.MarkUnknown, record });
+        await this.withinBound(this.keepRecording(marking), MarkBoundMilliseconds);
     }
 
     override async read(identity: types.CallIdentity): Promise<core.Outcome<types.CallRecord | undefined>> {
-        const reply = await this.ask(identity, { kind: requests.LedgerRequestKind.Read, identity: pick(identity) });
-        return reply.kind === requests.LedgerReplyKind.Found
-            ? core.createSuccess(reply.record)
-            : core.createFailure(createUnavailable());
+        const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.Read, identity: pick(identity) };
+        const reply = await this.router.ask(identity, request);
+        if (reply.kind !== requests.LedgerReplyKind.Found) {
+            return core.createFailure(createUnavailable());
+        }
+        if (reply.record === undefined) {
+            return core.createSuccess(undefined);
+        }
+        const record = await this.complete(reply.record);
+        return record === undefined ? core.createFailure(createUnavailable()) : core.createSuccess(record);
     }
 
     override async waitForResult(
         identity: types.CallIdentity,
         signal: AbortSignal,
     ): Promise<types.CallRecord | undefined> {
+        const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.Wait, identity: pick(identity) };
         const aborted = new Promise<undefined>(resolve => {
             signal.addEventListener("abort", () => resolve(undefined), { once: true });
         });
         while (!signal.aborted) {
-            const waiting = this.ask(identity, { kind: requests.LedgerRequestKind.Wait, identity: pick(identity) });
-            const reply = await Promise.race([waiting, aborted]);
-            if (reply?.kind === requests.LedgerReplyKind.Found && reply.record?.state !== types.CallState.Started) {
-                return reply.record;
+            const reply = await Promise.race([this.router.ask(identity, request), aborted]);
+            if (reply?.kind === requests.LedgerReplyKind.Found) {
+                const { record } = reply;
+                if (record === undefined) {
+                    return undefined;
+                }
+                const isOver = record.state !== types.CallState.Started || (await this.hasLostRunner(record));
+                const completed = isOver ? await this.complete(record) : undefined;
+                if (completed !== undefined) {
+                    return completed;
+                }
             }
-            if (reply?.kind === requests.LedgerReplyKind.Unavailable) {
+            else if (reply !== undefined) {
                 await this.options.clock.sleep(FirstRetryMilliseconds, signal);
             }
         }
@@ -158,60 +190,80 @@
     }
 
     override async listOutcomesUnknown(): Promise<core.Outcome<readonly types.CallRecord[]>> {
-        const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.ListUnknown };
-        const replies = await Promise.all([...this.shards.keys()].map(shard => this.askShard(shard, request)));
-        const records: types.CallRecord[] = [];
-        for (const reply of replies) {
-            if (reply.kind !== requests.LedgerReplyKind.Listed) {
-                return core.createFailure(createUnavailable());
-            }
-            records.push(...reply.records);
-        }
-        return core.createSuccess(records);
+        return collectRecords(await this.router.askAll({ kind: requests.LedgerRequestKind.ListUnknown }));
     }
 
+    override async listOrphaned(): Promise<core.Outcome<readonly types.CallRecord[]>> {
+        return collectRecords(await this.router.askAll({ kind: requests.LedgerRequestKind.ListOrphaned }));
+    }
+
+    /** Waits a bounded time for results that are still being recorded, then stops. */
     override async [Symbol.asyncDispose](): Promise<void> {
         await this.withinBound(Promise.all(this.recordings), BeginBoundMilliseconds);
         this.stopping.abort();
+        await this.removal;
     }
 
     private async tryBegin(call: types.CallRequest, neverSent: string | undefined): Promise<types.BeginOutcome> {
-        const startId = this.createStartId();
-        this.running.add(startId);
-        const { instance } = this.options;
-        const request: requests.LedgerRequest = {
-            kind: requests.LedgerRequestKind.Begin,
-            call,
-            instance,
-            startId,
-            neverSent,
-        };
-        const reply = await this.withinBound(this.ask(call, request), BeginBoundMilliseconds);
+        const { instance, telemetry: events } = this.options;
+        const startId = this.addStart();
+        const kind = requests.LedgerRequestKind.Begin;
+        const asked = this.router.ask(call, { kind, call, instance, startId, neverSent });
+        const reply = await this.withinBound(asked, BeginBoundMilliseconds);
         const outcome = toBeginOutcome(reply);
-        if (outcome.kind === types.BeginKind.Started) {
-            this.options.telemetry.record(telemetry.events.CallStarted, { request: call.key, caller: call.caller });
+        if (outcome.kind !== types.BeginKind.Started) {
+            // From here on this process answers for the start that it was never sent, should it be recorded after all.
+            this.running.delete(startId);
             return outcome;
         }
-        // From here on this process answers for the start that it was never sent, should it be recorded after all.
-        this.running.delete(startId);
+        if (!this.isSendAllowed(outcome.record)) {
+            this.running.delete(startId);
+            return { kind: types.BeginKind.Unavailable, text: "the start came too late to be used" };
+        }
+        events.record(telemetry.events.CallStarted, { request: call.key, caller: call.caller });
         return outcome;
     }
 
+    /** A call that seems to run: the instance that started it is asked, since a start may have been given up there. */
+    private async examineInFlight(
+        call: types.CallRequest,
+        outcome: Extract<types.BeginOutcome, { readonly kind: types.BeginKind.InFlight }>,
+    ): Promise<types.BeginOutcome> {
+        switch (await this.router.askRunState(outcome.record)) {
+            case requests.RunState.Running:
+                return outcome;
+            case requests.RunState.NeverSent:
+                return this.tryBegin(call, outcome.record.startId);
+            case requests.RunState.Lost:
+                return { kind: types.BeginKind.Orphaned, record: outcome.record };
+        }
+    }
+
     private async recordUntilKept(record: types.CallRecord, result: types.CallResult): Promise<boolean> {
-        const request: requests.LedgerRequest = {
-            kind: requests.LedgerRequestKind.Finish,
-            record: withoutResult(record),
-            result,
-        };
-        const isKept = (await this.askUntilAnswered(record, request)) !== undefined;
-        if (isKept) {
-            this.forget(record);
-            this.options.telemetry.record(telemetry.events.CallFinished, {
-                request: record.key,
-                caller: record.caller,
-            });
+        const { clock, telemetry: events } = this.options;
+        const name = encodeURIComponent(record.startId ?? record.key);
+        let kept = await this.bodies.moveOut(name, result);
+        while (kept === undefined && !this.stopping.signal.aborted) {
+            await clock.sleep(LongestRetryMilliseconds, this.stopping.signal);
+            kept = await this.bodies.moveOut(name, result);
         }
-        return isKept;
+        if (kept === undefined) {
+            return false;
+        }
+        const kind = requests.LedgerRequestKind.Finish;
+        const reply = await this.askUntilAnswered(record, { kind, record: toBare(record), result: kept });
+        if (reply === undefined) {
+            return false;
+        }
+        this.forget(record);
+        events.record(telemetry.events.CallFinished, { request: record.key, caller: record.caller });
+        return true;
+    }
+
+    private keepRecording(recording: Promise<void>): Promise<void> {
+        this.recordings.add(recording);
+        void recording.finally(() => this.recordings.delete(recording));
+        return recording;
     }
 
     /** Asks again until a holder has answered, however long the key-value service is down; undefined when stopped. */
@@ -221,7 +273,7 @@
     ): Promise<requests.LedgerReply | undefined> {
         let wait = FirstRetryMilliseconds;
         while (!this.stopping.signal.aborted) {
-            const reply = await this.ask(identity, request);
+            const reply = await this.router.ask(identity, request);
             if (reply.kind !== requests.LedgerReplyKind.Unavailable) {
                 return reply;
             }
@@ -231,105 +283,49 @@
         return undefined;
     }
 
-    private ask(identity: types.CallIdentity, request: requests.LedgerRequest): Promise<requests.LedgerReply> {
-        return this.askShard(this.getShard(identity), request);
-    }
-
-    /**
-     * Asks the shard's holder; when it doesn't answer, the stand-by holders, and at last this instance itself. Asking
-     * a second one is safe: the request carries the name of its start, and the shard's revision decides.
-     */
-    private async askShard(shard: number, request: requests.LedgerRequest): Promise<requests.LedgerReply> {
-        for (const holder of this.getHolders(shard)) {
-            if (holder === this.options.instance) {
-                break;
-            }
-            const reply = await this.askPeer(holder, shard, request);
-            if (reply !== undefined) {
-                return reply;
+    private async removeOldWhileRunning(): Promise<void> {
+        const { clock, getRetentionMilliseconds } = this.options;
+        const { signal } = this.stopping;
+        for (await clock.sleep(RemovalMilliseconds, signal); !signal.aborted;) {
+            const retention = getRetentionMilliseconds?.() ?? DefaultRetentionMilliseconds;
+            for (const [shard, target] of this.shards.entries()) {
+                if (this.router.holdsShard(shard)) {
+                    target.removeOld(clock.wallNow() - retention);
+                }
             }
+            await clock.sleep(RemovalMilliseconds, signal);
         }
-        return core.Debug.checkDefined(this.shards[shard], "shard").ask(request);
-    }
-
-    private getHolders(shard: number): ReadonlySet<core.InstanceId> {
-        const duties = [`ledger/${shard}`];
-        for (let standby = 1; standby <= StandbyHolders; standby++) {
-            duties.push(`ledger/${shard}/standby/${standby}`);
-        }
-        const holders = duties.map(duty => this.options.membership.tryGetHolder(duty));
-        return new Set(holders.filter(holder => holder !== undefined));
-    }
-
-    private async askPeer(
-        peer: core.InstanceId,
-        shard: number,
-        request: requests.LedgerRequest,
-    ): Promise<requests.LedgerReply | undefined> {
-        const result = await this.options.peers.request(peer, toMessage(shard, request), {
-            lane: protocol.Lane.Online,
-            timeoutMilliseconds: PeerTimeoutMilliseconds,
-        });
-        return result.ok ? tryGetReply(result.message) : undefined;
-    }
-
-    private async askRunState(record: types.CallRecord): Promise<requests.RunState> {
-        const startId = record.startId ?? "";
-        if (record.instance === this.options.instance) {
-            return this.getRunState(startId);
-        }
-        const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.IsRunning, startId };
-        const reply = await this.askPeer(record.instance, 0, request);
-        return reply?.kind === requests.LedgerReplyKind.RunState ? reply.state : requests.RunState.Running;
     }
 
     private getRunState(startId: string): requests.RunState {
-        if (!startId.startsWith(this.process)) {
+        if (!startId.startsWith(`${this.process}/`)) {
             return requests.RunState.Lost;
         }
         return this.running.has(startId) ? requests.RunState.Running : requests.RunState.NeverSent;
     }
 
-    private handlePeers(): void {
-        const { peers } = this.options;
-        peers.handle(protocol.MessageKind.LedgerBegin, async message => ({
-            kind: protocol.MessageKind.LedgerBegun,
-            payload: await this.serve(message.shard, message.payload),
-        }));
-        peers.handle(protocol.MessageKind.LedgerFinish, async message => ({
-            kind: protocol.MessageKind.LedgerFinished,
-            payload: await this.serve(message.shard, message.payload),
-        }));
-        peers.handle(protocol.MessageKind.LedgerRead, async message => ({
-            kind: protocol.MessageKind.LedgerRecord,
-            payload: await this.serve(message.shard, message.payload),
-        }));
-    }
-
-    private async serve(shard: number, payload: Uint8Array): Promise<Uint8Array> {
-        const request = codec.decode<requests.LedgerRequest>(payload);
-        if (request.kind === requests.LedgerRequestKind.IsRunning) {
-            const state = this.getRunState(request.startId);
-            return codec.encode({ kind: requests.LedgerReplyKind.RunState, state } satisfies requests.LedgerReply);
+    private async hasLostRunner(record: types.CallRecord): Promise<boolean> {
+        if (record.isOrphaned === true || this.options.membership.isGone(record.instance)) {
+            return true;
         }
-        const reply = await this.shards[shard]?.ask(request);
-        const unknown = { kind: requests.LedgerReplyKind.Unavailable, text: `there is no shard ${shard}` } as const;
-        return codec.encode(reply ?? unknown);
-    }
-
-    private getShard(identity: types.CallIdentity): number {
-        const hash = crypto.createHash("sha256").update(callTable.getCallName(identity)).digest();
-        return hash.readUInt32BE(0) % this.shards.length;
+        return (await this.router.askRunState(record)) !== requests.RunState.Running;
     }
 
-    private createStartId(): string {
-        return `${this.process}/${this.nextStart++}`;
+    private addStart(): string {
+        const startId = `${this.process}/${this.nextStart++}`;
+        this.running.set(startId, this.options.clock.now());
+        return startId;
     }
 
     private forget(record: types.CallRecord): void {
         this.running.delete(record.startId ?? "");
     }
 
+    private async complete(record: types.CallRecord): Promise<types.CallRecord | undefined> {
+        const result = record.result === undefined ? undefined : await this.bodies.moveIn(record.result);
+        return record.result !== undefined && result === undefined ? undefined : { ...record, result };
+    }
+
     private async withinBound<T>(work: Promise<T>, milliseconds: number): Promise<T | undefined> {
         const controller = new AbortController();
         const timeout = this.options.clock.sleep(milliseconds, controller.signal).then(() => undefined);
@@ -347,33 +343,19 @@
     return { kind: types.BeginKind.Unavailable, text };
 }
 
-function toMessage(shard: number, request: requests.LedgerRequest): protocol.Message {
-    const payload = codec.encode(request);
-    switch (request.kind) {
-        case requests.LedgerRequestKind.Begin:
-        case requests.LedgerRequestKind.TakeOver:
-            return { kind: protocol.MessageKind.LedgerBegin, shard, payload };
-        case requests.LedgerRequestKind.Finish:
-        case requests.LedgerRequestKind.Release:
-        case requests.LedgerRequestKind.MarkUnknown:
-            return { kind: protocol.MessageKind.LedgerFinish, shard, payload };
-        case requests.LedgerRequestKind.Read:
-        case requests.LedgerRequestKind.Wait:
-        case requests.LedgerRequestKind.ListUnknown:
-        case requests.LedgerRequestKind.IsRunning:
-            return { kind: protocol.MessageKind.LedgerRead, shard, payload };
+function collectRecords(replies: readonly requests.LedgerReply[]): core.Outcome<readonly types.CallRecord[]> {
+    const records: types.CallRecord[] = [];
+    for (const reply of replies) {
+        if (reply.kind !== requests.LedgerReplyKind.Listed) {
+            return core.createFailure(createUnavailable());
+        }
+        records.push(...reply.records);
     }
+    return core.createSuccess(records);
 }
 
-function tryGetReply(message: protocol.Message): requests.LedgerReply | undefined {
-    switch (message.kind) {
-        case protocol.MessageKind.LedgerBegun:
-        case protocol.MessageKind.LedgerFinished:
-        case protocol.MessageKind.LedgerRecord:
-            return codec.decode<requests.LedgerReply>(message.payload);
-        default:
-            return undefined;
-    }
+function createUnreadable(): types.BeginOutcome {
+    return { kind: types.BeginKind.Unavailable, text: "the result's body can't be read now" };
 }
 
 function createUnavailable(): core.Refusal {
@@ -389,6 +371,6 @@
     return { caller: identity.caller, key: identity.key };
 }
 
-function withoutResult(record: types.CallRecord): types.CallRecord {
+function toBare(record: types.CallRecord): types.CallRecord {
     return { ...record, result: undefined };
 }
--- a/packages/work/src/ledgerDecision.ts
+++ b/packages/work/src/ledgerDecision.ts
@@ -13,6 +13,8 @@
 
 export interface DecisionContext {
     readonly now: core.WallMilliseconds;
+    /** False while the shard's head has no room for further calls. */
+    readonly mayStart: boolean;
     isGone(instance: core.InstanceId): boolean;
 }
 
@@ -43,6 +45,8 @@
             return { kind: requests.LedgerReplyKind.Found, record: table.tryGet(request.identity) };
         case requests.LedgerRequestKind.ListUnknown:
             return { kind: requests.LedgerReplyKind.Listed, records: listUnknown(table) };
+        case requests.LedgerRequestKind.ListOrphaned:
+            return { kind: requests.LedgerReplyKind.Listed, records: listOrphaned(table, context) };
         case requests.LedgerRequestKind.IsRunning:
             return { kind: requests.LedgerReplyKind.Unavailable, text: "only the instance that sends a call knows" };
     }
@@ -87,12 +91,15 @@
         return start(table, request, context);
     }
     // A later attempt follows one that may have been sent: that it wasn't sent itself doesn't free the key.
-    const isOrphaned = wasNeverSent || current.isOrphaned === true || context.isGone(current.instance);
-    return { kind: isOrphaned ? types.BeginKind.Orphaned : types.BeginKind.InFlight, record: current };
+    const isOver = wasNeverSent || isOrphaned(current, context);
+    return { kind: isOver ? types.BeginKind.Orphaned : types.BeginKind.InFlight, record: current };
 }
 
 function start(table: CallTable, request: BeginRequest, context: DecisionContext): types.BeginOutcome {
     const { caller, key, fingerprint, service } = request.call;
+    if (!context.mayStart) {
+        return { kind: types.BeginKind.Unavailable, text: "too many calls are open" };
+    }
     const record: types.CallRecord = {
         caller,
         key,
@@ -187,3 +194,13 @@
 function listUnknown(table: CallTable): readonly types.CallRecord[] {
     return [...table.getUnfinished()].filter(record => record.state === types.CallState.OutcomeUnknown);
 }
+
+function listOrphaned(table: CallTable, context: DecisionContext): readonly types.CallRecord[] {
+    return [...table.getUnfinished()].filter(
+        record => record.state === types.CallState.Started && isOrphaned(record, context),
+    );
+}
+
+function isOrphaned(record: types.CallRecord, context: DecisionContext): boolean {
+    return record.isOrphaned === true || context.isGone(record.instance);
+}
--- a/packages/work/src/ledgerRequests.ts
+++ b/packages/work/src/ledgerRequests.ts
@@ -12,6 +12,8 @@
     /** Read, but the reply may be held until the call has ended. */
     Wait = "Wait",
     ListUnknown = "ListUnknown",
+    /** Calls started by instances that are gone, which nobody has asked for again. */
+    ListOrphaned = "ListOrphaned",
     /** Asked of the instance that started a call, not of the holder. */
     IsRunning = "IsRunning",
 }
@@ -41,6 +43,7 @@
     | { readonly kind: LedgerRequestKind.Read; readonly identity: types.CallIdentity }
     | { readonly kind: LedgerRequestKind.Wait; readonly identity: types.CallIdentity }
     | { readonly kind: LedgerRequestKind.ListUnknown }
+    | { readonly kind: LedgerRequestKind.ListOrphaned }
     | { readonly kind: LedgerRequestKind.IsRunning; readonly startId: string };
 
 /** What the instance that started a call says of it. */
@@ -87,6 +90,7 @@
         case LedgerRequestKind.Wait:
             return request.identity;
         case LedgerRequestKind.ListUnknown:
+        case LedgerRequestKind.ListOrphaned:
         case LedgerRequestKind.IsRunning:
             return undefined;
     }
--- a/packages/work/src/ledgerShard.ts
+++ b/packages/work/src/ledgerShard.ts
@@ -1,11 +1,10 @@
-import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import type * as core from "@boragedale/core";
+import type * as platform from "@boragedale/platform";
 import * as telemetry from "@boragedale/telemetry";
 import * as callTable from "./callTable.js";
-import * as codec from "./codec.js";
+import * as ledgerHead from "./ledgerHead.js";
 import * as ledgerDecision from "./ledgerDecision.js";
 import * as requests from "./ledgerRequests.js";
-import * as swap from "./swap.js";
 import * as types from "./types.js";
 
 export interface LedgerShardOptions {
@@ -24,21 +23,23 @@
     readonly resolve: (reply: requests.LedgerReply) => void;
 }
 
-/** What the shard's key holds. The nonce makes every write unlike any other, so that an own one is recognised. */
-interface ShardHead {
-    readonly nonce: string;
-    readonly calls: readonly types.CallRecord[];
-}
-
-interface LoadedHead {
-    readonly revision: platform.Revision;
-    readonly table: callTable.CallTable;
+interface BatchAttempt {
+    readonly replies?: readonly requests.LedgerReply[];
+    /** Why there are no replies. */
+    readonly text?: string;
 }
 
 /** A holder whose head lost this many races in a row gives its requests up; more would only add to the contention. */
 const MaximumConflicts = 8;
-/** How old a head may be for an answer that changes nothing; older ones are read again first. */
-const FreshMilliseconds = 500;
+/** Calls in one head: some 250 bytes each, under the size limit of a value with room for results. */
+const MaximumCalls = 2_000;
+/** Results taken into one commit; the next ones wait for the following commit. */
+const MaximumBatchBytes = 256_000;
+const ContendedText = "the shard is contended";
+const UnreadableReply: requests.LedgerReply = {
+    kind: requests.LedgerReplyKind.Unavailable,
+    text: "the call's record can't be read now",
+};
 /** A held `Wait` is answered after this time at the latest, so that a waiter notices when the shard has moved. */
 const WaitMilliseconds = 2_000;
 const CommitBurst = 4;
@@ -49,16 +50,23 @@
  * revision is the fence, since the one that writes second finds another revision, reads again, and decides again.
  */
 export class LedgerShard {
-    private head: LoadedHead | undefined;
-    private verifiedAt = -Infinity;
+    private readonly head: ledgerHead.LedgerHead;
+    private removeBefore: core.WallMilliseconds | undefined;
     private isWorking = false;
     private tokens = CommitBurst;
     private refilledAt: core.MonotonicMilliseconds;
-    private queue: PendingRequest[] = [];
+    private readonly queue: PendingRequest[] = [];
     private readonly waiters = new Map<string, Set<() => void>>();
 
     constructor(private readonly options: LedgerShardOptions) {
         this.refilledAt = options.clock.now();
+        this.head = new ledgerHead.LedgerHead(options);
+    }
+
+    /** Removes what ended before the given time, between two commits. */
+    removeOld(endedBefore: core.WallMilliseconds): void {
+        this.removeBefore = endedBefore;
+        void this.work();
     }
 
     async ask(request: requests.LedgerRequest): Promise<requests.LedgerReply> {
@@ -82,93 +90,70 @@
             return;
         }
         this.isWorking = true;
-        while (this.queue.length > 0) {
+        while (this.queue.length > 0 || this.removeBefore !== undefined) {
             await this.waitForToken();
-            const batch = this.queue;
-            this.queue = [];
-            await this.runBatch(batch);
+            await this.runBatch(this.takeBatch());
+            if (this.removeBefore !== undefined) {
+                await this.head.removeOld(this.removeBefore);
+                this.removeBefore = undefined;
+            }
         }
         this.isWorking = false;
     }
 
-    private async runBatch(batch: readonly PendingRequest[]): Promise<void> {
-        let replies: readonly requests.LedgerReply[] | undefined;
-        let text = "the shard is contended";
-        for (let conflicts = 0; replies === undefined && conflicts < MaximumConflicts; conflicts++) {
-            const failure = await this.refresh();
-            if (failure !== undefined) {
-                text = failure;
+    private takeBatch(): readonly PendingRequest[] {
+        let bytes = 0;
+        let count = 0;
+        for (const { request } of this.queue) {
+            bytes += request.kind === requests.LedgerRequestKind.Finish ? request.result.body.byteLength : 0;
+            if (bytes > MaximumBatchBytes && count > 0) {
                 break;
             }
-            const attempt = await this.tryCommit(batch);
-            replies = attempt.replies;
-            if (attempt.text !== undefined) {
-                text = attempt.text;
+            count++;
+        }
+        return this.queue.splice(0, count);
+    }
+
+    private async runBatch(batch: readonly PendingRequest[]): Promise<void> {
+        let attempt: BatchAttempt = { text: ContendedText };
+        for (let conflicts = 0; conflicts < MaximumConflicts; conflicts++) {
+            const failure = await this.head.refresh();
+            attempt = failure === undefined ? await this.tryBatch(batch) : { text: failure };
+            if (attempt.text !== ContendedText) {
                 break;
             }
         }
+        const { replies, text } = attempt;
         batch.forEach((pending, index) => {
-            pending.resolve(replies?.[index] ?? { kind: requests.LedgerReplyKind.Unavailable, text });
+            pending.resolve(replies?.[index] ?? { kind: requests.LedgerReplyKind.Unavailable, text: text ?? "" });
         });
     }
 
-    /** Makes sure that a head is loaded and not stale; returns why that failed. */
-    private async refresh(): Promise<string | undefined> {
-        const { keyValue, clock, shard } = this.options;
-        if (this.head !== undefined && clock.now() - this.verifiedAt < FreshMilliseconds) {
-            return undefined;
-        }
-        const entry = await keyValue.get(getHeadKey(shard), platform.CallPurpose.Ledger);
-        if (!entry.ok) {
-            return entry.failure.text;
-        }
-        this.adopt(entry.value);
-        return undefined;
-    }
-
-    private adopt(entry: platform.Entry | undefined): void {
-        this.verifiedAt = this.options.clock.now();
-        if (this.head !== undefined && this.head.revision === (entry?.revision ?? 0)) {
-            return;
-        }
-        const calls = entry === undefined ? [] : codec.decode<ShardHead>(entry.value).calls;
-        this.head = { revision: entry?.revision ?? 0, table: new callTable.CallTable(calls) };
-    }
-
-    private async tryCommit(
-        batch: readonly PendingRequest[],
-    ): Promise<{ readonly replies?: readonly requests.LedgerReply[]; readonly text?: string }> {
-        const { clock, isGone, keyValue, shard, createId } = this.options;
-        const head = core.Debug.checkDefined(this.head, "a head is loaded before a commit");
-        const draft = head.table.createDraft(new Map());
-        const context = { now: clock.wallNow(), isGone };
-        const replies = batch.map(pending => ledgerDecision.decide(draft, pending.request, context));
+    private async tryBatch(batch: readonly PendingRequest[]): Promise<BatchAttempt> {
+        const { clock, isGone, shard, telemetry: events } = this.options;
+        const identities = batch.map(({ request }) => requests.tryGetIdentity(request));
+        const { draft, unreadable } = await this.head.createDraft(identities.filter(value => value !== undefined));
+        const mayStart = this.head.getCallCount() < MaximumCalls;
+        const context: ledgerDecision.DecisionContext = { now: clock.wallNow(), mayStart, isGone };
+        const replies = batch.map(({ request }, index) => {
+            const identity = identities[index];
+            const isUnreadable = identity !== undefined && unreadable.has(callTable.getCallName(identity));
+            return isUnreadable ? UnreadableReply : ledgerDecision.decide(draft, request, context);
+        });
         if (!draft.hasChanges()) {
             return { replies };
         }
-        const calls = [...draft.getAll()];
-        const value = codec.encode({ nonce: createId(), calls } satisfies ShardHead);
-        const written = await swap.writeValue(keyValue, {
-            key: getHeadKey(shard),
-            expectedRevision: head.revision,
-            value,
-            purpose: platform.CallPurpose.Ledger,
-        });
-        switch (written.kind) {
-            case swap.WriteKind.Written:
-                this.head = { revision: written.revision, table: new callTable.CallTable(calls) };
-                this.verifiedAt = clock.now();
+        const commit = await this.head.commit(draft);
+        switch (commit.kind) {
+            case ledgerHead.CommitKind.Committed:
                 this.noteCommit(batch);
                 return { replies };
-            case swap.WriteKind.Conflict:
-                this.options.telemetry.record(telemetry.events.LedgerFenced, { text: `shard ${shard}` });
-                this.adopt(written.current);
-                return {};
-            case swap.WriteKind.Failed:
-                return { text: written.text };
-            case swap.WriteKind.Unknown:
-                this.head = undefined;
-                return { text: written.text };
+            case ledgerHead.CommitKind.Fenced:
+                events.record(telemetry.events.LedgerFenced, { text: `shard ${shard}` });
+                return { text: ContendedText };
+            case ledgerHead.CommitKind.Failed:
+            case ledgerHead.CommitKind.Unknown:
+                return { text: commit.text };
         }
     }
 
@@ -223,10 +208,6 @@
     }
 }
 
-export function getHeadKey(shard: number): string {
-    return `ledger/head/${String(shard).padStart(4, "0")}`;
-}
-
 function isUnfinished(reply: requests.LedgerReply): boolean {
     return reply.kind === requests.LedgerReplyKind.Found && reply.record?.state === types.CallState.Started;
 }
--- a/packages/work/src/services.ts
+++ b/packages/work/src/services.ts
@@ -1,10 +1,17 @@
-import type * as core from "@boragedale/core";
-import type * as types from "./types.js";
+import * as core from "@boragedale/core";
+import * as types from "./types.js";
 
 /** The ledger of non-idempotent calls: each key runs at most once, over all instances and at any time. */
 export abstract class CallLedger implements AsyncDisposable {
     /** Records the start before anything is sent. Only `BeginKind.Started` permits sending. */
     abstract begin(request: types.CallRequest): Promise<types.BeginOutcome>;
+    /**
+     * Whether a started call may be sent now: asked right before the first byte. False once the start is so old that
+     * another instance may have taken the call over; it is then released, and nothing was sent.
+     */
+    isSendAllowed(record: types.CallRecord): boolean {
+        return record.state === types.CallState.Started;
+    }
     /**
      * Records the outcome. Resolves true once it is kept, false when that takes longer than `boundMilliseconds`:
      * recording then goes on behind the answer.
@@ -18,10 +25,17 @@
     abstract markOutcomeUnknown(record: types.CallRecord): Promise<void>;
     /** Reads a call, or `undefined` where the caller never made it. */
     abstract read(identity: types.CallIdentity): Promise<core.Outcome<types.CallRecord | undefined>>;
-    /** Resolves when the call has ended or `signal` is aborted. */
+    /**
+     * Resolves when the call has ended, or its instance is gone (the record then still says `Started`), or `signal` is
+     * aborted.
+     */
     abstract waitForResult(identity: types.CallIdentity, signal: AbortSignal): Promise<types.CallRecord | undefined>;
     /** Calls whose outcome operators must settle. */
     abstract listOutcomesUnknown(): Promise<core.Outcome<readonly types.CallRecord[]>>;
+    /** Calls whose instance is gone and which nobody has asked for since: to be taken over, or given up. */
+    async listOrphaned(): Promise<core.Outcome<readonly types.CallRecord[]>> {
+        return core.createSuccess([]);
+    }
     abstract [Symbol.asyncDispose](): Promise<void>;
 }
 
--- a/packages/work/src/types.ts
+++ b/packages/work/src/types.ts
@@ -17,6 +17,13 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
+    /** Where a large body lies; only within the ledger, which puts the body back before it gives a result out. */
+    readonly storedBody?: StoredBody;
+}
+
+export interface StoredBody {
+    readonly name: string;
+    readonly pieces: number;
 }
 
 export enum CallState {
