--- a/packages/work/src/files.ts
+++ b/packages/work/src/files.ts
@@ -63,6 +63,13 @@
         return { ...stored, pieces };
     }
 
+    /** Removes what an upload that failed has left, as far as the service answers. */
+    async removePieces(file: string, pieces: number): Promise<void> {
+        for (let piece = 0; piece <= pieces; piece++) {
+            await this.remove(jobRecords.getPieceKey(file, piece), platform.CallPurpose.JobInput);
+        }
+    }
+
     /**
      * Bytes `start` to `end` of a file. Throws `ContentUnavailableError` where a piece can't be read: a stream that
      * just ended would pass for the whole content.
--- a/packages/work/src/jobRecords.ts
+++ b/packages/work/src/jobRecords.ts
@@ -65,8 +65,12 @@
     return `${FilesPrefix}${encodeURIComponent(caller)}/${id}`;
 }
 
+export function getPiecesPrefix(file: string): string {
+    return `filedata/${file}/`;
+}
+
 export function getPieceKey(file: string, piece: number): string {
-    return `filedata/${file}/${String(piece).padStart(6, "0")}`;
+    return getPiecesPrefix(file) + String(piece).padStart(6, "0");
 }
 
 export function getJobsPrefix(caller: core.CallerId): string {
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -9,8 +9,9 @@
 import * as chunkLoader from "./chunkLoader.js";
 import * as files from "./files.js";
 import * as heldChunk from "./heldChunk.js";
-import * as jobInput from "./jobInput.js";
+import * as itemRunner from "./itemRunner.js";
 import * as jobRecords from "./jobRecords.js";
+import * as jobRetention from "./jobRetention.js";
 import * as jobSelection from "./jobSelection.js";
 import * as jobStore from "./jobStore.js";
 import * as jobWatch from "./jobWatch.js";
@@ -27,6 +28,8 @@
     readonly instance: core.InstanceId;
     /** Attempts that an item has, from the release note in force. */
     readonly getItemAttempts?: () => number;
+    /** How long results and files stay readable, from the release note in force. */
+    readonly getRetentionMilliseconds?: () => number;
     /** Longest time for which finished items wait to be recorded. */
     readonly checkpointMilliseconds?: number;
     /** How long a stopping runner lets running items go on. */
@@ -39,6 +42,8 @@
 const DefaultDrainMilliseconds = 10_000;
 /** With each further instance all checkpoint a little more rarely, so that the fleet's rate of writes stays bounded. */
 const CheckpointMillisecondsPerInstance = 100;
+const DefaultRetentionMilliseconds = 7 * 86_400_000;
+const RemovalMilliseconds = 600_000;
 const TickMilliseconds = 200;
 /** A job without open chunks is looked at again after this time, and this much more for each instance. */
 const RecheckMilliseconds = 2_000;
@@ -80,7 +85,7 @@
     private readonly process: string;
     private readonly jobs = new Map<string, ActiveJob>();
     private readonly claimTurns = new jobSelection.JobSelection();
-    private readonly itemTurns = new jobSelection.JobSelection();
+    private readonly items: itemRunner.ItemRunner;
     private readonly stopping = new AbortController();
     private readonly stopWatching = new AbortController();
     private readonly stopListening: () => void;
@@ -91,6 +96,12 @@
         this.process = this.createId();
         this.boards = new boardStore.BoardStore({ ...options, createId: this.createId });
         this.vault = new files.FileVault(options);
+        this.items = new itemRunner.ItemRunner({
+            ...options,
+            signal: this.stopping.signal,
+            getItemAttempts: options.getItemAttempts ?? (() => DefaultItemAttempts),
+            getChunks: () => this.getHeldChunks(),
+        });
         options.peers.handle(protocol.MessageKind.JobCancelled, async message => {
             this.dropJob(message.job);
             return message;
@@ -102,7 +113,12 @@
             onRunning: record => this.addJob(record),
             onEnded: job => this.dropJob(job),
         });
-        this.tasks = [watch.run(), this.claimWhileRunning(), this.checkpointWhileRunning()];
+        this.tasks = [
+            watch.run(),
+            this.claimWhileRunning(),
+            this.checkpointWhileRunning(),
+            this.removeOldWhileRunning(),
+        ];
     }
 
     /** Stops taking work, lets running items end within the bound, records what there is, and gives its chunks back. */
@@ -158,7 +174,7 @@
                 }
                 await this.claimFrom(job.active);
             }
-            this.startItems();
+            this.items.startItems();
             await clock.sleep(TickMilliseconds, this.stopping.signal);
         }
     }
@@ -175,7 +191,7 @@
         const { clock } = this.options;
         return [...this.jobs.values()]
             .filter(job => job.recheckAt <= clock.now() && job.record.deadlineAt > clock.wallNow())
-            .map(active => ({ ...toCandidate(active.record), active }));
+            .map(active => ({ ...jobSelection.toCandidate(active.record), active }));
     }
 
     private async claimFrom(job: ActiveJob): Promise<void> {
@@ -234,7 +250,7 @@
             });
             void chunkLoader
                 .loadChunk(held, progress, { ...this.options, vault: this.vault, signal: this.stopping.signal })
-                .then(() => this.startItems());
+                .then(() => this.items.startItems());
         }
     }
 
@@ -249,62 +265,6 @@
         return { instance, process: this.process, now, createId: this.createId, isAbandoned };
     }
 
-    private startItems(): void {
-        if (this.stopping.signal.aborted) {
-            return;
-        }
-        const { executor, clock } = this.options;
-        for (let free = executor.getFreeSlots(); free > 0; free--) {
-            const ready = this.getHeldChunks().filter(chunk => chunk.hasReadyItem(clock.now()));
-            const candidates = ready.map(chunk => ({ ...toCandidate(chunk.job), chunk }));
-            const chosen = this.itemTurns.choose(candidates, clock.wallNow());
-            const waiting = chosen?.chunk.takeReadyItem(clock.now());
-            if (chosen === undefined || waiting === undefined) {
-                return;
-            }
-            void this.runItem(chosen.chunk, waiting);
-        }
-    }
-
-    private async runItem(chunk: heldChunk.HeldChunk, waiting: heldChunk.WaitingItem): Promise<void> {
-        const { clock, getItemAttempts, telemetry: events } = this.options;
-        const index = chunk.range.firstItem + waiting.position;
-        const item = jobInput.parseItem(waiting.line, index, chunk.job.endpoint);
-        if (typeof item === "string") {
-            // Checked when the job was submitted, so its input is gone: the item ends as failed, not the chunk.
-            const unreadable = { index, customId: "", method: "", url: chunk.job.endpoint, body: undefined };
-            chunk.endFailed(waiting.position, unreadable, { code: "input_missing", text: item });
-            return;
-        }
-        const outcome = await this.execute(chunk, waiting.position, item);
-        if (chunk.isDropped) {
-            return;
-        }
-        const limit = getItemAttempts?.() ?? DefaultItemAttempts;
-        const hasEnded = chunk.endAttempt(waiting, item, outcome, { now: clock.now(), limit });
-        if (hasEnded && outcome.kind !== types.ItemOutcomeKind.Succeeded) {
-            events.record(telemetry.events.ItemFailed, { job: chunk.job.id, text: `item ${index}` });
-        }
-        this.startItems();
-    }
-
-    private async execute(
-        chunk: heldChunk.HeldChunk,
-        position: number,
-        item: types.JobItem,
-    ): Promise<types.ItemOutcome> {
-        const { id: job, caller, generation, deadlineAt } = chunk.job;
-        const signal = chunk.startItem(position);
-        try {
-            return await this.options.executor.execute(item, { job, caller, generation, deadlineAt }, signal);
-        }
-        catch (error) {
-            // A defect in running one item must not end the runner; the attempt limit ends the item.
-            this.options.telemetry.record(telemetry.events.InternalDefect, { job, text: String(error) });
-            return { kind: types.ItemOutcomeKind.TryAgain, text: "a defect ended the attempt" };
-        }
-    }
-
     private async checkpointWhileRunning(): Promise<void> {
         const { clock } = this.options;
         while (!this.stopping.signal.aborted) {
@@ -409,6 +369,22 @@
         }
     }
 
+    /** One instance removes what is past its retention; a second one at the same time would do no harm. */
+    private async removeOldWhileRunning(): Promise<void> {
+        const { clock, membership, instance, getRetentionMilliseconds } = this.options;
+        const { signal } = this.stopping;
+        const retention = new jobRetention.JobRetention({
+            ...this.options,
+            getRetentionMilliseconds: getRetentionMilliseconds ?? (() => DefaultRetentionMilliseconds),
+        });
+        while (!signal.aborted) {
+            await clock.sleep(RemovalMilliseconds, signal);
+            if (!signal.aborted && membership.tryGetHolder("jobs/retention") === instance) {
+                await retention.removeOld(signal);
+            }
+        }
+    }
+
     private getHeldChunks(): readonly heldChunk.HeldChunk[] {
         return [...this.jobs.values()].flatMap(job => [...job.held.values()]);
     }
@@ -417,8 +393,3 @@
         return this.getHeldChunks().reduce((count, chunk) => count + chunk.getRunningCount(), 0);
     }
 }
-
-function toCandidate(record: jobRecords.JobRecord): jobSelection.JobCandidate {
-    const { id, caller, createdAt, deadlineAt } = record;
-    return { id, caller, createdAt, deadlineAt };
-}
--- a/packages/work/src/jobSelection.ts
+++ b/packages/work/src/jobSelection.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import type * as jobRecords from "./jobRecords.js";
 
 export interface JobCandidate {
     readonly id: string;
@@ -48,6 +49,11 @@
     }
 }
 
+export function toCandidate(record: jobRecords.JobRecord): JobCandidate {
+    const { id, caller, createdAt, deadlineAt } = record;
+    return { id, caller, createdAt, deadlineAt };
+}
+
 function isUrgent(candidate: JobCandidate, now: core.WallMilliseconds): boolean {
     const whole = candidate.deadlineAt - candidate.createdAt;
     return candidate.deadlineAt - now < Math.min(UrgentShare * whole, UrgentMilliseconds);
--- a/packages/work/src/jobStore.ts
+++ b/packages/work/src/jobStore.ts
@@ -56,6 +56,7 @@
         const id = `file-${this.createId()}`;
         const stored = await this.vault.writePieces(id, content);
         if (!stored.ok) {
+            await this.vault.removePieces(id, stored.pieces.length);
             return refusals.createUnavailable();
         }
         const bytes = stored.pieces.reduce((total, piece) => total + piece, 0);
