--- /dev/null
+++ b/packages/bench/src/measures.ts
@@ -0,0 +1,205 @@
+import * as core from "@boragedale/core";
+import * as hdr from "hdr-histogram-js";
+import type * as engine from "./engine.js";
+
+/** 50th, 95th and 99th in a hundred, in milliseconds. */
+export interface Quantiles {
+    readonly p50: number;
+    readonly p95: number;
+    readonly p99: number;
+}
+
+export interface ClassResult {
+    readonly firstToken: Quantiles;
+    readonly betweenTokens: Quantiles;
+    readonly offered: number;
+    readonly finished: number;
+    readonly refused: number;
+    /** Given up on after they were queued. */
+    readonly expired: number;
+    readonly failed: number;
+    readonly deadlineMissed: number;
+}
+
+export interface RunResult {
+    readonly online: ClassResult;
+    readonly batch: ClassResult;
+    /** Batch tokens generated a second, each counted once. */
+    readonly batchTokensPerSecond: number;
+    /** Tokens read or generated again after a cancel or a death. */
+    readonly wastedTokens: number;
+    readonly cancelledStreams: number;
+    readonly upstreamDeaths: number;
+    /** Online requests finished in time, a second. */
+    readonly goodput: number;
+    /** The least of what a caller finished over its max-min fair part. */
+    readonly onlineFairness: number;
+    /** The least of a batch caller's tokens over the even part. */
+    readonly batchFairness: number;
+    /** Online streams running on the fleet, sampled. */
+    readonly onlineSamples: readonly (readonly number[])[];
+}
+
+/** Gaps are kept in units of a hundredth of a millisecond. */
+const GapUnit = 100;
+const HighestGap = 10_000_000;
+
+class ClassMeasures {
+    readonly firstTokens: number[] = [];
+    readonly gaps = hdr.build({ highestTrackableValue: HighestGap, numberOfSignificantValueDigits: 3 });
+    readonly offeredByCaller = new Map<string, number>();
+    readonly finishedByCaller = new Map<string, number>();
+    readonly tokensByCaller = new Map<string, number>();
+    refused = 0;
+    expired = 0;
+    failed = 0;
+    deadlineMissed = 0;
+    inTime = 0;
+
+    createResult(): ClassResult {
+        const firstTokens = [...this.firstTokens].sort((left, right) => left - right);
+        const gapAt = (percentile: number): number => this.gaps.getValueAtPercentile(percentile) / GapUnit;
+        return {
+            firstToken: {
+                p50: getQuantile(firstTokens, 0.5),
+                p95: getQuantile(firstTokens, 0.95),
+                p99: getQuantile(firstTokens, 0.99),
+            },
+            betweenTokens: { p50: gapAt(50), p95: gapAt(95), p99: gapAt(99) },
+            offered: sum(this.offeredByCaller.values()),
+            finished: sum(this.finishedByCaller.values()),
+            refused: this.refused,
+            expired: this.expired,
+            failed: this.failed,
+            deadlineMissed: this.deadlineMissed,
+        };
+    }
+}
+
+/** Collects what happens in one run. */
+export class Measures implements engine.EngineObserver {
+    private readonly online = new ClassMeasures();
+    private readonly batch = new ClassMeasures();
+    private wastedTokens = 0;
+    private cancelledStreams = 0;
+    private deaths = 0;
+    private batchTokens = 0;
+    private readonly onlineSamples: (readonly number[])[] = [];
+
+    onStep(requestClass: core.RequestClass, tokens: number, milliseconds: number): void {
+        if (tokens > 0) {
+            const value = Math.min(HighestGap, Math.round(milliseconds * GapUnit));
+            this.getClass(requestClass).gaps.recordValueWithCount(value, tokens);
+        }
+    }
+
+    onReadAgain(tokens: number): void {
+        this.wastedTokens += tokens;
+    }
+
+    onDeath(): void {
+        this.deaths++;
+    }
+
+    onOffered(requestClass: core.RequestClass, caller: string): void {
+        increase(this.getClass(requestClass).offeredByCaller, caller, 1);
+    }
+
+    onFirstToken(requestClass: core.RequestClass, milliseconds: number): void {
+        this.getClass(requestClass).firstTokens.push(milliseconds);
+    }
+
+    onBatchTokens(caller: string, tokens: number): void {
+        this.batchTokens += tokens;
+        increase(this.batch.tokensByCaller, caller, tokens);
+    }
+
+    onFinished(requestClass: core.RequestClass, caller: string, isInTime: boolean): void {
+        const measures = this.getClass(requestClass);
+        measures.deadlineMissed += isInTime ? 0 : 1;
+        measures.inTime += isInTime ? 1 : 0;
+        increase(measures.finishedByCaller, caller, 1);
+    }
+
+    onRefused(): void {
+        this.online.refused++;
+    }
+
+    onExpired(): void {
+        this.online.expired++;
+    }
+
+    onFailed(requestClass: core.RequestClass): void {
+        this.getClass(requestClass).failed++;
+    }
+
+    onCancelledStream(): void {
+        this.cancelledStreams++;
+    }
+
+    onSample(onlineByEngine: readonly number[]): void {
+        this.onlineSamples.push(onlineByEngine);
+    }
+
+    createResult(milliseconds: number): RunResult {
+        return {
+            online: this.online.createResult(),
+            batch: this.batch.createResult(),
+            batchTokensPerSecond: (1_000 * this.batchTokens) / milliseconds,
+            wastedTokens: this.wastedTokens,
+            cancelledStreams: this.cancelledStreams,
+            upstreamDeaths: this.deaths,
+            goodput: (1_000 * this.online.inTime) / milliseconds,
+            onlineFairness: getFairness(this.online.offeredByCaller, this.online.finishedByCaller),
+            batchFairness: getEvenness(this.batch.tokensByCaller),
+            onlineSamples: this.onlineSamples,
+        };
+    }
+
+    private getClass(requestClass: core.RequestClass): ClassMeasures {
+        return requestClass === core.RequestClass.Online ? this.online : this.batch;
+    }
+}
+
+/** What each caller would get if all that was served were shared max-min fairly; undershooting it is unfair. */
+export function getFairShares(demands: readonly number[], total: number): readonly number[] {
+    const order = [...demands.keys()].sort((left, right) => demands[left]! - demands[right]!);
+    const shares = new Array<number>(demands.length).fill(0);
+    let left = total;
+    order.forEach((index, position) => {
+        const share = Math.min(demands[index]!, left / (order.length - position));
+        shares[index] = share;
+        left -= share;
+    });
+    return shares;
+}
+
+function getFairness(offered: ReadonlyMap<string, number>, finished: ReadonlyMap<string, number>): number {
+    const callers = [...offered.keys()];
+    const demands = callers.map(caller => offered.get(caller) ?? 0);
+    const shares = getFairShares(demands, sum(finished.values()));
+    const ratios = callers.map((caller, index) => (finished.get(caller) ?? 0) / Math.max(1, shares[index]!));
+    return Math.min(1, ...ratios);
+}
+
+function getEvenness(tokens: ReadonlyMap<string, number>): number {
+    const values = [...tokens.values()];
+    const even = sum(values) / Math.max(1, values.length);
+    return values.length === 0 ? 1 : Math.min(...values) / even;
+}
+
+function getQuantile(sorted: readonly number[], quantile: number): number {
+    return sorted[Math.min(sorted.length - 1, Math.floor(quantile * sorted.length))] ?? 0;
+}
+
+function increase(map: Map<string, number>, key: string, amount: number): void {
+    map.set(key, (map.get(key) ?? 0) + amount);
+}
+
+function sum(values: Iterable<number>): number {
+    let total = 0;
+    for (const value of values) {
+        total += value;
+    }
+    return total;
+}
--- /dev/null
+++ b/packages/bench/src/policyInstance.ts
@@ -0,0 +1,301 @@
+import * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as batchHome from "./batchHome.js";
+import * as fleets from "./fleet.js";
+import type * as policyFleet from "./policyFleet.js";
+import type * as workload from "./workload.js";
+
+/** Time from instance to instance, one way, in milliseconds. */
+export const PeerDelay = 1.5;
+/** Online work that rises is told to the home at most so often, in milliseconds; falling or equal work at the second. */
+const PressureInterval = 5;
+const PressureRefresh = 500;
+const FallInterval = 100;
+/** Engines are asked for their load so often, and the answer is so old, in milliseconds. */
+const ReportInterval = 500;
+const ReportAge = 100;
+
+interface OnlineRequest {
+    readonly arrival: workload.OnlineArrival;
+    readonly tried: Set<string>;
+    attempts: number;
+    generated: number;
+    admittedAt: number;
+    hasFirstToken: boolean;
+}
+
+interface ToldPressure {
+    inFlight: number;
+    at: number;
+}
+
+/** One entry instance: the decisions, and between them what the dispatcher does with sockets. */
+export class PolicyInstance {
+    readonly placement: decisions.Placement;
+    readonly suspects = new decisions.SuspectRegistry();
+    readonly candidates: readonly decisions.PlacementCandidate[];
+    isLive = true;
+    private readonly queue: decisions.AdmissionQueue<OnlineRequest>;
+    private readonly retries = new decisions.RetryBudget();
+    private readonly home: batchHome.BatchHome;
+    private readonly told = new Map<string, ToldPressure>();
+    private readonly suspectsWaiting = new Set<OnlineRequest>();
+    private view: readonly string[];
+    private reportedAt = 0;
+
+    constructor(
+        readonly id: string,
+        instances: readonly string[],
+        private readonly context: fleets.RunContext,
+        private readonly fleet: policyFleet.PolicyFleet,
+        private readonly resend: (arrival: workload.OnlineArrival) => void,
+    ) {
+        const random = (): number => context.random.next();
+        this.view = instances;
+        this.placement = new decisions.Placement({ random });
+        this.placement.setSharing(instances.length);
+        this.queue = new decisions.AdmissionQueue({ limit: 1, expectedMillisecondsPerCost: 1_000, random });
+        this.candidates = context.engines.map(engine => ({
+            id: engine.id,
+            dataCentre: "one",
+            role: core.UpstreamRole.Mixed,
+            models: ["model"],
+            concurrency: 64,
+            isLeaving: false,
+        }));
+        this.home = new batchHome.BatchHome(this, context);
+        this.home.setView(this.view, 0);
+    }
+
+    receive(arrival: workload.OnlineArrival): void {
+        const now = this.context.simulation.now();
+        this.context.measures.onOffered(core.RequestClass.Online, arrival.caller);
+        this.retries.onRequest();
+        const request: OnlineRequest = {
+            arrival,
+            tried: new Set(),
+            attempts: 0,
+            generated: 0,
+            admittedAt: now,
+            hasFirstToken: false,
+        };
+        if (this.suspects.judge(arrival.id, now).verdict === decisions.SuspectVerdict.Quarantined) {
+            this.context.measures.onRefused();
+            this.resend(arrival);
+            return;
+        }
+        this.updateLimit(now);
+        const decision = this.queue.offer(
+            {
+                value: request,
+                caller: arrival.caller,
+                weight: 1,
+                cost: 1,
+                deadlineAt: arrival.at + fleets.OnlineDeadline,
+            },
+            now,
+        );
+        if (decision.kind === decisions.AdmissionKind.Admitted) {
+            this.send(request);
+        }
+        else if (decision.kind === decisions.AdmissionKind.Refused) {
+            this.context.measures.onRefused();
+        }
+    }
+
+    tick(): void {
+        if (!this.isLive) {
+            return;
+        }
+        const now = this.context.simulation.now();
+        this.pumpQueue();
+        for (const request of [...this.suspectsWaiting]) {
+            this.send(request);
+        }
+        if (now - this.reportedAt >= ReportInterval) {
+            this.readReports(now);
+        }
+        for (const engine of this.context.engines) {
+            this.tellPressure(engine.id);
+        }
+        this.home.tick();
+    }
+
+    stop(): void {
+        this.isLive = false;
+        this.home.stop();
+    }
+
+    forgetInstance(id: string): void {
+        this.view = this.view.filter(instance => instance !== id);
+        this.placement.setSharing(this.view.length);
+        this.home.setView(this.view, this.context.simulation.now());
+    }
+
+    getHome(upstream: string): string | undefined {
+        return decisions.rendezvous(`home/${upstream}`, this.view);
+    }
+
+    onPressure(upstream: string, pressure: decisions.OnlinePressure): void {
+        const total = this.home.onPressure(upstream, pressure);
+        this.fleet.send(pressure.instance, instance =>
+            instance.placement.onOnlineTotal(upstream, total, this.context.simulation.now()),
+        );
+    }
+
+    /** An upstream died: tells the peers which requests were there. */
+    onUpstreamDied(upstream: string): void {
+        const reports = this.suspects.onUpstreamDied(upstream, this.context.simulation.now());
+        for (const peer of this.view.filter(instance => instance !== this.id)) {
+            for (const report of reports) {
+                this.fleet.send(peer, instance => instance.suspects.merge(report, this.context.simulation.now()));
+            }
+        }
+    }
+
+    private updateLimit(now: number): void {
+        const limit = this.placement.getCapacity("model", core.RequestClass.Online, this.candidates, now);
+        this.queue.setLimit(limit);
+    }
+
+    private pumpQueue(): void {
+        const now = this.context.simulation.now();
+        this.updateLimit(now);
+        for (const expired of this.queue.expire(now)) {
+            this.context.measures.onExpired();
+            this.suspectsWaiting.delete(expired.value);
+        }
+        for (let item = this.queue.take(now); item !== undefined; item = this.queue.take(now)) {
+            item.value.admittedAt = now;
+            this.send(item.value);
+        }
+    }
+
+    private send(request: OnlineRequest): void {
+        const { arrival } = request;
+        const now = this.context.simulation.now();
+        this.suspectsWaiting.delete(request);
+        const verdict = this.suspects.judge(arrival.id, now).verdict;
+        if (verdict === decisions.SuspectVerdict.Quarantined || now > arrival.at + fleets.OnlineDeadline) {
+            this.fail(request);
+            return;
+        }
+        const allowed =
+            verdict === decisions.SuspectVerdict.Usual
+                ? this.candidates
+                : this.candidates.filter(candidate => this.suspects.maySend(arrival.id, candidate.id, now));
+        const decision = this.placement.choose(
+            {
+                model: "model",
+                prefixHash: arrival.prefix,
+                requestClass: core.RequestClass.Online,
+                exclude: request.tried,
+            },
+            allowed,
+            now,
+        );
+        if (decision.kind === decisions.PlacementKind.None) {
+            // A suspect waits for an upstream without another one, anything else for a place.
+            this.suspectsWaiting.add(request);
+            return;
+        }
+        this.submit(request, decision.upstream, now);
+    }
+
+    private submit(request: OnlineRequest, upstream: string, now: number): void {
+        const { arrival } = request;
+        const { simulation, measures } = this.context;
+        const id = `${arrival.id}/${arrival.resends}/${request.attempts++}`;
+        const engine = this.context.engines.find(candidate => candidate.id === upstream)!;
+        this.placement.onSent(id, upstream, core.RequestClass.Online, now);
+        this.suspects.onSent(id, arrival.id, upstream, now);
+        this.tellPressure(upstream);
+        simulation.schedule(fleets.UpstreamDelay, () =>
+            engine.submit(
+                { ...arrival, id, requestClass: core.RequestClass.Online, resumedTokens: request.generated },
+                {
+                    onFirstToken: () => {
+                        this.placement.onFirstToken(id, simulation.now());
+                        if (!request.hasFirstToken) {
+                            request.hasFirstToken = true;
+                            const at = simulation.now() + fleets.UpstreamDelay;
+                            measures.onFirstToken(core.RequestClass.Online, at - arrival.at);
+                        }
+                    },
+                    onProgress: (tokens, milliseconds) => {
+                        request.generated += tokens;
+                        if (milliseconds > 0) {
+                            this.placement.onProgress(id, tokens, milliseconds, simulation.now());
+                        }
+                    },
+                    onFinished: () => this.finish(request, id, upstream),
+                    onFailed: hasRun => this.onFailed(request, id, upstream, hasRun),
+                },
+            ),
+        );
+    }
+
+    private finish(request: OnlineRequest, id: string, upstream: string): void {
+        const now = this.context.simulation.now();
+        this.placement.onFinished(id);
+        this.suspects.onFinished(id, upstream);
+        this.queue.complete(1, now - request.admittedAt);
+        const isInTime = now <= request.arrival.at + fleets.OnlineDeadline;
+        this.context.measures.onFinished(core.RequestClass.Online, request.arrival.caller, isInTime);
+        this.pumpQueue();
+        this.tellPressure(upstream);
+    }
+
+    private onFailed(request: OnlineRequest, id: string, upstream: string, hasRun: boolean): void {
+        const now = this.context.simulation.now();
+        if (hasRun) {
+            this.onUpstreamDied(upstream);
+        }
+        else {
+            this.suspects.onAbandoned(id, upstream);
+        }
+        this.placement.onFailed(id, decisions.SendFailure.Died, now);
+        request.tried.add(upstream);
+        if (this.retries.tryTake()) {
+            this.send(request);
+        }
+        else {
+            this.fail(request);
+        }
+    }
+
+    private fail(request: OnlineRequest): void {
+        this.queue.complete(1, undefined);
+        this.context.measures.onFailed(core.RequestClass.Online);
+        this.resend(request.arrival);
+    }
+
+    private readReports(now: number): void {
+        this.reportedAt = now;
+        for (const engine of this.context.engines.filter(candidate => candidate.isAlive)) {
+            const { waiting } = engine.getLoad();
+            this.placement.onLoadReport(engine.id, { waiting, ageMilliseconds: ReportAge }, now);
+        }
+    }
+
+    /** Tells the home of an upstream what online work this instance has there: rises soon, the rest by and by. */
+    private tellPressure(upstream: string): void {
+        const now = this.context.simulation.now();
+        const inFlight = this.placement.getOnlineInFlight(upstream);
+        const told = this.told.get(upstream) ?? { inFlight: 0, at: -Infinity };
+        const interval =
+            inFlight > told.inFlight ? PressureInterval : inFlight < told.inFlight ? FallInterval : PressureRefresh;
+        if (now - told.at < interval) {
+            return;
+        }
+        this.told.set(upstream, { inFlight, at: now });
+        const home = this.getHome(upstream);
+        const pressure = { instance: this.id, inFlight, queued: 0 };
+        if (home === this.id) {
+            this.placement.onOnlineTotal(upstream, this.home.onPressure(upstream, pressure), now);
+        }
+        else if (home !== undefined) {
+            this.fleet.send(home, instance => instance.onPressure(upstream, pressure));
+        }
+    }
+}
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -75,6 +75,7 @@
     private concurrency: number;
     private batchWeight: number;
     private homes = 1;
+    private instances: readonly core.InstanceId[] = [];
 
     constructor(private readonly settings: BatchGateSettings) {
         this.concurrency = settings.concurrency;
@@ -95,6 +96,11 @@
         this.homes = Math.max(1, count);
     }
 
+    /** The live instances. Those not heard of yet are taken to have as much online work as the others on average. */
+    setInstances(instances: readonly core.InstanceId[]): void {
+        this.instances = instances;
+    }
+
     onOnlinePressure(pressure: OnlinePressure, now: core.MonotonicMilliseconds): void {
         this.pressures.set(pressure.instance, { pressure, heardAt: now });
         if (pressure.queued > 0) {
@@ -136,13 +142,18 @@
         return { mayStart: Math.max(0, Math.min(places, this.getPromptPlaces(now))), streamsToCancel };
     }
 
-    /** Online requests on the upstream, over all instances heard of lately: what the home tells back. */
+    /** Online requests on the upstream, over all instances: what the home tells back. */
     getOnline(now: core.MonotonicMilliseconds): number {
         let sum = 0;
+        let heard = 0;
         for (const { pressure, heardAt } of this.pressures.values()) {
-            sum += now - heardAt > PressureLife ? 0 : pressure.inFlight + pressure.queued;
+            if (now - heardAt <= PressureLife) {
+                sum += pressure.inFlight + pressure.queued;
+                heard++;
+            }
         }
-        return sum;
+        // A new home hears from an instance only once that one's list names it: silence is not idleness.
+        return heard === 0 ? 0 : Math.ceil((sum * Math.max(heard, this.instances.length)) / heard);
     }
 
     /** Batch streams held now, those being cancelled included. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./estimates.js";
 export * from "./hashing.js";
 export * from "./placement.js";
+export * from "./priorityQueue.js";
 export * from "./retryBudget.js";
 export * from "./stepCost.js";
 export * from "./suspects.js";
