--- a/packages/bench/src/noPolicy.ts
+++ b/packages/bench/src/noPolicy.ts
@@ -51,7 +51,7 @@
                         measures.onFinished(
                             core.RequestClass.Online,
                             arrival.caller,
-                            simulation.now() <= arrival.at + fleets.OnlineDeadline,
+                            simulation.now() <= fleets.getDeadline(arrival),
                         ),
                     onFailed: () => this.retryOnline(arrival, attempt),
                 },
--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -49,10 +49,16 @@
 /** Shortest time to come back; a caller that retries faster only adds load. */
 const MinimumRetryAfter = 100;
 
+/** Requests looked at to find a preferred one, and times that one may be passed over. */
+const MostPassedOver = 16;
+const MostPasses = 32;
+
 interface Entry<T> {
     readonly item: AdmissionItem<T>;
     readonly startTag: number;
     isWaiting: boolean;
+    /** How often another one went before it although it was its turn. */
+    passes: number;
 }
 
 interface CallerState<T> {
@@ -111,27 +117,28 @@
         return { kind: AdmissionKind.Queued, waitMilliseconds };
     }
 
-    /** The next request to run, or undefined when none waits or nothing is free. Tell its end by `complete`. */
-    take(now: core.MonotonicMilliseconds): AdmissionItem<T> | undefined {
-        while (this.running < this.limit) {
-            const entry = this.byStartTag.pop();
-            if (entry === undefined) {
-                return undefined;
-            }
-            if (!entry.isWaiting) {
-                continue;
-            }
-            this.removeWaiting(entry);
-            this.virtualTime = Math.max(this.virtualTime, entry.startTag);
-            if (this.getLatestStart(entry.item) < now) {
-                // Running it would spend capacity on an answer that comes too late.
-                this.expired.push(entry.item);
-                continue;
-            }
-            this.running++;
-            return entry.item;
+    /**
+     * The next request to run, or undefined when none waits or nothing is free. Tell its end by `complete`.
+     *
+     * `isPreferred` may pass over some requests for one that costs less now, such as one whose prefix is cached where
+     * a place is free: at saturation, sending each to any free place makes every engine read every prefix, which cost
+     * a third of the throughput. A request is passed over a bounded number of times, so that none starves.
+     */
+    take(now: core.MonotonicMilliseconds, isPreferred?: (value: T) => boolean): AdmissionItem<T> | undefined {
+        if (this.running >= this.limit) {
+            return undefined;
         }
-        return undefined;
+        const entry = this.takePreferred(now, isPreferred);
+        if (entry === undefined) {
+            return undefined;
+        }
+        this.removeWaiting(entry);
+        this.virtualTime = Math.max(
+            this.virtualTime,
+            Math.min(entry.startTag, this.byStartTag.peek()?.startTag ?? Infinity),
+        );
+        this.running++;
+        return entry.item;
     }
 
     /** A request that was admitted or taken has ended after `serviceMilliseconds`; undefined teaches nothing. */
@@ -187,6 +194,48 @@
         return this.millisecondsPerCost.getMean();
     }
 
+    private takePreferred(
+        now: core.MonotonicMilliseconds,
+        isPreferred: ((value: T) => boolean) | undefined,
+    ): Entry<T> | undefined {
+        const passed: Entry<T>[] = [];
+        let chosen: Entry<T> | undefined;
+        while (chosen === undefined && passed.length < MostPassedOver) {
+            const entry = this.popWaiting(now);
+            if (entry === undefined) {
+                break;
+            }
+            const isChosen = isPreferred === undefined || entry.passes >= MostPasses || isPreferred(entry.item.value);
+            if (isChosen) {
+                chosen = entry;
+            }
+            else {
+                passed.push(entry);
+            }
+        }
+        chosen ??= passed.shift();
+        for (const entry of passed) {
+            entry.passes++;
+            this.byStartTag.push(entry, entry.startTag);
+        }
+        return chosen;
+    }
+
+    /** The first that waits and can still be served in time; those that can't are put aside for `expire`. */
+    private popWaiting(now: core.MonotonicMilliseconds): Entry<T> | undefined {
+        for (let entry = this.byStartTag.pop(); entry !== undefined; entry = this.byStartTag.pop()) {
+            if (entry.isWaiting && this.getLatestStart(entry.item) >= now) {
+                return entry;
+            }
+            if (entry.isWaiting) {
+                // Running it would spend capacity on an answer that comes too late.
+                this.removeWaiting(entry);
+                this.expired.push(entry.item);
+            }
+        }
+        return undefined;
+    }
+
     /** What would be before the item: all that waits, but of each other caller only what its share lets pass. */
     private estimateWait(item: AdmissionItem<T>): number {
         const startTag = this.getStartTag(item);
@@ -218,7 +267,7 @@
 
     private enqueue(item: AdmissionItem<T>): void {
         const startTag = this.getStartTag(item);
-        const entry: Entry<T> = { item, startTag, isWaiting: true };
+        const entry: Entry<T> = { item, startTag, isWaiting: true, passes: 0 };
         const state = this.getCallerState(item.caller);
         if (state.waiting.length === 0) {
             this.waitingWeight += item.weight;
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -44,8 +44,13 @@
 /** A new home knows nothing yet: it starts with few streams and doubles them each step, in milliseconds. */
 const SlowStartStep = 100;
 const SlowStartFirst = 2;
-/** No batch prompt is sent for so long after online work was seen to queue, in milliseconds. */
+/**
+ * No batch prompt is sent for so long after online work was seen to queue, or streams had to be cancelled, in
+ * milliseconds: at the edge of saturation a place is free for an instant all the time, and a stream that is started
+ * there is cancelled before it has paid for its prompt.
+ */
 const HoldAfterQueue = 200;
+const HoldAfterCancel = 1_000;
 
 /**
  * How many batch streams one upstream may hold: the decision of the upstream's home.
@@ -72,6 +77,7 @@
     private readonly cost = new stepCost.StepCost();
     private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
     private queuedAt: core.MonotonicMilliseconds = -Infinity;
+    private cancelledAt: core.MonotonicMilliseconds = -Infinity;
     private concurrency: number;
     private batchWeight: number;
     private homes = 1;
@@ -136,9 +142,11 @@
 
     decide(now: core.MonotonicMilliseconds): GateDecision {
         const reserve = this.getReserve(now);
-        const streamsToCancel = this.chooseCancelled(this.getLimit(Math.floor(reserve / 2), now));
-        const remaining = this.streams.size;
-        const places = this.getLimit(reserve, now) - remaining;
+        const streamsToCancel = this.chooseCancelled(this.getPlaces(Math.floor(reserve / 2), now));
+        if (streamsToCancel.length > 0) {
+            this.cancelledAt = now;
+        }
+        const places = this.getStartLimit(reserve, now) - this.streams.size;
         return { mayStart: Math.max(0, Math.min(places, this.getPromptPlaces(now))), streamsToCancel };
     }
 
@@ -167,12 +175,18 @@
         return Math.max(LeastReserve, Math.ceil(learned));
     }
 
-    private getLimit(reserve: number, now: core.MonotonicMilliseconds): number {
-        const online = this.getOnline(now);
-        const byPlaces = this.concurrency - online - reserve;
-        const byStep = this.cost.getMostStreams(online, getTolerance(this.batchWeight));
-        const limit = Math.min(byPlaces, byStep, this.getSlowStartLimit(now));
-        return Math.max(0, Math.floor(limit / this.homes));
+    /** Streams that may be held. More than these are cancelled. */
+    private getPlaces(reserve: number, now: core.MonotonicMilliseconds): number {
+        return Math.max(0, Math.floor((this.concurrency - this.getOnline(now) - reserve) / this.homes));
+    }
+
+    /**
+     * Streams up to which new ones are started. Over the step time's limit none is cancelled: it moves a little with
+     * each sample, and streams that are cancelled and resumed cost more steps than they save.
+     */
+    private getStartLimit(reserve: number, now: core.MonotonicMilliseconds): number {
+        const byStep = this.cost.getMostStreams(this.getOnline(now), getTolerance(this.batchWeight)) / this.homes;
+        return Math.floor(Math.min(this.getPlaces(reserve, now), byStep, this.getSlowStartLimit(now)));
     }
 
     private getSlowStartLimit(now: core.MonotonicMilliseconds): number {
@@ -181,7 +195,8 @@
 
     /** Batch prompts that may be sent now. */
     private getPromptPlaces(now: core.MonotonicMilliseconds): number {
-        if (now - this.queuedAt < HoldAfterQueue * (1 - this.batchWeight)) {
+        const isHeld = now - this.queuedAt < HoldAfterQueue || now - this.cancelledAt < HoldAfterCancel;
+        if (isHeld) {
             return 0;
         }
         let reading = 0;
--- a/packages/decisions/src/estimates.ts
+++ b/packages/decisions/src/estimates.ts
@@ -58,6 +58,29 @@
     }
 }
 
+/** The lowest of the last samples. */
+export class RecentMinimum {
+    private readonly samples: number[] = [];
+
+    constructor(private readonly kept: number) {}
+
+    add(sample: number): void {
+        this.samples.push(sample);
+        if (this.samples.length > this.kept) {
+            this.samples.shift();
+        }
+    }
+
+    /** Infinity without samples. */
+    get(): number {
+        return Math.min(...this.samples);
+    }
+
+    getCount(): number {
+        return this.samples.length;
+    }
+}
+
 /** The middle value, or undefined without values. */
 export function getMedian(values: readonly number[]): number | undefined {
     const sorted = [...values].sort((left, right) => left - right);
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -1,7 +1,7 @@
 import * as core from "@boragedale/core";
 import * as breaker from "./breaker.js";
-import * as hashing from "./hashing.js";
 import * as prefixShares from "./prefixShares.js";
+import * as rankCache from "./rankCache.js";
 import * as upstreamHealth from "./upstreamHealth.js";
 
 /** What placement needs to know of an upstream; a `core.UpstreamDescription` fits. */
@@ -58,10 +58,10 @@
 const ReplicaFactor = 1.5;
 /** One request in so many may probe a slow upstream: 0.2% stays out of the p99 even if every probe is slow. */
 const RequestsPerProbe = 500;
-/** What is known of other instances' load halves its weight in this time, in milliseconds. */
-const HintHalfLife = 1_000;
-/** Hints older than this are not used at all, in milliseconds. */
-const HintLife = 5_000;
+/** What others tell of an upstream's load is used for so long, in milliseconds: twice the time between two reports. */
+const HintLife = 1_000;
+/** Requests that may queue in the engine: some, so that a place that gets free is taken within the step. */
+const EngineQueueAllowed = 2;
 /** When to come back if nothing better is known, in milliseconds; about a short answer's time. */
 const DefaultRetryAfter = 250;
 
@@ -104,6 +104,7 @@
     private readonly sent = new Map<string, SentRequest>();
     private readonly health = new upstreamHealth.UpstreamHealth();
     private readonly shares = new prefixShares.PrefixShares();
+    private readonly ranks = new rankCache.RankCache();
     private requestsSinceProbe = 0;
     private sharing = 1;
 
@@ -126,7 +127,7 @@
         if (probe !== undefined) {
             return { kind: PlacementKind.Placed, upstream: probe.id };
         }
-        const chosen = this.tryChooseByPrefix(request, eligible, quick.length > 0 ? quick : usable, now);
+        const chosen = this.tryChooseByPrefix(request, candidates, quick.length > 0 ? quick : usable, now);
         return chosen === undefined
             ? { kind: PlacementKind.None, retryAfterMilliseconds: this.getRetryAfter(eligible, now) }
             : { kind: PlacementKind.Placed, upstream: chosen.id };
@@ -143,7 +144,31 @@
         return candidates
             .filter(candidate => isEligible(candidate, request))
             .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now) && this.isQuick(candidate, now))
-            .reduce((sum, candidate) => sum + this.getOwnLimit(candidate), 0);
+            .reduce((sum, candidate) => {
+                const room = Math.max(0, this.getRoom(candidate, now));
+                return sum + this.getOnlineInFlight(candidate.id) + room;
+            }, 0);
+    }
+
+    /**
+     * Whether an upstream that is likely to have the request's prefix cached has room. For choosing among requests that
+     * wait: see `AdmissionQueue.take`.
+     */
+    isLocal(
+        request: PlacementRequest,
+        candidates: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): boolean {
+        const ranked = this.ranks.get(`${request.model}/${request.prefixHash}`, candidates);
+        const share = this.shares.get(request.prefixHash, now);
+        const preferred = new Set(ranked.slice(0, getReplicaCount(share, candidates.length)));
+        return candidates.some(
+            candidate =>
+                preferred.has(candidate.id) &&
+                isEligible(candidate, request) &&
+                this.isUsable(candidate, request, now) &&
+                this.health.getShare(candidate.id, now) > 0,
+        );
     }
 
     onSent(
@@ -245,23 +270,21 @@
 
     private tryChooseByPrefix(
         request: PlacementRequest,
-        eligible: readonly PlacementCandidate[],
+        candidates: readonly PlacementCandidate[],
         usable: readonly PlacementCandidate[],
         now: core.MonotonicMilliseconds,
     ): PlacementCandidate | undefined {
         const byId = new Map(usable.map(candidate => [candidate.id, candidate]));
+        const loads = this.getLoads(usable, now);
         const share = this.shares.add(request.prefixHash, now);
-        // Ranks are taken over all eligible ones: an upstream that rests must not move everybody else's prefixes.
-        const ranked = hashing
-            .rankByRendezvous(
-                `${request.model}/${request.prefixHash}`,
-                eligible.map(candidate => candidate.id),
-            )
+        // Ranks are taken over all candidates: an upstream that rests must not move everybody else's prefixes.
+        const ranked = this.ranks
+            .get(`${request.model}/${request.prefixHash}`, candidates)
             .map(id => byId.get(id))
             .filter(candidate => candidate !== undefined);
-        const replicas = Math.max(1, Math.ceil(share * eligible.length * ReplicaFactor));
-        const bound = this.getLoadBound(usable, now);
-        const loadOf = (candidate: PlacementCandidate): number => this.getLoad(candidate, now);
+        const replicas = getReplicaCount(share, candidates.length);
+        const bound = getLoadBound(loads);
+        const loadOf = (candidate: PlacementCandidate): number => loads.get(candidate.id) ?? 0;
         const preferred = getLeast(ranked.slice(0, replicas), loadOf);
         if (preferred !== undefined && loadOf(preferred) <= bound) {
             return preferred;
@@ -269,17 +292,28 @@
         return ranked.slice(replicas).find(candidate => loadOf(candidate) <= bound) ?? getLeast(ranked, loadOf);
     }
 
-    private getLoadBound(usable: readonly PlacementCandidate[], now: core.MonotonicMilliseconds): number {
-        const sum = usable.reduce((total, candidate) => total + this.getLoad(candidate, now), 0);
-        return (BoundFactor * sum) / Math.max(1, usable.length) + BoundSlack;
+    /**
+     * Online requests on each upstream: our own, and the other instances' as the homes told. Where no fresh total is
+     * known the mean of the others stands in: zero would make the least known upstream look the idlest.
+     */
+    private getLoads(
+        usable: readonly PlacementCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): ReadonlyMap<core.UpstreamId, number> {
+        const known = usable.filter(candidate => this.isHintFresh(candidate, now));
+        const sum = known.reduce((total, candidate) => total + this.getRecord(candidate.id).others, 0);
+        const usual = known.length === 0 ? 0 : sum / known.length;
+        return new Map(
+            usable.map(candidate => {
+                const record = this.getRecord(candidate.id);
+                const others = this.isHintFresh(candidate, now) ? record.others : usual;
+                return [candidate.id, record.online + others];
+            }),
+        );
     }
 
-    /** Online requests there: our own, and the other instances' as far as the hint is fresh. */
-    private getLoad(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): number {
-        const record = this.getRecord(candidate.id);
-        const age = now - record.hintedAt;
-        const others = age > HintLife ? 0 : record.others * 2 ** -(age / HintHalfLife);
-        return record.online + others;
+    private isHintFresh(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+        return now - this.getRecord(candidate.id).hintedAt <= HintLife;
     }
 
     private isUsable(
@@ -287,30 +321,38 @@
         request: PlacementRequest,
         now: core.MonotonicMilliseconds,
     ): boolean {
-        const record = this.getRecord(candidate.id);
-        if (!record.breaker.isAvailable(now)) {
+        if (!this.getRecord(candidate.id).breaker.isAvailable(now)) {
             return false;
         }
         // Batch has its limit from the upstream's home, and never takes a place of online work here.
-        return request.requestClass === core.RequestClass.Batch || this.hasRoom(candidate, record, now);
+        return request.requestClass === core.RequestClass.Batch || this.hasRoom(candidate, now);
     }
 
-    private hasRoom(candidate: PlacementCandidate, record: LoadRecord, now: core.MonotonicMilliseconds): boolean {
-        const queuesInside = record.waiting > 0 && now - record.reportedAt < HintHalfLife;
-        return record.online < (queuesInside ? this.getFairPart(candidate) : this.getOwnLimit(candidate));
+    private hasRoom(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+        return this.getRoom(candidate, now) > 0;
     }
 
     /**
-     * The part of the upstream's concurrency that this instance may use: its even share, and twice the square root of
-     * it, by which the instances' numbers differ by chance. Less leaves places empty while requests queue here; more
-     * lets the queue build up in the engine, where it is first come first served.
+     * Online requests that may be added. An instance always has its even part of the upstream's places; beyond it
+     * those that the others leave free, as far as the home's total is fresh. Without totals the bound is the even part
+     * and its square root, by which the instances' numbers differ by chance: less leaves places empty while requests
+     * queue here, more lets a queue build up in the engine, where it is first come first served.
      */
-    private getOwnLimit(candidate: PlacementCandidate): number {
-        const share = candidate.concurrency / this.sharing;
-        return Math.min(candidate.concurrency, Math.ceil(share + (this.sharing > 1 ? 2 * Math.sqrt(share) : 0)));
+    private getRoom(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): number {
+        const record = this.getRecord(candidate.id);
+        const evenPart = this.getEvenPart(candidate);
+        const ownRoom = evenPart - record.online;
+        if (record.waiting > EngineQueueAllowed && now - record.reportedAt < HintLife) {
+            return ownRoom;
+        }
+        if (this.isHintFresh(candidate, now)) {
+            const free = candidate.concurrency + EngineQueueAllowed - record.others - record.online;
+            return Math.max(ownRoom, Math.min(free, candidate.concurrency - record.online));
+        }
+        return Math.min(candidate.concurrency, evenPart + Math.ceil(Math.sqrt(evenPart))) - record.online;
     }
 
-    private getFairPart(candidate: PlacementCandidate): number {
+    private getEvenPart(candidate: PlacementCandidate): number {
         return Math.max(1, Math.round(candidate.concurrency / this.sharing));
     }
 
@@ -392,6 +434,18 @@
     }
 }
 
+function getReplicaCount(share: number, candidates: number): number {
+    return Math.max(1, Math.ceil(share * candidates * ReplicaFactor));
+}
+
+function getLoadBound(loads: ReadonlyMap<core.UpstreamId, number>): number {
+    let sum = 0;
+    for (const load of loads.values()) {
+        sum += load;
+    }
+    return (BoundFactor * sum) / Math.max(1, loads.size) + BoundSlack;
+}
+
 function getLeast<T>(items: readonly T[], getValue: (item: T) => number): T | undefined {
     let least: T | undefined;
     let leastValue = Infinity;
--- a/packages/decisions/src/prefixShares.ts
+++ b/packages/decisions/src/prefixShares.ts
@@ -31,6 +31,12 @@
         return count.value / this.total.value;
     }
 
+    /** The prefix's share of the traffic, 0 to 1, without counting. */
+    get(prefix: string, now: core.MonotonicMilliseconds): number {
+        const count = this.counts.get(prefix);
+        return count === undefined ? 0 : decay(count, now) / Math.max(1, decay(this.total, now));
+    }
+
     /** Drops the prefix not seen for longest. */
     private makeRoom(): void {
         if (this.counts.size >= Capacity) {
@@ -43,6 +49,10 @@
 }
 
 function increase(count: Count, now: core.MonotonicMilliseconds): void {
-    count.value = count.value * 2 ** -(Math.max(0, now - count.updatedAt) / HalfLife) + 1;
+    count.value = decay(count, now) + 1;
     count.updatedAt = now;
 }
+
+function decay(count: Count, now: core.MonotonicMilliseconds): number {
+    return count.value * 2 ** -(Math.max(0, now - count.updatedAt) / HalfLife);
+}
--- a/packages/decisions/src/upstreamHealth.ts
+++ b/packages/decisions/src/upstreamHealth.ts
@@ -14,8 +14,9 @@
 const SlowFactor = 2;
 /** An upstream returns once it is under this, apart from `SlowFactor` so that it doesn't flap. */
 const ReturnFactor = 1.4;
-/** Samples before an upstream can be called slow: one long prompt is no evidence. */
+/** Samples before an upstream can be called slow, and how many are kept. */
 const SamplesToJudge = 3;
+const SamplesKept = 8;
 /** A first token that is this many times overdue is evidence before it has come. */
 const OverdueFactor = 4;
 /** Below this no first token counts as overdue, in milliseconds: pauses of a collector are shorter. */
@@ -27,8 +28,8 @@
 
 /** What this instance has seen of one upstream's speed. */
 class SpeedRecord {
-    readonly firstToken = new estimates.MovingAverage(0.2, 0);
-    readonly gap = new estimates.MovingAverage(0.2, 0);
+    readonly firstToken = new estimates.RecentMinimum(SamplesKept);
+    readonly gap = new estimates.RecentMinimum(SamplesKept);
     readonly awaiting = new Map<string, core.MonotonicMilliseconds>();
     state = SpeedState.Usual;
     share = 1;
@@ -41,7 +42,9 @@
  *
  * Load: one upstream that runs several times slower than its peers (a throttled accelerator, a noisy neighbour). Harm
  * prevented: least-loaded placement finds out only after requests have piled up there, and each of them is in the
- * tail. Engines' own load reports don't show it. Against the peers, since a fleet that is slow as a whole must not be
+ * tail. Engines' own load reports don't show it. The fastest of the last samples is what counts: a long prompt, a cold
+ * prefix or a burst makes single answers slow on a healthy upstream, and taking that one out of use in a burst is worse
+ * than the fault; an upstream that is slow itself has no fast answers at all. Against the peers, since a fleet that is slow as a whole must not be
  * taken out of use one by one; the median, since one slow upstream can't move it. An overdue first token counts at
  * once: waiting for three slow answers would cost three tail requests an instance.
  *
@@ -153,22 +156,22 @@
     private getRatioOf(
         upstream: core.UpstreamId,
         record: SpeedRecord,
-        getAverage: (record: SpeedRecord) => estimates.MovingAverage,
+        getMinimum: (record: SpeedRecord) => estimates.RecentMinimum,
     ): number {
-        const own = getAverage(record);
-        const usual = this.getPeerMedian(upstream, getAverage);
-        return own.getCount() < SamplesToJudge || usual === undefined || usual === 0 ? 1 : own.getMean() / usual;
+        const own = getMinimum(record);
+        const usual = this.getPeerMedian(upstream, getMinimum);
+        return own.getCount() < SamplesToJudge || usual === undefined || usual === 0 ? 1 : own.get() / usual;
     }
 
     private getPeerMedian(
         upstream: core.UpstreamId,
-        getAverage: (record: SpeedRecord) => estimates.MovingAverage,
+        getMinimum: (record: SpeedRecord) => estimates.RecentMinimum,
     ): number | undefined {
         const means: number[] = [];
         for (const [id, record] of this.records) {
-            const average = getAverage(record);
-            if (id !== upstream && average.getCount() >= SamplesToJudge) {
-                means.push(average.getMean());
+            const minimum = getMinimum(record);
+            if (id !== upstream && minimum.getCount() >= SamplesToJudge) {
+                means.push(minimum.get());
             }
         }
         return estimates.getMedian(means);
