--- a/packages/bench/src/batchHome.ts
+++ b/packages/bench/src/batchHome.ts
@@ -180,7 +180,7 @@
                 this.instance.placement.onFinished(stream.id);
                 this.instance.suspects.onFinished(stream.id, upstream);
                 this.order.settle(item.caller, 1, getCost(item), item.ownTokens / 4 + item.outputTokens);
-                measures.onFinished(core.RequestClass.Batch, item.caller, true);
+                measures.onFinished(core.RequestClass.Batch, item.caller, item.outputTokens, true);
                 this.apply(upstream);
             },
             onFailed: hasRun => {
@@ -203,7 +203,7 @@
             const caller = `job-caller-${index}`;
             while ((this.waitingByCaller.get(caller) ?? 0) < ItemsAhead) {
                 const item = source.next();
-                this.context.measures.onOffered(core.RequestClass.Batch, item.caller);
+                this.context.measures.onOffered(core.RequestClass.Batch, item.caller, item.outputTokens);
                 this.keep({ item, generated: 0 });
             }
         }
--- a/packages/bench/src/noPolicy.ts
+++ b/packages/bench/src/noPolicy.ts
@@ -21,7 +21,7 @@
     }
 
     override receive(arrival: workload.OnlineArrival): void {
-        this.context.measures.onOffered(core.RequestClass.Online, arrival.caller);
+        this.context.measures.onOffered(core.RequestClass.Online, arrival.caller, arrival.outputTokens);
         this.sendOnline(arrival, 1);
     }
 
@@ -51,6 +51,7 @@
                         measures.onFinished(
                             core.RequestClass.Online,
                             arrival.caller,
+                            arrival.outputTokens,
                             simulation.now() <= fleets.getDeadline(arrival),
                         ),
                     onFailed: () => this.retryOnline(arrival, attempt),
@@ -76,7 +77,7 @@
                 onFirstToken: () => undefined,
                 onProgress: tokens => measures.onBatchTokens(item.caller, tokens),
                 onFinished: () => {
-                    measures.onFinished(core.RequestClass.Batch, item.caller, true);
+                    measures.onFinished(core.RequestClass.Batch, item.caller, item.outputTokens, true);
                     this.runBatch(upstream, this.nextItem());
                 },
                 onFailed: () => simulation.schedule(RetryDelay, () => this.runBatch(upstream, item)),
--- a/packages/bench/src/run.ts
+++ b/packages/bench/src/run.ts
@@ -25,6 +25,8 @@
 }
 
 const SampleInterval = 100;
+/** Time at the beginning that isn't measured, in milliseconds: prefix caches fill and averages settle. */
+export const WarmUp = 20_000;
 
 /** Runs one scenario in virtual time. The same options give the same result. */
 export function runScenario(options: RunOptions): measures.RunResult {
@@ -41,9 +43,10 @@
     for (const fault of scenario.faults) {
         scheduleFault(fault, context, fleet);
     }
+    context.simulation.schedule(WarmUp, () => context.measures.start());
     context.simulation.repeat(SampleInterval, () => takeSample(context));
     context.simulation.run(scenario.milliseconds);
-    return context.measures.createResult(scenario.milliseconds);
+    return context.measures.createResult(scenario.milliseconds - WarmUp);
 }
 
 function createContext(options: RunOptions): fleets.RunContext {
--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -1,6 +1,6 @@
 import type * as core from "@boragedale/core";
-import * as estimates from "./estimates.js";
 import * as priorityQueue from "./priorityQueue.js";
+import * as serviceTime from "./serviceTime.js";
 
 /** A request that asks to run. */
 export interface AdmissionItem<T> {
@@ -38,8 +38,9 @@
 export interface AdmissionSettings {
     /** Requests that may run at once; changes by `setLimit`. */
     readonly limit: number;
-    /** Time that one unit of cost takes, as long as nothing has been learned. */
+    /** Time that one unit of cost takes, and the usual cost, as long as nothing has been learned. */
     readonly expectedMillisecondsPerCost: number;
+    readonly expectedCost: number;
     /** From 0 up to 1; spreads the times to come back, so that refused callers don't all return together. */
     readonly random: () => number;
 }
@@ -83,7 +84,7 @@
     private readonly callers = new Map<core.CallerId, CallerState<T>>();
     private readonly byStartTag = new priorityQueue.PriorityQueue<Entry<T>>();
     private readonly byDeadline = new priorityQueue.PriorityQueue<Entry<T>>();
-    private readonly millisecondsPerCost: estimates.MovingAverage;
+    private readonly service: serviceTime.ServiceTime;
     private expired: AdmissionItem<T>[] = [];
     private virtualTime = 0;
     private running = 0;
@@ -94,7 +95,7 @@
 
     constructor(private readonly settings: AdmissionSettings) {
         this.limit = settings.limit;
-        this.millisecondsPerCost = new estimates.MovingAverage(0.02, settings.expectedMillisecondsPerCost);
+        this.service = new serviceTime.ServiceTime(settings.expectedMillisecondsPerCost, settings.expectedCost);
     }
 
     /** Sets how many may run at once, as upstreams come, go and fill. */
@@ -145,7 +146,7 @@
     complete(cost: number, serviceMilliseconds: number | undefined): void {
         this.running = Math.max(0, this.running - 1);
         if (serviceMilliseconds !== undefined && cost > 0) {
-            this.millisecondsPerCost.add(serviceMilliseconds / cost);
+            this.service.add(cost, serviceMilliseconds);
         }
     }
 
@@ -189,11 +190,6 @@
         return this.running;
     }
 
-    /** When `complete` has taught nothing yet, the setting; else the learned mean. */
-    getMillisecondsPerCost(): number {
-        return this.millisecondsPerCost.getMean();
-    }
-
     private takePreferred(
         now: core.MonotonicMilliseconds,
         isPreferred: ((value: T) => boolean) | undefined,
@@ -245,12 +241,12 @@
     }
 
     private toWait(cost: number): number {
-        return (cost * this.millisecondsPerCost.getMean()) / Math.max(1, this.limit);
+        return (cost * this.service.getPerCost()) / Math.max(1, this.limit);
     }
 
     /** Latest time to start and still answer in time, by what service usually takes. */
     private getLatestStart(item: AdmissionItem<T>): core.MonotonicMilliseconds {
-        return item.deadlineAt - item.cost * this.millisecondsPerCost.getHigh();
+        return item.deadlineAt - this.service.getHigh(item.cost);
     }
 
     private createRefusal(waitMilliseconds: number, allowedMilliseconds: number): AdmissionRefusal {
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -52,8 +52,11 @@
 
 /** An upstream may be this far above the mean load before a prefix's request goes elsewhere. */
 const BoundFactor = 1.25;
-/** Requests above the bound that are let pass, so that a nearly idle fleet keeps its prefixes together. */
-const BoundSlack = 2;
+/**
+ * Part of an upstream's concurrency that is let pass above it: at low load, chance alone puts one upstream a quarter
+ * above the mean, and reading a prefix anew costs more than a few more streams beside it.
+ */
+const BoundSlack = 0.1;
 /** Upstreams for a prefix, in relation to its share of the traffic: a hot one needs room to be spread over. */
 const ReplicaFactor = 1.5;
 /** One request in so many may probe a slow upstream: 0.2% stays out of the p99 even if every probe is slow. */
@@ -283,13 +286,15 @@
             .map(id => byId.get(id))
             .filter(candidate => candidate !== undefined);
         const replicas = getReplicaCount(share, candidates.length);
-        const bound = getLoadBound(loads);
+        const mean = getMean(loads);
         const loadOf = (candidate: PlacementCandidate): number => loads.get(candidate.id) ?? 0;
+        const isWithinBound = (candidate: PlacementCandidate): boolean =>
+            loadOf(candidate) <= BoundFactor * mean + Math.max(2, BoundSlack * candidate.concurrency);
         const preferred = getLeast(ranked.slice(0, replicas), loadOf);
-        if (preferred !== undefined && loadOf(preferred) <= bound) {
+        if (preferred !== undefined && isWithinBound(preferred)) {
             return preferred;
         }
-        return ranked.slice(replicas).find(candidate => loadOf(candidate) <= bound) ?? getLeast(ranked, loadOf);
+        return ranked.slice(replicas).find(isWithinBound) ?? getLeast(ranked, loadOf);
     }
 
     /**
@@ -438,12 +443,12 @@
     return Math.max(1, Math.ceil(share * candidates * ReplicaFactor));
 }
 
-function getLoadBound(loads: ReadonlyMap<core.UpstreamId, number>): number {
+function getMean(loads: ReadonlyMap<core.UpstreamId, number>): number {
     let sum = 0;
     for (const load of loads.values()) {
         sum += load;
     }
-    return (BoundFactor * sum) / Math.max(1, loads.size) + BoundSlack;
+    return sum / Math.max(1, loads.size);
 }
 
 function getLeast<T>(items: readonly T[], getValue: (item: T) => number): T | undefined {
