--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -241,7 +241,8 @@
     }
 
     private toWait(cost: number): number {
-        return (cost * this.service.getPerCost()) / Math.max(1, this.limit);
+        // What runs counts where the limit has just fallen: it ends, and its places come back.
+        return (cost * this.service.getPerCost()) / Math.max(1, this.limit, this.running);
     }
 
     /** Latest time to start and still answer in time, by what service usually takes. */
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -39,16 +39,14 @@
 const ReactionTime = 250;
 /** Time in which the remembered rise halves, in milliseconds: lessons start on the hour, roll calls on the quarter. */
 const ReserveHalfLife = 600_000;
+/** Time in which the last peak of online work halves, in milliseconds; see `getStartLimit`. */
+const PeakHalfLife = 2_000;
 /** Places kept free for online work even where no burst was ever seen. */
 const LeastReserve = 1;
 /** A new home knows nothing yet: it starts with few streams and doubles them each step, in milliseconds. */
 const SlowStartStep = 100;
 const SlowStartFirst = 2;
-/**
- * No batch prompt is sent for so long after online work was seen to queue, or streams had to be cancelled, in
- * milliseconds: at the edge of saturation a place is free for an instant all the time, and a stream that is started
- * there is cancelled before it has paid for its prompt.
- */
+/** No batch prompt is sent for so long after online work queued, or streams had to be cancelled, in milliseconds. */
 const HoldAfterQueue = 200;
 const HoldAfterCancel = 1_000;
 
@@ -74,6 +72,7 @@
     >();
     private readonly streams = new Map<string, BatchStream>();
     private readonly rise = new estimates.DecayingMaximum(ReserveHalfLife);
+    private readonly peak = new estimates.DecayingMaximum(PeakHalfLife);
     private readonly cost = new stepCost.StepCost();
     private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
     private queuedAt: core.MonotonicMilliseconds = -Infinity;
@@ -142,7 +141,7 @@
 
     decide(now: core.MonotonicMilliseconds): GateDecision {
         const reserve = this.getReserve(now);
-        const streamsToCancel = this.chooseCancelled(this.getPlaces(Math.floor(reserve / 2), now));
+        const streamsToCancel = this.chooseCancelled(this.getPlaces(this.getOnline(now), Math.floor(reserve / 2)));
         if (streamsToCancel.length > 0) {
             this.cancelledAt = now;
         }
@@ -175,18 +174,20 @@
         return Math.max(LeastReserve, Math.ceil(learned));
     }
 
-    /** Streams that may be held. More than these are cancelled. */
-    private getPlaces(reserve: number, now: core.MonotonicMilliseconds): number {
-        return Math.max(0, Math.floor((this.concurrency - this.getOnline(now) - reserve) / this.homes));
+    /** Streams that may be held beside `online` requests. */
+    private getPlaces(online: number, reserve: number): number {
+        return Math.max(0, Math.floor((this.concurrency - online - reserve) / this.homes));
     }
 
     /**
      * Streams up to which new ones are started. Over the step time's limit none is cancelled: it moves a little with
-     * each sample, and streams that are cancelled and resumed cost more steps than they save.
+     * each sample, and streams that are cancelled and resumed cost more steps than they save. Places are counted beside online work's last peak: at the edge
+     * of saturation a place gets free for an instant all the time, and a stream started there is cancelled before it
+     * has paid for its prompt.
      */
     private getStartLimit(reserve: number, now: core.MonotonicMilliseconds): number {
         const byStep = this.cost.getMostStreams(this.getOnline(now), getTolerance(this.batchWeight)) / this.homes;
-        return Math.floor(Math.min(this.getPlaces(reserve, now), byStep, this.getSlowStartLimit(now)));
+        return Math.floor(Math.min(this.getPlaces(this.peak.get(now), reserve), byStep, this.getSlowStartLimit(now)));
     }
 
     private getSlowStartLimit(now: core.MonotonicMilliseconds): number {
@@ -226,6 +227,7 @@
         const lowest = Math.min(online, ...this.recentLows.map(low => low.online));
         this.recentLows.push({ at: now, online });
         this.rise.add(online - lowest, now);
+        this.peak.add(online, now);
     }
 }
 
--- a/packages/decisions/src/concurrencyLimit.ts
+++ b/packages/decisions/src/concurrencyLimit.ts
@@ -77,14 +77,11 @@
     }
 
     private isSlow(): boolean {
-        return (
-            this.usualLatency.getCount() >= 20 &&
-            this.recentLatency.getMean() > SlowFactor * this.usualLatency.getMean()
-        );
+        return this.usualLatency.getCount() >= 20 && this.recentLatency.get() > SlowFactor * this.usualLatency.get();
     }
 
     private lower(now: core.MonotonicMilliseconds): void {
-        const round = Math.max(10, this.recentLatency.getMean());
+        const round = Math.max(10, this.recentLatency.get());
         if (now - this.lowered >= round) {
             this.lowered = now;
             this.limit = clamp(this.limit * Decrease, 1, this.settings.maximum);
--- a/packages/decisions/src/estimates.ts
+++ b/packages/decisions/src/estimates.ts
@@ -2,8 +2,15 @@
 
 /** Small estimators that the decisions share. All take the time from outside. */
 
+/** Something learned from samples. */
+export interface Estimate {
+    get(): number;
+    /** Samples that it rests on. */
+    getCount(): number;
+}
+
 /** Exponentially weighted mean and mean deviation of a series of samples. */
-export class MovingAverage {
+export class MovingAverage implements Estimate {
     private mean: number;
     private deviation = 0;
     private count = 0;
@@ -27,7 +34,7 @@
         }
     }
 
-    getMean(): number {
+    get(): number {
         return this.mean;
     }
 
@@ -59,7 +66,7 @@
 }
 
 /** The lowest of the last samples. */
-export class RecentMinimum {
+export class RecentMinimum implements Estimate {
     private readonly samples: number[] = [];
 
     constructor(private readonly kept: number) {}
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -126,7 +126,7 @@
         const eligible = candidates.filter(candidate => isEligible(candidate, request));
         const usable = eligible.filter(candidate => this.isUsable(candidate, request, now));
         const quick = usable.filter(candidate => this.isQuick(candidate, now));
-        const probe = this.tryChooseProbe(usable, quick, now);
+        const probe = this.tryChooseProbe(usable, quick);
         if (probe !== undefined) {
             return { kind: PlacementKind.Placed, upstream: probe.id };
         }
@@ -146,7 +146,8 @@
         const request = { model, requestClass, prefixHash: "" };
         return candidates
             .filter(candidate => isEligible(candidate, request))
-            .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now) && this.isQuick(candidate, now))
+            .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now))
+            .filter(candidate => this.health.getState(candidate.id) !== upstreamHealth.SpeedState.Slow)
             .reduce((sum, candidate) => {
                 const room = Math.max(0, this.getRoom(candidate, now));
                 return sum + this.getOnlineInFlight(candidate.id) + room;
@@ -257,8 +258,8 @@
         return this.records.get(upstream)?.online ?? 0;
     }
 
-    getSpeedState(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): upstreamHealth.SpeedState {
-        return this.health.getState(upstream, now);
+    getSpeedState(upstream: core.UpstreamId): upstreamHealth.SpeedState {
+        return this.health.getState(upstream);
     }
 
     /** Forgets upstreams that the release note no longer lists, once nothing runs there. */
@@ -369,7 +370,6 @@
     private tryChooseProbe(
         usable: readonly PlacementCandidate[],
         quick: readonly PlacementCandidate[],
-        now: core.MonotonicMilliseconds,
     ): PlacementCandidate | undefined {
         this.requestsSinceProbe++;
         if (quick.length === usable.length || this.requestsSinceProbe < RequestsPerProbe) {
@@ -377,7 +377,7 @@
         }
         const probe = usable.find(
             candidate =>
-                this.health.getState(candidate.id, now) === upstreamHealth.SpeedState.Slow &&
+                this.health.getState(candidate.id) === upstreamHealth.SpeedState.Slow &&
                 !this.health.isAwaiting(candidate.id),
         );
         this.requestsSinceProbe = probe === undefined ? this.requestsSinceProbe : 0;
--- a/packages/decisions/src/serviceTime.ts
+++ b/packages/decisions/src/serviceTime.ts
@@ -29,7 +29,7 @@
 
     /** What about nineteen in twenty requests of this cost stay under, in milliseconds. */
     getHigh(cost: number): number {
-        return this.getUsual(cost) + 2 * this.residual.getMean();
+        return this.getUsual(cost) + 2 * this.residual.get();
     }
 
     /** Milliseconds for each unit of cost, over all requests: what a backlog takes. */
--- a/packages/decisions/src/upstreamHealth.ts
+++ b/packages/decisions/src/upstreamHealth.ts
@@ -10,17 +10,25 @@
     Returning = "Returning",
 }
 
-/** Times the peers' median at which an upstream counts as slow; under it a hot prefix or a long prompt explains it. */
-const SlowFactor = 2;
+/** Times the peers' median between tokens at which an upstream counts as slow; under it, reading prompts explains it. */
+const SlowFactor = 2.5;
+/**
+ * The same for the first token, and the least difference in milliseconds. Both are higher, since at saturation the
+ * requests that queue in a healthy engine alone make its first tokens twice as late as those of its peers.
+ */
+const SlowFirstTokenFactor = 4;
+const SlowFirstTokenDifference = 500;
 /** An upstream returns once it is under this, apart from `SlowFactor` so that it doesn't flap. */
-const ReturnFactor = 1.4;
+const ReturnFactor = 1.6;
 /** Samples before an upstream can be called slow, and how many are kept. */
 const SamplesToJudge = 3;
 const SamplesKept = 8;
-/** A first token that is this many times overdue is evidence before it has come. */
+/** A first token that takes this many times the usual time is overdue: new requests go elsewhere until it comes. */
 const OverdueFactor = 4;
-/** Below this no first token counts as overdue, in milliseconds: pauses of a collector are shorter. */
-const OverdueFloor = 150;
+/** Below this no first token counts as overdue, in milliseconds: a long prompt takes as much. */
+const OverdueFloor = 250;
+/** How long the peers' usual times are used before they are worked out again, in milliseconds. */
+const UsualLife = 100;
 /** First part of its share that a returning upstream gets; it doubles with each step. */
 const FirstReturnShare = 1 / 16;
 /** Shortest time between two steps of a return, in milliseconds: the load of one step must show before the next. */
@@ -30,12 +38,20 @@
 class SpeedRecord {
     readonly firstToken = new estimates.RecentMinimum(SamplesKept);
     readonly gap = new estimates.RecentMinimum(SamplesKept);
+    readonly meanFirstToken = new estimates.MovingAverage(0.1, 0);
     readonly awaiting = new Map<string, core.MonotonicMilliseconds>();
     state = SpeedState.Usual;
     share = 1;
     steppedAt: core.MonotonicMilliseconds = 0;
 }
 
+/** Medians over the upstreams, in milliseconds; undefined where too few samples are known. */
+interface UsualTimes {
+    readonly fastestFirstToken?: number;
+    readonly fastestGap?: number;
+    readonly meanFirstToken?: number;
+}
+
 /**
  * Tells slow upstreams by own observations: times to the first token and between tokens, against the median of the
  * peers.
@@ -45,14 +61,16 @@
  * tail. Engines' own load reports don't show it. The fastest of the last samples is what counts: a long prompt, a cold
  * prefix or a burst makes single answers slow on a healthy upstream, and taking that one out of use in a burst is worse
  * than the fault; an upstream that is slow itself has no fast answers at all. Against the peers, since a fleet that is slow as a whole must not be
- * taken out of use one by one; the median, since one slow upstream can't move it. An overdue first token counts at
- * once: waiting for three slow answers would cost three tail requests an instance.
+ * taken out of use one by one; the median, since one slow upstream can't move it. An overdue first token keeps
+ * new requests off at once, without a verdict: waiting for three slow answers would cost three tail requests an instance.
  *
  * Return: by probes and then a share that doubles at most every half second, since an upstream that gets its whole share
  * back at once from all instances is overrun in the same second (its prefix cache is cold) and called slow again.
  */
 export class UpstreamHealth {
     private readonly records = new Map<core.UpstreamId, SpeedRecord>();
+    private usual: UsualTimes = {};
+    private usualAt: core.MonotonicMilliseconds = -Infinity;
 
     onSent(upstream: core.UpstreamId, request: string, now: core.MonotonicMilliseconds): void {
         this.getRecord(upstream).awaiting.set(request, now);
@@ -66,7 +84,8 @@
         }
         record.awaiting.delete(request);
         record.firstToken.add(now - sentAt);
-        this.judge(upstream, record, now);
+        record.meanFirstToken.add(now - sentAt);
+        this.judge(record, now);
     }
 
     /** `tokens` came within `milliseconds`. */
@@ -74,7 +93,7 @@
         if (tokens > 0) {
             const record = this.getRecord(upstream);
             record.gap.add(milliseconds / tokens);
-            this.judge(upstream, record, now);
+            this.judge(record, now);
         }
     }
 
@@ -82,20 +101,14 @@
         this.records.get(upstream)?.awaiting.delete(request);
     }
 
-    getState(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): SpeedState {
-        const record = this.records.get(upstream);
-        if (record === undefined) {
-            return SpeedState.Usual;
-        }
-        if (record.state !== SpeedState.Slow && this.isOverdue(upstream, record, now)) {
-            this.setSlow(record);
-        }
-        return record.state;
+    getState(upstream: core.UpstreamId): SpeedState {
+        return this.records.get(upstream)?.state ?? SpeedState.Usual;
     }
 
     /** The part of its usual share that the upstream gets, 0 to 1. */
     getShare(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): number {
-        return this.getState(upstream, now) === SpeedState.Slow ? 0 : (this.records.get(upstream)?.share ?? 1);
+        const record = this.records.get(upstream);
+        return record === undefined ? 1 : this.isOverdue(record, now) ? 0 : record.share;
     }
 
     /** Whether a request sent to find out about the upstream is still without its first token. */
@@ -112,20 +125,19 @@
         }
     }
 
-    private judge(upstream: core.UpstreamId, record: SpeedRecord, now: core.MonotonicMilliseconds): void {
-        const ratio = this.getRatio(upstream, record);
-        if (record.state === SpeedState.Usual || record.state === SpeedState.Returning) {
-            if (ratio > SlowFactor) {
-                this.setSlow(record);
-            }
-            else if (record.state === SpeedState.Returning) {
-                this.stepReturn(record, now);
+    private judge(record: SpeedRecord, now: core.MonotonicMilliseconds): void {
+        if (record.state === SpeedState.Slow) {
+            if (this.hasRecovered(record, now)) {
+                record.state = SpeedState.Returning;
+                record.share = FirstReturnShare;
+                record.steppedAt = now;
             }
         }
-        else if (ratio < ReturnFactor) {
-            record.state = SpeedState.Returning;
-            record.share = FirstReturnShare;
-            record.steppedAt = now;
+        else if (this.isSlow(record, now)) {
+            this.setSlow(record);
+        }
+        else if (record.state === SpeedState.Returning) {
+            this.stepReturn(record, now);
         }
     }
 
@@ -145,45 +157,45 @@
         record.share = 0;
     }
 
-    /** How many times slower than its peers, by the worse of the two measures; 1 while that can't be told. */
-    private getRatio(upstream: core.UpstreamId, record: SpeedRecord): number {
-        return Math.max(
-            this.getRatioOf(upstream, record, other => other.firstToken),
-            this.getRatioOf(upstream, record, other => other.gap),
+    private isSlow(record: SpeedRecord, now: core.MonotonicMilliseconds): boolean {
+        const usual = this.getUsual(now);
+        const isFirstTokenLate = record.firstToken.get() - (usual.fastestFirstToken ?? 0) > SlowFirstTokenDifference;
+        return (
+            getRatioTo(record.gap, usual.fastestGap) > SlowFactor ||
+            (isFirstTokenLate && getRatioTo(record.firstToken, usual.fastestFirstToken) > SlowFirstTokenFactor)
         );
     }
 
-    private getRatioOf(
-        upstream: core.UpstreamId,
-        record: SpeedRecord,
-        getMinimum: (record: SpeedRecord) => estimates.RecentMinimum,
-    ): number {
-        const own = getMinimum(record);
-        const usual = this.getPeerMedian(upstream, getMinimum);
-        return own.getCount() < SamplesToJudge || usual === undefined || usual === 0 ? 1 : own.get() / usual;
-    }
-
-    private getPeerMedian(
-        upstream: core.UpstreamId,
-        getMinimum: (record: SpeedRecord) => estimates.RecentMinimum,
-    ): number | undefined {
-        const means: number[] = [];
-        for (const [id, record] of this.records) {
-            const minimum = getMinimum(record);
-            if (id !== upstream && minimum.getCount() >= SamplesToJudge) {
-                means.push(minimum.get());
-            }
-        }
-        return estimates.getMedian(means);
+    /** Both measures are near the peers' again. */
+    private hasRecovered(record: SpeedRecord, now: core.MonotonicMilliseconds): boolean {
+        const usual = this.getUsual(now);
+        return (
+            getRatioTo(record.gap, usual.fastestGap) < ReturnFactor &&
+            getRatioTo(record.firstToken, usual.fastestFirstToken) < SlowFirstTokenFactor
+        );
     }
 
-    private isOverdue(upstream: core.UpstreamId, record: SpeedRecord, now: core.MonotonicMilliseconds): boolean {
+    private isOverdue(record: SpeedRecord, now: core.MonotonicMilliseconds): boolean {
         const oldest = record.awaiting.values().next();
-        if (oldest.done === true) {
-            return false;
+        const usual = this.getUsual(now).meanFirstToken;
+        return (
+            oldest.done !== true &&
+            usual !== undefined &&
+            now - oldest.value > Math.max(OverdueFloor, OverdueFactor * usual)
+        );
+    }
+
+    private getUsual(now: core.MonotonicMilliseconds): UsualTimes {
+        if (now - this.usualAt >= UsualLife) {
+            const records = [...this.records.values()];
+            this.usualAt = now;
+            this.usual = {
+                fastestFirstToken: getMedianOf(records, record => record.firstToken),
+                fastestGap: getMedianOf(records, record => record.gap),
+                meanFirstToken: getMedianOf(records, record => record.meanFirstToken),
+            };
         }
-        const usual = this.getPeerMedian(upstream, other => other.firstToken);
-        return usual !== undefined && now - oldest.value > Math.max(OverdueFloor, OverdueFactor * usual);
+        return this.usual;
     }
 
     private getRecord(upstream: core.UpstreamId): SpeedRecord {
@@ -195,3 +207,15 @@
         return record;
     }
 }
+
+function getRatioTo(own: estimates.RecentMinimum, usual: number | undefined): number {
+    return own.getCount() < SamplesToJudge || usual === undefined || usual === 0 ? 1 : own.get() / usual;
+}
+
+function getMedianOf(
+    records: readonly SpeedRecord[],
+    getEstimate: (record: SpeedRecord) => estimates.Estimate,
+): number | undefined {
+    const known = records.map(getEstimate).filter(estimate => estimate.getCount() >= SamplesToJudge);
+    return estimates.getMedian(known.map(estimate => estimate.get()));
+}
