--- a/packages/bench/src/batchHome.ts
+++ b/packages/bench/src/batchHome.ts
@@ -166,7 +166,10 @@
         const { measures, simulation } = this.context;
         const { item, upstream } = stream;
         return {
-            onFirstToken: () => gate.onFirstToken(stream.id),
+            onFirstToken: () => {
+                gate.onFirstToken(stream.id);
+                this.apply(upstream);
+            },
             onProgress: (tokens, milliseconds) => {
                 if (this.streams.has(stream.id)) {
                     stream.generated += tokens;
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -49,6 +49,13 @@
 /** No batch prompt is sent for so long after online work queued, or streams had to be cancelled, in milliseconds. */
 const HoldAfterQueue = 200;
 const HoldAfterCancel = 1_000;
+/**
+ * Nor for so long after an online request was sent there, in milliseconds, about two steps: its prompt is being read,
+ * and a batch prompt beside it lengthens the very step that gives its first token.
+ */
+const HoldAfterArrival = 60;
+/** Batch prompts that an upstream reads at a time: with two, p99 of online's first token is 5% higher, with four 11%. */
+const PromptsAtOnce = 1;
 
 /**
  * How many batch streams one upstream may hold: the decision of the upstream's home.
@@ -76,6 +83,7 @@
     private readonly cost = new stepCost.StepCost();
     private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
     private queuedAt: core.MonotonicMilliseconds = -Infinity;
+    private arrivedAt: core.MonotonicMilliseconds = -Infinity;
     private cancelledAt: core.MonotonicMilliseconds = -Infinity;
     private concurrency: number;
     private batchWeight: number;
@@ -107,6 +115,10 @@
     }
 
     onOnlinePressure(pressure: OnlinePressure, now: core.MonotonicMilliseconds): void {
+        const before = this.pressures.get(pressure.instance)?.pressure.inFlight ?? 0;
+        if (pressure.inFlight > before) {
+            this.arrivedAt = now;
+        }
         this.pressures.set(pressure.instance, { pressure, heardAt: now });
         if (pressure.queued > 0) {
             this.queuedAt = now;
@@ -196,7 +208,10 @@
 
     /** Batch prompts that may be sent now. */
     private getPromptPlaces(now: core.MonotonicMilliseconds): number {
-        const isHeld = now - this.queuedAt < HoldAfterQueue || now - this.cancelledAt < HoldAfterCancel;
+        const isHeld =
+            now - this.arrivedAt < HoldAfterArrival ||
+            now - this.queuedAt < HoldAfterQueue ||
+            now - this.cancelledAt < HoldAfterCancel;
         if (isHeld) {
             return 0;
         }
@@ -204,7 +219,7 @@
         for (const stream of this.streams.values()) {
             reading += stream.hasFirstToken ? 0 : 1;
         }
-        return 1 + Math.floor(this.batchWeight * 3) - reading;
+        return PromptsAtOnce - reading;
     }
 
     /** The streams that lose least: resuming reads the prompt and what was generated again. */
@@ -231,7 +246,11 @@
     }
 }
 
+/** The step may be longer by this part at weight 0, and by this more at 1; there the limit is lifted altogether. */
+const LeastTolerance = 0.05;
+const ToleranceByWeight = 0.8;
+
 /** How much longer batch may make an engine's step, as a part of what it would be without. */
 function getTolerance(batchWeight: number): number {
-    return batchWeight >= 1 ? Infinity : 0.1 / (1 - batchWeight) ** 2;
+    return batchWeight >= 1 ? Infinity : LeastTolerance + ToleranceByWeight * batchWeight;
 }
