--- /dev/null
+++ b/packages/entry/test/membership.test.ts
@@ -0,0 +1,168 @@
+import * as core from "@boragedale/core";
+import * as entry from "@boragedale/entry";
+import * as platform from "@boragedale/platform";
+import * as protocol from "@boragedale/protocol";
+import * as standins from "@boragedale/standins";
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const suite = uvu.suite("membership");
+
+/** An instance list that a test writes; `undefined` means that it can't be read. */
+class TestInstanceList extends platform.InstanceList {
+    instances: readonly core.InstanceDescription[] | undefined = [];
+
+    override async tryRead(): Promise<readonly core.InstanceDescription[] | undefined> {
+        return this.instances;
+    }
+}
+
+interface Fixture {
+    readonly clock: core.VirtualClock;
+    readonly list: TestInstanceList;
+    readonly hub: standins.MemoryPeerHub;
+    readonly membership: entry.membership.FleetMembership;
+}
+
+async function createFixture(...others: readonly string[]): Promise<Fixture> {
+    const clock = new core.VirtualClock();
+    const list = new TestInstanceList();
+    const self = createInstance("entry-0");
+    list.instances = [self, ...others.map(id => createInstance(id))];
+    const hub = new standins.MemoryPeerHub();
+    const membership = await entry.membership.FleetMembership.start({ self, instanceList: list, clock });
+    membership.attach(hub.createNetwork("entry-0"));
+    return { clock, list, hub, membership };
+}
+
+function createInstance(
+    id: core.InstanceId,
+    dataCentre = "colombo-1",
+    state = core.LifeState.Live,
+): core.InstanceDescription {
+    const peerUrl = `ws://127.0.0.1/${id}`;
+    return { id, dataCentre, state, callerUrl: "", peerUrl, operatorUrl: "" };
+}
+
+function beat(hub: standins.MemoryPeerHub, from: core.InstanceId, state = core.LifeState.Live): void {
+    const network = hub.networks.get(from) ?? hub.createNetwork(from);
+    const heartbeat: protocol.Heartbeat = {
+        kind: protocol.MessageKind.Heartbeat,
+        generation: 4,
+        logicalTime: 1,
+        state,
+    };
+    network.notify("entry-0", heartbeat);
+}
+
+function getLive(membership: protocol.Membership): readonly core.InstanceId[] {
+    return membership.getLiveInstances().map(instance => instance.id);
+}
+
+suite("the list is followed, and left as it was while it can't be read", async () => {
+    const { clock, list, membership } = await createFixture("entry-1", "entry-2");
+    await using owned = membership;
+    assert.equal(getLive(owned), ["entry-0", "entry-1", "entry-2"]);
+    list.instances = [createInstance("entry-0"), createInstance("entry-2"), createInstance("entry-3")];
+    await clock.advance(2_000);
+    assert.equal(getLive(owned), ["entry-0", "entry-2", "entry-3"]);
+    list.instances = undefined;
+    await clock.advance(10_000);
+    assert.equal(getLive(owned), ["entry-0", "entry-2", "entry-3"]);
+});
+
+// An instance that stops tells its peers. The list still shows it live for seconds; new duties must not go to it.
+suite("a leaving notice counts at once, whatever the list says", async () => {
+    const { clock, hub, membership } = await createFixture("entry-1", "entry-2");
+    await using owned = membership;
+    const leaving: protocol.Leaving = { kind: protocol.MessageKind.Leaving, instance: "entry-1" };
+    hub.createNetwork("entry-1").notify("entry-0", leaving);
+    beat(hub, "entry-2", core.LifeState.Leaving);
+    await clock.advance(0);
+    assert.equal(getLive(owned), ["entry-0"]);
+    beat(hub, "entry-1");
+    await clock.advance(4_000);
+    assert.equal(getLive(owned), ["entry-0"]);
+});
+
+// A data centre is cut off: its instances are listed as live but can't be reached. Their duties move after the links
+// are lost, and come back with the first heartbeat.
+suite("an instance that can't be reached holds no duties until it is heard again", async () => {
+    const { clock, hub, membership } = await createFixture("entry-1", "entry-2");
+    await using owned = membership;
+    owned.noteUnreachable("entry-1");
+    assert.equal(getLive(owned), ["entry-0", "entry-2"]);
+    assert.not.ok(owned.isGone("entry-1"));
+    beat(hub, "entry-1");
+    await clock.advance(0);
+    assert.equal(getLive(owned), ["entry-0", "entry-1", "entry-2"]);
+    assert.is(owned.getGenerations().get("entry-1"), 4);
+});
+
+// The list drops an instance for a moment although it lives: its heartbeats go on. Were it taken as gone, its
+// non-idempotent calls in flight would be settled as lost while they run.
+suite("gone means dropped by the list and silent", async () => {
+    const { clock, list, hub, membership } = await createFixture("entry-1", "entry-2");
+    await using owned = membership;
+    list.instances = [createInstance("entry-0")];
+    for (let second = 0; second < 20; second++) {
+        beat(hub, "entry-1");
+        await clock.advance(1_000);
+    }
+    assert.not.ok(owned.isGone("entry-1"));
+    assert.ok(owned.isGone("entry-2"));
+    assert.not.ok(owned.isGone("entry-0"));
+    assert.ok(owned.isGone("never-seen"));
+});
+
+suite("an instance that leaves gives up its duties and says so", async () => {
+    const { membership } = await createFixture("entry-1");
+    await using owned = membership;
+    let changes = 0;
+    owned.onChange(() => changes++);
+    owned.leave();
+    assert.equal(getLive(owned), ["entry-1"]);
+    assert.is(owned.tryGetHolder("ledger/3"), "entry-1");
+    assert.is(owned.getState(), core.LifeState.Leaving);
+    assert.is(changes, 1);
+});
+
+suite("a duty of a data centre stays in it while it has an instance", async () => {
+    const { clock, list, membership } = await createFixture();
+    await using owned = membership;
+    const near = createInstance("entry-1", "kandy-1");
+    list.instances = [createInstance("entry-0"), near, createInstance("entry-2")];
+    await clock.advance(2_000);
+    const duties = [...Array(30).keys()].map(index => `upstream/${index}`);
+    assert.ok(duties.every(duty => owned.tryGetHolderIn("kandy-1", duty) === "entry-1"));
+    list.instances = [createInstance("entry-0"), { ...near, state: core.LifeState.Leaving }, createInstance("entry-2")];
+    await clock.advance(2_000);
+    const holders = new Set(duties.map(duty => owned.tryGetHolderIn("kandy-1", duty)));
+    assert.equal([...holders].sort(), ["entry-0", "entry-2"]);
+});
+
+suite("the number of neighbours does not grow with the fleet", async () => {
+    const others = [...Array(60).keys()].map(index => `entry-${index + 1}`);
+    const { membership } = await createFixture(...others);
+    await using owned = membership;
+    const neighbours = owned.getNeighbours();
+    assert.is(neighbours.length, 6);
+    assert.equal(owned.getNeighbours(), neighbours);
+});
+
+suite("when an instance goes only its own duties move, and they spread", () => {
+    const instances = fastCheck.uniqueArray(fastCheck.stringMatching(/^[a-z]{1,6}$/), { minLength: 2, maxLength: 12 });
+    const property = fastCheck.property(instances, fastCheck.nat(), (ids, which) => {
+        const gone = ids[which % ids.length];
+        const remaining = ids.filter(id => id !== gone);
+        for (let duty = 0; duty < 40; duty++) {
+            const before = entry.membership.tryChooseHolder(ids, `duty/${duty}`);
+            const after = entry.membership.tryChooseHolder(remaining, `duty/${duty}`);
+            assert.ok(before === gone || before === after);
+        }
+    });
+    fastCheck.assert(property, { seed: 21, numRuns: 100 });
+});
+
+suite.run();
--- /dev/null
+++ b/packages/release/test/publisher.test.ts
@@ -0,0 +1,156 @@
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import * as release from "@boragedale/release";
+import * as standins from "@boragedale/standins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as fixtures from "./fixtures.js";
+
+const suite = uvu.suite("publisher");
+
+interface Fixture {
+    readonly clock: core.VirtualClock;
+    readonly keyValue: standins.MemoryKeyValueService;
+    readonly publisher: release.KeyValueNotePublisher;
+}
+
+function createFixture(): Fixture {
+    const clock = new core.VirtualClock();
+    const keyValue = new standins.MemoryKeyValueService(clock);
+    const telemetry = fixtures.createTelemetry(clock);
+    return { clock, keyValue, publisher: new release.KeyValueNotePublisher({ keyValue, clock, telemetry }) };
+}
+
+function createRequest(replaces: core.Generation, source: string, author = "amara"): release.PublishRequest {
+    return { source, file: "note.yaml", replaces, author };
+}
+
+/** Lets time pass until the outcome is there. */
+async function wait<T>(clock: core.VirtualClock, outcome: Promise<T>): Promise<T> {
+    let isDone = false;
+    void outcome.finally(() => (isDone = true));
+    while (!isDone) {
+        await clock.advance(20);
+    }
+    return outcome;
+}
+
+const first = createRequest(0, fixtures.createFirstNote());
+
+suite("notes are published one on the other, and the history tells who and what", async () => {
+    const { clock, publisher } = createFixture();
+    await wait(clock, publisher.publish(first));
+    await wait(clock, publisher.publish(createRequest(1, fixtures.createUpgradeNote("2"), "ngozi")));
+    const history = await publisher.readHistory();
+    core.Debug.assert(history.ok, "the service answers");
+    assert.equal(
+        history.value.map(entry => [entry.generation, entry.author]),
+        [
+            [1, "amara"],
+            [2, "ngozi"],
+        ],
+    );
+    assert.equal(history.value[1]?.differences, ["~ model heron: version 1 -> 2"]);
+});
+
+suite("a note that is not in order is not written", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    const outcome = await wait(clock, publisher.publish(createRequest(0, "added: { models: [heron] }")));
+    assert.is(outcome.kind, release.PublishKind.Invalid);
+    assert.is(keyValue.getRevision(), 0);
+});
+
+// Two operators publish upon generation 1 at the same moment. One note comes into force; the other operator is told
+// so and is shown the note that won, and nothing of the losing note is stored.
+suite("of two operators who race one loses and sees the winner", async () => {
+    const { clock, publisher } = createFixture();
+    await wait(clock, publisher.publish(first));
+    const outcomes = await wait(
+        clock,
+        Promise.all([
+            publisher.publish(createRequest(1, fixtures.createUpgradeNote("2"), "amara")),
+            publisher.publish(createRequest(1, fixtures.createUpgradeNote("3"), "ngozi")),
+        ]),
+    );
+    const kinds = outcomes.map(outcome => outcome.kind).sort();
+    assert.equal(kinds, [release.PublishKind.Conflict, release.PublishKind.Published]);
+    const winner = outcomes.find(outcome => outcome.kind === release.PublishKind.Published);
+    const loser = outcomes.find(outcome => outcome.kind === release.PublishKind.Conflict);
+    assert.equal(loser?.current?.nonce, winner?.note.nonce);
+    assert.is(winner?.note.generation, 2);
+});
+
+// The write takes effect and its reply is lost. The operator must hear "published", not "conflict with yourself", and
+// the note must not be published twice.
+suite("a reply that is lost after the write is read back", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    keyValue.faults.lostReplies = 1;
+    const outcome = await wait(clock, publisher.publish(first));
+    assert.is(outcome.kind === release.PublishKind.Published && outcome.note.generation, 1);
+    const history = await publisher.readHistory();
+    assert.is(history.ok && history.value.length, 1);
+});
+
+// The reply is lost, and before it can be read back another operator has already replaced the note. The first
+// operator's note was in force; the record that its successor wrote for it proves it by its nonce.
+suite("a lost reply is recognised even after the note was replaced", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    await wait(clock, publisher.publish(first));
+    keyValue.faults.lostReplies = 1;
+    const slow = publisher.publish(createRequest(1, fixtures.createUpgradeNote("2"), "amara"));
+    for (let turn = 0; keyValue.faults.lostReplies > 0 && turn < 100; turn++) {
+        await new Promise<void>(resolve => setImmediate(resolve));
+    }
+    const quick = publisher.publish(createRequest(2, fixtures.createUpgradeNote("3"), "ngozi"));
+    const outcomes = await wait(clock, Promise.all([slow, quick]));
+    assert.equal(
+        outcomes.map(outcome => outcome.kind),
+        [release.PublishKind.Published, release.PublishKind.Published],
+    );
+    const history = await publisher.readHistory();
+    assert.equal(history.ok && history.value.map(entry => entry.author), ["amara", "amara", "ngozi"]);
+});
+
+// The command died before it printed its answer, so the operator runs it again with the same file.
+suite("publishing the same note again is not a second note", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    await wait(clock, publisher.publish(first));
+    const revision = keyValue.getRevision();
+    const again = await wait(clock, publisher.publish(first));
+    assert.is(again.kind === release.PublishKind.Published && again.note.generation, 1);
+    assert.is(keyValue.getRevision(), revision);
+});
+
+suite("while the service is down publishing says so, and goes on when it is back in time", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    keyValue.faults.isDown = true;
+    const refused = await wait(clock, publisher.publish(first));
+    assert.is(refused.kind, release.PublishKind.Unavailable);
+    const pending = publisher.publish(first);
+    await clock.advance(100);
+    keyValue.faults.isDown = false;
+    const outcome = await wait(clock, pending);
+    assert.is(outcome.kind, release.PublishKind.Published);
+});
+
+// The publisher dies between the note and its record in the history. The next one finds the hole and fills it.
+suite("a record that is missing in the history is filled in", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    await wait(clock, publisher.publish(first));
+    const record = await keyValue.get(release.getHistoryKey(1), platform.CallPurpose.Read);
+    core.Debug.assert(record.ok && record.value !== undefined, "there is a record");
+    const { key, revision } = record.value;
+    await keyValue.compareAndSwap({
+        key,
+        expectedRevision: revision,
+        value: undefined,
+        purpose: platform.CallPurpose.Note,
+    });
+    const before = await publisher.readHistory();
+    assert.equal(before.ok && before.value.map(entry => entry.generation), [1]);
+    await wait(clock, publisher.publish(createRequest(1, fixtures.createUpgradeNote("2"))));
+    const after = await publisher.readHistory();
+    assert.equal(after.ok && after.value.map(entry => entry.generation), [1, 2]);
+});
+
+suite.run();
