--- a/packages/release/src/keyValueNotePublisher.ts
+++ b/packages/release/src/keyValueNotePublisher.ts
@@ -15,8 +15,8 @@
     readonly createNonce?: () => string;
 }
 
-/** Tries of one publish while the service does not answer, and the wait before the second; each wait doubles. */
-const Attempts = 5;
+/** Tries of one publish while the service does not answer, and the wait after the first; each wait doubles. */
+const Tries = 5;
 const FirstWaitMilliseconds = 50;
 const HistoryPageSize = 200;
 
@@ -27,7 +27,7 @@
 
 type Attempt =
     | { readonly isFinal: true; readonly outcome: types.PublishOutcome }
-    | { readonly isFinal: false; readonly text: string };
+    | { readonly isFinal: false; readonly text: string; readonly mayBeWritten: boolean };
 
 /**
  * Publishes by one compare-and-swap on the current note. Of two operators who replace the same generation one finds
@@ -45,17 +45,25 @@
     override async publish(request: types.PublishRequest): Promise<types.PublishOutcome> {
         const nonce = this.createNonce();
         let text = "";
-        for (let attempt = 0; attempt < Attempts; attempt++) {
-            if (attempt > 0) {
-                await this.options.clock.sleep(FirstWaitMilliseconds * 2 ** (attempt - 1));
-            }
+        let mayBeWritten = false;
+        let triesLeft = Tries;
+        for (let wait = FirstWaitMilliseconds; triesLeft > 0; wait *= 2) {
             const result = await this.tryPublish(request, nonce);
             if (result.isFinal) {
                 return result.outcome;
             }
             text = result.text;
+            triesLeft--;
+            if (result.mayBeWritten && !mayBeWritten) {
+                // What was written must be read back, even when the reply was lost at the last try.
+                mayBeWritten = true;
+                triesLeft = Tries;
+                wait = FirstWaitMilliseconds;
+            }
+            await this.options.clock.sleep(wait);
         }
-        return { kind: types.PublishKind.Unavailable, text };
+        const hint = mayBeWritten ? "; it may be in force: publish the same note again to know" : "";
+        return { kind: types.PublishKind.Unavailable, text: text + hint };
     }
 
     override async readHistory(): Promise<core.Outcome<readonly types.HistoryEntry[]>> {
@@ -87,7 +95,7 @@
     private async tryPublish(request: types.PublishRequest, nonce: string): Promise<Attempt> {
         const current = await this.readCurrent();
         if (!current.ok) {
-            return { isFinal: false, text: current.text };
+            return { isFinal: false, text: current.text, mayBeWritten: false };
         }
         const { note, revision } = current.value;
         if (note !== undefined && isSamePublish(note, request, nonce)) {
@@ -133,11 +141,12 @@
             purpose: platform.CallPurpose.Note,
         });
         if (!result.ok) {
-            return { isFinal: false, text: result.failure.text };
+            const mayBeWritten = result.failure.kind === platform.KeyValueFailureKind.ReplyLost;
+            return { isFinal: false, text: result.failure.text, mayBeWritten };
         }
         if (!result.value.swapped) {
             // The next try reads the winner, or finds that the write of an earlier try was this one's own.
-            return { isFinal: false, text: "another note was published at the same moment" };
+            return { isFinal: false, text: "another note was published at the same moment", mayBeWritten: false };
         }
         await this.writeHistory(note, checked.value.differences);
         return this.finish(note, checked.findings);
@@ -155,7 +164,7 @@
         const key = noteStore.getHistoryKey(request.replaces + 1);
         const entry = await this.options.keyValue.get(key, platform.CallPurpose.Note);
         if (!entry.ok) {
-            return { isFinal: false, text: entry.failure.text };
+            return { isFinal: false, text: entry.failure.text, mayBeWritten: false };
         }
         const record = entry.value === undefined ? undefined : noteStore.tryDecodeHistory(entry.value.value);
         if (record?.nonce === nonce && current !== undefined) {
--- a/packages/release/test/fakeEngine.ts
+++ b/packages/release/test/fakeEngine.ts
@@ -26,6 +26,8 @@
     readonly fenced: upstreams.UpstreamOrder[] = [];
     /** Called when an order takes the engine away from what it served. */
     onTakenDown: () => void = () => undefined;
+    /** Called when a load begins. */
+    onLoadStarted: () => void = () => undefined;
     private fencing = 0;
     private lastFailure: string | undefined;
     private stopLoad: () => void = () => undefined;
@@ -85,6 +87,7 @@
         const wasServing = !this.isLoading && this.models.length > 0;
         this.isLoading = true;
         this.models = [];
+        this.onLoadStarted();
         if (wasServing) {
             this.onTakenDown();
         }
--- a/packages/release/test/publisher.test.ts
+++ b/packages/release/test/publisher.test.ts
@@ -121,6 +121,19 @@
     assert.is(keyValue.getRevision(), revision);
 });
 
+// Found by the random runs: the service comes back for the last try, the write takes effect and its reply is lost. The
+// publisher had no try left to read it back and told "unavailable" for a note that was in force.
+suite("a reply that is lost at the last try is read back too", async () => {
+    const { clock, keyValue, publisher } = createFixture();
+    keyValue.faults.isDown = true;
+    const pending = publisher.publish(first);
+    await clock.advance(740);
+    keyValue.faults.isDown = false;
+    keyValue.faults.lostReplies = 1;
+    const outcome = await wait(clock, pending);
+    assert.is(outcome.kind, release.PublishKind.Published);
+});
+
 suite("while the service is down publishing says so, and goes on when it is back in time", async () => {
     const { clock, keyValue, publisher } = createFixture();
     keyValue.faults.isDown = true;
