--- a/packages/release/src/rolloutPlan.ts
+++ b/packages/release/src/rolloutPlan.ts
@@ -78,8 +78,6 @@
     Observe = "Observe",
     /** Ask the fleet for leave to change the upstream. */
     Claim = "Claim",
-    /** The upstream loads without a claim of this home: count it, whatever the limits say. */
-    Adopt = "Adopt",
     Order = "Order",
     /** Give up the claim, report, and try again later. */
     GiveUp = "GiveUp",
@@ -89,7 +87,6 @@
     | { readonly kind: StepKind.Rest }
     | { readonly kind: StepKind.Observe; readonly phase: types.UpstreamPhase; readonly reason: string }
     | { readonly kind: StepKind.Claim; readonly needsLoad: boolean }
-    | { readonly kind: StepKind.Adopt }
     | { readonly kind: StepKind.Order }
     | { readonly kind: StepKind.GiveUp; readonly phase: types.UpstreamPhase; readonly reason: string };
 
@@ -141,9 +138,6 @@
     if (view.retryAt !== undefined) {
         return view.now < view.retryAt ? createFailed(view) : decideOrder(view, state);
     }
-    if (view.claimedSince === undefined) {
-        return { kind: StepKind.Adopt };
-    }
     const loadingFor = view.loadingSince === undefined ? 0 : view.now - view.loadingSince;
     const reason = `loads for ${Math.round(loadingFor / 1_000)} s`;
     return loadingFor > view.limits.loadMilliseconds
@@ -234,15 +228,11 @@
  * and so must see it, while the earlier need not see the later. Returns why not, or undefined.
  */
 export function tryGetObstacle(view: AdmissionView): string | undefined {
-    const known = new Set(view.fleet.upstreams.map(upstream => upstream.id));
-    const earlier = view.claims.filter(
-        other => other.order < view.claim.order && known.has(other.upstream) && other.upstream !== view.claim.upstream,
-    );
-    const loads = earlier.filter(other => other.needsLoad).length;
-    if (view.claim.needsLoad && loads >= view.fleet.weightStore.concurrentLoads) {
-        return `the weight store's ${view.fleet.weightStore.concurrentLoads} loads are taken`;
+    const loadObstacle = tryGetLoadObstacle(view.fleet, view.claim, view.claims, view.others);
+    if (loadObstacle !== undefined) {
+        return loadObstacle;
     }
-    const changing = new Set(earlier.map(other => other.upstream));
+    const changing = new Set(getEarlierClaims(view.fleet, view.claim, view.claims).map(other => other.upstream));
     const serving = view.others.filter(report => !changing.has(report.upstream));
     for (const model of view.fleet.models) {
         const obstacle =
@@ -255,6 +245,34 @@
     return undefined;
 }
 
+/**
+ * Why a load can't begin now. Counts the claims and, where reports are given, the engines that load without one: a
+ * long outage ends every lease, and the first home to claim afterwards would not see the loads that went on.
+ */
+export function tryGetLoadObstacle(
+    fleet: core.FleetDescription,
+    claim: rolloutClaims.Claim,
+    claims: readonly rolloutClaims.Claim[],
+    others: readonly ServingReport[],
+): string | undefined {
+    const claimed = getEarlierClaims(fleet, claim, claims).filter(other => other.needsLoad);
+    const loading = others.filter(report => report.state.isLoading);
+    const loads = new Set([...claimed, ...loading].map(other => other.upstream)).size;
+    const limit = fleet.weightStore.concurrentLoads;
+    return claim.needsLoad && loads >= limit ? `the weight store's ${limit} loads are taken` : undefined;
+}
+
+function getEarlierClaims(
+    fleet: core.FleetDescription,
+    claim: rolloutClaims.Claim,
+    claims: readonly rolloutClaims.Claim[],
+): readonly rolloutClaims.Claim[] {
+    const known = new Set(fleet.upstreams.map(upstream => upstream.id));
+    return claims.filter(
+        other => other.order < claim.order && known.has(other.upstream) && other.upstream !== claim.upstream,
+    );
+}
+
 function tryGetFloorObstacle(
     view: AdmissionView,
     serving: readonly ServingReport[],
@@ -281,17 +299,10 @@
     return isUp && state.models.some(held => held.model === model);
 }
 
-/** The upstreams whose reports the floors of `state`'s models depend on, by what the note assigns or they may hold. */
-export function getFloorPeers(
+/** The engines whose reports the floors and the weight store's rate depend on. */
+export function getOtherEngines(
     fleet: core.FleetDescription,
     upstream: core.UpstreamId,
-    state: upstreams.UpstreamState,
 ): readonly core.UpstreamDescription[] {
-    const models = new Set(state.models.map(held => held.model));
-    const hasFloor = fleet.models.some(
-        model => models.has(model.id) && (model.onlineFloor > 0 || model.batchFloor > 0),
-    );
-    return fleet.upstreams.filter(
-        other => hasFloor && other.kind === core.UpstreamKind.Engine && other.id !== upstream && !other.isLeaving,
-    );
+    return fleet.upstreams.filter(other => other.kind === core.UpstreamKind.Engine && other.id !== upstream);
 }
--- a/packages/release/src/upstreamRollout.ts
+++ b/packages/release/src/upstreamRollout.ts
@@ -21,15 +21,12 @@
 /** An upstream on its way is looked at twice a second; one at rest every three, in case a late order changes it. */
 const ActiveMilliseconds = 500;
 const RestMilliseconds = 3_000;
-/** Floors only need reports that are newer than the claims; asking all engines of a big model at once is enough. */
-const MostReports = 300;
 
 /** What this home knows of an upstream. All of it may be lost with the home; the next one finds it out anew. */
 interface Tenure {
     readonly upstream: core.UpstreamId;
     readonly stopper: AbortController;
     readonly homeSince: core.MonotonicMilliseconds;
-    hasLooked: boolean;
     unreachableSince: core.MonotonicMilliseconds | undefined;
     loadingSince: core.MonotonicMilliseconds | undefined;
     claim: rolloutClaims.Claim | undefined;
@@ -114,7 +111,6 @@
             upstream,
             stopper: new AbortController(),
             homeSince: this.options.clock.now(),
-            hasLooked: false,
             unreachableSince: undefined,
             loadingSince: undefined,
             claim: undefined,
@@ -158,8 +154,8 @@
     private async tend(tenure: Tenure, note: core.NoteInForce, upstream: core.UpstreamDescription): Promise<number> {
         const target = rolloutPlan.getTarget(note.fleet, upstream);
         this.retarget(tenure, rolloutPlan.formatTarget(target));
-        if (!tenure.hasLooked) {
-            tenure.hasLooked = await this.takeOver(tenure, note);
+        if (tenure.claim === undefined && this.options.keeper.isChanging(tenure.upstream)) {
+            await this.takeOver(tenure, note);
         }
         const engine = this.options.getEngine(upstream);
         const state = await engine.tryReadState();
@@ -182,10 +178,6 @@
             case rolloutPlan.StepKind.Observe:
                 report(step.phase, step.reason);
                 return ActiveMilliseconds;
-            case rolloutPlan.StepKind.Adopt:
-                await this.adopt(tenure, note);
-                report(types.UpstreamPhase.Loading, "loads");
-                return ActiveMilliseconds;
             case rolloutPlan.StepKind.Claim: {
                 const obstacle = await this.tryClaim(tenure, note, step.needsLoad, state);
                 report(types.UpstreamPhase.Waiting, obstacle ?? "may change");
@@ -213,19 +205,18 @@
         }
     }
 
-    /** Looks once for a claim that an earlier home left, so that its place is kept and not counted twice. */
-    private async takeOver(tenure: Tenure, note: core.NoteInForce): Promise<boolean> {
+    /**
+     * Takes over the claim that another home left, wherever the upstream stands. An instance that lost the duty but
+     * lives on keeps its lease alive, so a claim that nobody took over would hold its place for ever.
+     */
+    private async takeOver(tenure: Tenure, note: core.NoteInForce): Promise<void> {
         const claims = await this.claims.tryList();
         const left = claims?.find(claim => claim.upstream === tenure.upstream);
-        if (claims === undefined || left === undefined) {
-            return claims !== undefined;
-        }
-        if (!this.mayReplace(tenure, left, note)) {
-            return false;
+        if (left === undefined || !this.mayReplace(tenure, left, note)) {
+            return;
         }
-        tenure.claim = await this.claims.tryWrite({ ...left, generation: note.generation, replaces: left });
-        tenure.claimedSince = tenure.claim === undefined ? undefined : this.options.clock.now();
-        return tenure.claim !== undefined;
+        const claim = await this.claims.tryWrite({ ...left, generation: note.generation, replaces: left });
+        this.holdClaim(tenure, claim);
     }
 
     /**
@@ -244,10 +235,6 @@
         const now = this.options.clock.now();
         tenure.unreachableSince = state === undefined ? (tenure.unreachableSince ?? now) : undefined;
         tenure.loadingSince = state?.isLoading === true ? (tenure.loadingSince ?? now) : undefined;
-        // A lease that lapsed (a pause, an outage) took the claim along: another home may hold the place now.
-        if (tenure.claim !== undefined && !this.claims.isLeaseValid()) {
-            this.dropClaim(tenure);
-        }
     }
 
     private createView(
@@ -269,19 +256,6 @@
         };
     }
 
-    /** Counts a load that is under way already; the limits can't be asked about it any more. */
-    private async adopt(tenure: Tenure, note: core.NoteInForce): Promise<void> {
-        const claims = await this.claims.tryList();
-        const replaces = claims?.find(claim => claim.upstream === tenure.upstream);
-        if (claims === undefined || (replaces !== undefined && !this.mayReplace(tenure, replaces, note))) {
-            return;
-        }
-        const { upstream } = tenure;
-        const request = { upstream, generation: note.generation, needsLoad: true, replaces };
-        tenure.claim = await this.claims.tryWrite(request);
-        tenure.claimedSince = tenure.claim === undefined ? undefined : this.options.clock.now();
-    }
-
     /**
      * Asks for leave to change the upstream; returns why it can't be had now. A look before the write saves a write
      * and a delete in each round while others are at work; what counts is the look after it.
@@ -315,8 +289,7 @@
         }
         const after = await this.claims.tryList();
         const obstacle = after === undefined ? unanswered : await this.tryGetObstacle(note, claim, after, state);
-        tenure.claim = claim;
-        tenure.claimedSince = this.options.clock.now();
+        this.holdClaim(tenure, claim);
         if (obstacle !== undefined) {
             await this.release(tenure);
         }
@@ -329,7 +302,11 @@
         claims: readonly rolloutClaims.Claim[],
         state: upstreams.UpstreamState,
     ): Promise<string | undefined> {
-        const peers = rolloutPlan.getFloorPeers(note.fleet, claim.upstream, state).slice(0, MostReports);
+        const obstacle = rolloutPlan.tryGetLoadObstacle(note.fleet, claim, claims, []);
+        if (obstacle !== undefined) {
+            return obstacle;
+        }
+        const peers = rolloutPlan.getOtherEngines(note.fleet, claim.upstream);
         const reports = await Promise.all(
             peers.map(async peer => ({
                 upstream: peer.id,
@@ -353,14 +330,17 @@
         target: rolloutPlan.Target,
     ): Promise<string> {
         const held = core.Debug.checkDefined(tenure.claim, "an order has a claim");
+        const askedAt = this.options.clock.now();
         const renewed = await this.claims.tryWrite({ ...held, generation: note.generation, replaces: held });
         if (renewed === undefined) {
             this.dropClaim(tenure);
             return "another home took over";
         }
         tenure.claim = renewed;
-        if (tenure.stopper.signal.aborted || !this.claims.isLeaseValid()) {
-            return "no longer this home's";
+        // A home that was paused here may have been followed by another; within this time nobody takes over.
+        const isLate = this.options.clock.now() - askedAt >= this.limits.longestOrderMilliseconds;
+        if (tenure.stopper.signal.aborted || isLate) {
+            return "the claim's renewal took too long";
         }
         tenure.retryAt = undefined;
         tenure.loadingSince = undefined;
@@ -418,6 +398,11 @@
         }
     }
 
+    private holdClaim(tenure: Tenure, claim: rolloutClaims.Claim | undefined): void {
+        tenure.claim = claim;
+        tenure.claimedSince = claim === undefined ? undefined : this.options.clock.now();
+    }
+
     private dropClaim(tenure: Tenure): void {
         tenure.claim = undefined;
         tenure.claimedSince = undefined;
--- a/packages/release/test/fakeEngine.ts
+++ b/packages/release/test/fakeEngine.ts
@@ -83,6 +83,12 @@
         return { kind: upstreams.OrderOutcomeKind.Accepted, text: "" };
     }
 
+    /** Restarts empty. */
+    lose(): void {
+        this.models = [];
+        this.publish();
+    }
+
     private startLoad(order: upstreams.UpstreamOrder): void {
         const wasServing = !this.isLoading && this.models.length > 0;
         this.isLoading = true;
