--- a/packages/release/src/noteChecker.ts
+++ b/packages/release/src/noteChecker.ts
@@ -1,4 +1,5 @@
 import * as core from "@boragedale/core";
+import * as fleetCapacity from "./fleetCapacity.js";
 import * as noteDifferences from "./noteDifferences.js";
 import * as noteDocument from "./noteDocument.js";
 import * as noteMerge from "./noteMerge.js";
@@ -59,6 +60,7 @@
         differences,
         affectedUpstreams: affected.map(upstream => upstream.id),
         loads: affected.filter(upstream => upstream.needsLoad).length,
+        rounds: noteDifferences.countRounds(base, merge.fleet),
     };
     return { ok: true, value: checked, findings };
 }
@@ -174,7 +176,7 @@
      * that release notes exist to prevent. So it is refused before anything is written.
      */
     private checkFloor(model: core.ModelDescription, requestClass: core.RequestClass, floor: number): void {
-        const assigned = countAssigned(this.fleet, model.id, requestClass);
+        const assigned = fleetCapacity.countAssigned(this.fleet, model.id, requestClass);
         const subject = `model/${model.id}`;
         const field = requestClass === core.RequestClass.Online ? "onlineFloor" : "batchFloor";
         if (floor > assigned) {
@@ -210,25 +212,3 @@
         this.findings.push(core.createFinding(message, place, ...values));
     }
 }
-
-/** Upstreams that the note assigns to a model for a class of requests and that are not leaving. */
-export function countAssigned(
-    fleet: core.FleetDescription,
-    model: core.ModelId,
-    requestClass: core.RequestClass,
-): number {
-    return fleet.upstreams.filter(
-        upstream => upstream.models.includes(model) && !upstream.isLeaving && servesClass(upstream.role, requestClass),
-    ).length;
-}
-
-export function servesClass(role: core.UpstreamRole, requestClass: core.RequestClass): boolean {
-    switch (role) {
-        case core.UpstreamRole.Mixed:
-            return true;
-        case core.UpstreamRole.Online:
-            return requestClass === core.RequestClass.Online;
-        case core.UpstreamRole.Batch:
-            return requestClass === core.RequestClass.Batch;
-    }
-}
--- a/packages/release/src/noteDifferences.ts
+++ b/packages/release/src/noteDifferences.ts
@@ -1,5 +1,6 @@
 import * as core from "@boragedale/core";
 import type * as upstreams from "@boragedale/upstreams";
+import * as fleetCapacity from "./fleetCapacity.js";
 
 /** An engine that a note changes, and whether weights must be read from the weight store for it. */
 export interface AffectedUpstream {
@@ -39,6 +40,35 @@
     return affected;
 }
 
+/**
+ * How many loads the longest way takes one after the other. The store's rate allows `concurrentLoads` at once; a
+ * model's floor allows as many of its engines to be away as it has above it. Engines that served nothing before the
+ * note are held up by no floor.
+ */
+export function countRounds(before: core.FleetDescription | undefined, after: core.FleetDescription): number {
+    const loading = getAffectedUpstreams(before, after).filter(upstream => upstream.needsLoad);
+    const byRate = Math.ceil(loading.length / after.weightStore.concurrentLoads);
+    const byFloors = after.models.map(model => countRoundsOfModel(before, after, model, loading));
+    return Math.max(byRate, ...byFloors);
+}
+
+function countRoundsOfModel(
+    before: core.FleetDescription | undefined,
+    after: core.FleetDescription,
+    model: core.ModelDescription,
+    loading: readonly AffectedUpstream[],
+): number {
+    const held = (before?.upstreams ?? []).filter(upstream => upstream.models.includes(model.id));
+    const taken = held.filter(upstream => loading.some(candidate => candidate.id === upstream.id)).length;
+    const getSpare = (requestClass: core.RequestClass, floor: number): number =>
+        fleetCapacity.countAssigned(after, model.id, requestClass) - floor;
+    const spare = Math.min(
+        getSpare(core.RequestClass.Online, model.onlineFloor),
+        getSpare(core.RequestClass.Batch, model.batchFloor),
+    );
+    return taken === 0 ? 0 : Math.ceil(taken / Math.max(1, spare));
+}
+
 /** What an engine is to hold: its models at the versions and with the adapters of the note, sorted by name. */
 export function getDesiredModels(
     fleet: core.FleetDescription,
--- a/packages/release/src/rolloutPlan.ts
+++ b/packages/release/src/rolloutPlan.ts
@@ -1,6 +1,6 @@
 import * as core from "@boragedale/core";
 import type * as upstreams from "@boragedale/upstreams";
-import * as noteChecker from "./noteChecker.js";
+import * as fleetCapacity from "./fleetCapacity.js";
 import * as noteDifferences from "./noteDifferences.js";
 import type * as rolloutClaims from "./rolloutClaims.js";
 import * as types from "./types.js";
@@ -295,7 +295,7 @@
     model: core.ModelId,
     requestClass: core.RequestClass,
 ): boolean {
-    const isUp = !state.isLoading && !state.isLeaving && noteChecker.servesClass(state.role, requestClass);
+    const isUp = !state.isLoading && !state.isLeaving && fleetCapacity.servesClass(state.role, requestClass);
     return isUp && state.models.some(held => held.model === model);
 }
 
--- a/packages/release/src/types.ts
+++ b/packages/release/src/types.ts
@@ -9,6 +9,8 @@
     /** Upstreams that will be ordered to change. */
     readonly affectedUpstreams: readonly core.UpstreamId[];
     readonly loads: number;
+    /** Loads one after the other on the longest way, as the weight store's rate and the floors allow at best. */
+    readonly rounds: number;
 }
 
 export interface PublishRequest {
--- a/packages/release/test/noteChecker.test.ts
+++ b/packages/release/test/noteChecker.test.ts
@@ -100,6 +100,45 @@
     assert.is(checked.value.loads, 0);
 });
 
+suite("the rounds follow from the weight store's rate and from the floors", () => {
+    const countRounds = (options: fixtures.FleetOptions): number => {
+        const fleet = fixtures.createFleet(options);
+        const checked = release.checkNote(fixtures.createUpgradeNote("2"), "note.yaml", fleet);
+        core.Debug.assert(checked.ok, "the upgrade is in order");
+        return checked.value.rounds;
+    };
+    assert.is(countRounds({ engines: 6, concurrentLoads: 2, onlineFloor: 1 }), 3);
+    assert.is(countRounds({ engines: 6, concurrentLoads: 6, onlineFloor: 4 }), 3);
+    assert.is(countRounds({ engines: 6, concurrentLoads: 6, onlineFloor: 1, batchFloor: 5 }), 6);
+});
+
+// One of three instances does not answer the operator's question. Nobody may claim that the note is in force.
+suite("a note is in force only when every live instance confirmed it", () => {
+    const live = ["entry-0", "entry-1", "entry-2"].map(id => ({
+        id,
+        dataCentre: "colombo-1",
+        state: core.LifeState.Live,
+        callerUrl: "",
+        peerUrl: "",
+        operatorUrl: "",
+    }));
+    const answers: release.ForceAnswer[] = [
+        { instance: "entry-0", generation: 3, since: 5 },
+        { instance: "entry-1", generation: 2, since: 4 },
+    ];
+    const report = release.createForceReport(3, live, answers, 9);
+    assert.equal(report, {
+        generation: 3,
+        isInForce: false,
+        missing: [
+            { instance: "entry-1", generation: 2, since: 4 },
+            { instance: "entry-2", generation: undefined, since: 9 },
+        ],
+    });
+    const all = live.map(({ id }) => ({ instance: id, generation: 3, since: 5 }));
+    assert.ok(release.createForceReport(3, live, all, 9).isInForce);
+});
+
 suite("a note that changes nothing is a warning", () => {
     const checked = check("{}");
     assert.ok(checked.ok);
--- a/packages/tools/src/generate.ts
+++ b/packages/tools/src/generate.ts
@@ -1,5 +1,6 @@
 import * as fileSystem from "node:fs";
 import * as path from "node:path";
+import * as release from "@boragedale/release";
 import * as telemetry from "@boragedale/telemetry";
 
 /** Writes the generated pages, or with `--check` fails when a committed one differs from what would be written. */
@@ -32,7 +33,10 @@
 }
 
 function getGeneratedFiles(): readonly GeneratedFile[] {
-    return [{ path: "docs/operators/EVENTS.md", content: createEventsPage() }];
+    return [
+        { path: "docs/operators/EVENTS.md", content: createEventsPage() },
+        { path: "docs/release-note.schema.json", content: createSchemaFile() },
+    ];
 }
 
 function createEventsPage(): string {
@@ -50,3 +54,8 @@
         "",
     ].join("\n");
 }
+
+/** The schema that editors check a release note against; `boragedale check` goes by the zod one it is made from. */
+function createSchemaFile(): string {
+    return `${JSON.stringify(release.createNoteJsonSchema(), undefined, 4)}\n`;
+}
