--- a/packages/upstreams/test/fixtures.ts
+++ b/packages/upstreams/test/fixtures.ts
@@ -127,4 +127,16 @@
     }
 }
 
+/** Waits until a number has been the same at many looks in a row. */
+export async function waitUntilStill(read: () => number): Promise<void> {
+    let value = read();
+    for (let looks = 0; looks < 20; looks++) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+        if (read() !== value) {
+            value = read();
+            looks = 0;
+        }
+    }
+}
+
 export const neverAborted: AbortSignal = new AbortController().signal;
