--- a/packages/entry/src/callerFace/batches.ts
+++ b/packages/entry/src/callerFace/batches.ts
@@ -8,7 +8,10 @@
 const BatchBody = zod.looseObject({
     input_file_id: zod.string().min(1),
     endpoint: zod.string().min(1),
-    completion_window: zod.string().regex(/^\d+[hms]$/, "such as 24h, 30m or 90s").optional(),
+    completion_window: zod
+        .string()
+        .regex(/^\d+[hms]$/, "such as 24h, 30m or 90s")
+        .optional(),
     metadata: zod.record(zod.string(), zod.string()).optional(),
 });
 
--- a/packages/entry/src/callerFace/completions.ts
+++ b/packages/entry/src/callerFace/completions.ts
@@ -72,9 +72,7 @@
         object: "chat.completion",
         created: getCreated(),
         model: request.model,
-        choices: [
-            { index: 0, message: { role: "assistant", content: answer.text }, finish_reason: answer.reason },
-        ],
+        choices: [{ index: 0, message: { role: "assistant", content: answer.text }, finish_reason: answer.reason }],
         usage: answer.usage,
     }));
 }
--- a/packages/entry/src/callerFace/server.ts
+++ b/packages/entry/src/callerFace/server.ts
@@ -64,7 +64,9 @@
         const reason = options.isDraining() ? "leaving" : options.tryGetUnreadiness();
         return reason === undefined ? { status: "ready" } : reply.code(503).send({ status: "not ready", reason });
     });
-    server.get("/metrics", async (_request, reply) => reply.type("text/plain").send(options.telemetry.metrics.format()));
+    server.get("/metrics", async (_request, reply) =>
+        reply.type("text/plain").send(options.telemetry.metrics.format()),
+    );
 }
 
 async function registerGuarded(server: fastify.FastifyInstance, options: CallerFaceOptions): Promise<void> {
--- a/packages/entry/src/dispatch/callRecovery.ts
+++ b/packages/entry/src/dispatch/callRecovery.ts
@@ -41,8 +41,8 @@
     clock: core.Clock,
 ): Promise<upstreams.ServiceResponse | undefined> {
     for (const pause of SettlePauses) {
-        const server = sender.chooseServer(target.service, new Set());
-        const outcome = server === undefined ? undefined : await sender.sendOnceTo(server, target.call);
+        const place = sender.takePlace(target.service, new Set());
+        const outcome = place === undefined ? undefined : await sender.sendOnceTo(place, target.call);
         if (outcome?.ok === true) {
             return outcome.response;
         }
--- a/packages/entry/src/dispatch/callSender.ts
+++ b/packages/entry/src/dispatch/callSender.ts
@@ -1,12 +1,12 @@
 import * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
 import * as telemetry from "@boragedale/telemetry";
 import * as upstreams from "@boragedale/upstreams";
 import * as deadline from "./deadline.js";
-import * as placement from "./placement.js";
 import * as refusals from "./refusals.js";
+import type * as serverLimits from "./serverLimits.js";
 import type * as types from "./types.js";
 import * as directory from "./upstreamDirectory.js";
-import type * as upstreamLoad from "./upstreamLoad.js";
 
 /** A call and what the release note says of its route. */
 export interface CallTarget {
@@ -31,9 +31,12 @@
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
     readonly directory: directory.UpstreamDirectory;
-    readonly load: upstreamLoad.UpstreamLoad;
+    readonly limits: serverLimits.ServerLimits;
+    readonly retryBudget: decisions.RetryBudget;
 }
 
+/** Part of a service's places that batch items may use, so that an online call always finds one. */
+const BatchShare = 0.5;
 /** Sendings of a repeatable call, the first included. */
 const MaximumAttempts = 3;
 /**
@@ -57,22 +60,21 @@
         let certainty = core.RunCertainty.NotRun;
         let text = "no server is free";
         for (let attempt = 0; attempt < MaximumAttempts && !limit.signal.aborted; attempt++) {
-            const server = this.chooseServer(service, excluded);
-            if (server === undefined) {
+            if (attempt > 0 && !this.options.retryBudget.tryTake()) {
                 break;
             }
-            excluded.add(server.id);
+            const place = this.takePlace(service, excluded);
+            if (place === undefined) {
+                break;
+            }
+            excluded.add(place.server.id);
             const request = createRequest(call, false, Math.max(1, call.deadlineAt - this.options.clock.now()));
-            const outcome = await this.sendTo(server, call, request, limit.signal);
+            const outcome = await this.sendTo(place, call, request, limit.signal);
             if (outcome.ok && !isBusy(outcome.response.status)) {
                 return core.createSuccess(outcome.response);
             }
-            if (outcome.ok) {
-                text = `status ${outcome.response.status}`;
-                continue;
-            }
-            text = outcome.text;
-            if (outcome.kind === upstreams.ServiceFailureKind.MayHaveRun) {
+            text = outcome.ok ? `status ${outcome.response.status}` : outcome.text;
+            if (!outcome.ok && outcome.kind === upstreams.ServiceFailureKind.MayHaveRun) {
                 certainty = core.RunCertainty.MayHaveRun;
             }
         }
@@ -90,35 +92,40 @@
     async sendOnce(target: CallTarget): Promise<Sent> {
         const excluded = new Set<core.UpstreamId>();
         for (;;) {
-            const server = this.chooseServer(target.service, excluded);
-            if (server === undefined) {
+            const place = this.takePlace(target.service, excluded);
+            if (place === undefined) {
                 return { kind: SentKind.NotSent, refusal: refusals.createOverloaded(core.RunCertainty.NotRun) };
             }
-            excluded.add(server.id);
-            const outcome = await this.sendOnceTo(server, target.call);
+            excluded.add(place.server.id);
+            const outcome = await this.sendOnceTo(place, target.call);
             if (outcome.ok) {
                 return { kind: SentKind.Answered, response: outcome.response };
             }
             if (outcome.kind === upstreams.ServiceFailureKind.MayHaveRun) {
-                return { kind: SentKind.MayHaveRun, upstream: server.id };
+                return { kind: SentKind.MayHaveRun, upstream: place.server.id };
             }
         }
     }
 
-    sendOnceTo(server: core.UpstreamDescription, call: types.ServiceCall): Promise<upstreams.ServiceOutcome> {
+    sendOnceTo(place: serverLimits.ServerPlace, call: types.ServiceCall): Promise<upstreams.ServiceOutcome> {
         const rest = call.deadlineAt - this.options.clock.now();
         const request = createRequest(call, true, Math.max(MinimumCallTimeout, rest));
         // Never cancelled: a closed connection would make an unknown outcome out of a call that is about to end.
-        return this.sendTo(server, call, request, new AbortController().signal);
+        return this.sendTo(place, call, request, new AbortController().signal);
     }
 
-    chooseServer(
+    /** Takes a place on a server that takes new work; `sendOnceTo` gives it back. */
+    takePlace(
         service: core.ServiceDescription,
         excluded: ReadonlySet<core.UpstreamId>,
-    ): core.UpstreamDescription | undefined {
-        const fleet = this.options.directory.tryGetFleet();
-        const servers = fleet === undefined ? [] : directory.listServers(fleet, service);
-        return placement.choosePlace(servers, this.options.load, excluded);
+    ): serverLimits.ServerPlace | undefined {
+        return this.options.limits.tryTake(this.listServers(service), excluded);
+    }
+
+    /** Calls of a class that this instance may run on the service at once. */
+    getLimit(service: core.ServiceDescription, requestClass: core.RequestClass): number {
+        const total = this.options.limits.getTotal(this.listServers(service));
+        return requestClass === core.RequestClass.Online ? total : Math.floor(total * BatchShare);
     }
 
     /** Every server that may hold the outcome of a key, leaving ones included. */
@@ -132,25 +139,39 @@
         return await use.client.ask(path);
     }
 
+    private listServers(service: core.ServiceDescription): readonly core.UpstreamDescription[] {
+        const fleet = this.options.directory.tryGetFleet();
+        return fleet === undefined ? [] : directory.listServers(fleet, service);
+    }
+
     private async sendTo(
-        server: core.UpstreamDescription,
+        place: serverLimits.ServerPlace,
         call: types.ServiceCall,
         request: upstreams.ServiceRequest,
         signal: AbortSignal,
     ): Promise<upstreams.ServiceOutcome> {
-        const release = this.options.load.add(server.id, call.requestClass);
-        using use = this.options.directory.useService(server, call.requestClass);
-        const subject = { request: call.id, caller: call.caller, upstream: server.id };
+        let told = decisions.CallSignal.Neutral;
+        using use = this.options.directory.useService(place.server, call.requestClass);
+        const subject = { request: call.id, caller: call.caller, upstream: place.server.id };
         this.options.telemetry.record(telemetry.events.RequestPlaced, subject);
         try {
-            return await use.client.call(request, signal);
+            const outcome = await use.client.call(request, signal);
+            told = signal.aborted ? told : toCallSignal(outcome);
+            return outcome;
         }
         finally {
-            release();
+            place.release(told);
         }
     }
 }
 
+function toCallSignal(outcome: upstreams.ServiceOutcome): decisions.CallSignal {
+    if (!outcome.ok) {
+        return decisions.CallSignal.Overload;
+    }
+    return isBusy(outcome.response.status) ? decisions.CallSignal.Overload : decisions.CallSignal.Success;
+}
+
 /** A service that is busy has not run the call, and another server may. */
 function isBusy(status: number): boolean {
     return status === 429 || status === 503;
--- a/packages/entry/src/dispatch/fleetDispatcher.ts
+++ b/packages/entry/src/dispatch/fleetDispatcher.ts
@@ -1,15 +1,24 @@
 import * as crypto from "node:crypto";
-import * as core from "@boragedale/core";
-import type * as protocol from "@boragedale/protocol";
+import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as protocol from "@boragedale/protocol";
 import type * as telemetry from "@boragedale/telemetry";
 import type * as upstreams from "@boragedale/upstreams";
 import type * as work from "@boragedale/work";
+import * as admissionDesk from "./admissionDesk.js";
+import * as attempts from "./attempts.js";
+import * as batchLanes from "./batchLanes.js";
 import * as callSender from "./callSender.js";
 import * as completionRunner from "./completionRunner.js";
+import * as engineChooser from "./engineChooser.js";
+import * as engineTable from "./engineTable.js";
+import * as pressureNotifier from "./pressureNotifier.js";
+import * as serverLimits from "./serverLimits.js";
 import * as serviceCaller from "./serviceCaller.js";
+import * as suspectWatch from "./suspectWatch.js";
 import * as types from "./types.js";
 import * as directory from "./upstreamDirectory.js";
-import * as upstreamLoad from "./upstreamLoad.js";
+import * as upstreamPoller from "./upstreamPoller.js";
 
 export interface FleetDispatcherOptions extends directory.UpstreamDirectoryOptions {
     readonly clock: core.Clock;
@@ -17,37 +26,68 @@
     readonly ledger: work.CallLedger;
     readonly membership: protocol.Membership;
     readonly peers: protocol.PeerNetwork;
-    readonly dataCentre: core.DataCentre;
+    /** From 0 up to 1; a test gives a seeded one. */
+    readonly random?: () => number;
 }
 
-/** Part of an upstream's concurrency that batch work may take. */
-const BatchShare = 0.5;
+/** Time that a token takes until some have been seen, in milliseconds. */
+const ExpectedMillisecondsPerToken = 5;
+/** Time that a call of a plain service takes until some have been seen, in milliseconds. */
+const ExpectedMillisecondsPerCall = 20;
 
 /** The way of every request of one instance to the fleet's upstreams. */
 export class FleetDispatcher extends types.Dispatcher {
     private readonly directory: directory.UpstreamDirectory;
-    private readonly load = new upstreamLoad.UpstreamLoad();
+    private readonly table: engineTable.EngineTable;
+    private readonly placement: decisions.Placement;
+    private readonly lanes: batchLanes.BatchLanes;
+    private readonly pressure: pressureNotifier.PressureNotifier;
+    private readonly completionAdmission: admissionDesk.AdmissionDesk;
+    private readonly serviceAdmission: admissionDesk.AdmissionDesk;
     private readonly completions: completionRunner.CompletionRunner;
     private readonly services: serviceCaller.ServiceCaller;
+    private readonly poller: upstreamPoller.UpstreamPoller;
+    private readonly stopListening: () => void;
     private readonly attemptPrefix = crypto.randomBytes(6).toString("hex");
     private attemptCount = 0;
     private inProgress = 0;
 
     constructor(private readonly options: FleetDispatcherOptions) {
         super();
-        const { clock } = options;
+        const { clock, membership, peers } = options;
+        const random = options.random ?? Math.random;
         this.directory = new directory.UpstreamDirectory(options);
-        const shared = { clock, telemetry: options.telemetry, directory: this.directory, load: this.load };
-        this.completions = new completionRunner.CompletionRunner({
-            ...shared,
-            createAttemptId: request => `${request.id}.${this.attemptPrefix}${(this.attemptCount++).toString(36)}`,
+        const shared = { clock, telemetry: options.telemetry, directory: this.directory };
+        this.table = new engineTable.EngineTable({ directory: this.directory, membership });
+        this.placement = new decisions.Placement({ random });
+        this.lanes = new batchLanes.BatchLanes({ ...shared, membership, table: this.table });
+        this.pressure = new pressureNotifier.PressureNotifier({
+            clock,
+            read: upstream => ({ inFlight: this.placement.getOnlineInFlight(upstream), queued: 0 }),
+            send: (upstream, pressure) => this.sendPressure(upstream, pressure),
+        });
+        this.completionAdmission = new admissionDesk.AdmissionDesk({
+            clock,
+            random,
+            expectedMillisecondsPerCost: ExpectedMillisecondsPerToken,
+        });
+        this.serviceAdmission = new admissionDesk.AdmissionDesk({
+            clock,
+            random,
+            expectedMillisecondsPerCost: ExpectedMillisecondsPerCall,
         });
-        this.services = new serviceCaller.ServiceCaller({
+        this.completions = this.createCompletionRunner(shared);
+        this.services = this.createServiceCaller(shared);
+        this.poller = new upstreamPoller.UpstreamPoller({
             ...shared,
-            sender: new callSender.CallSender(shared),
-            ledger: options.ledger,
-            runBehind: task => void this.countWhile(task),
+            table: this.table,
+            placement: this.placement,
+            membership,
+            peers,
         });
+        this.stopListening = options.notes.onNote(note => this.forgetAbsent(note.fleet));
+        peers.handle(protocol.MessageKind.OnlinePressure, (message, from) => this.onPressure(message, from));
+        peers.handle(protocol.MessageKind.OnlineTotal, message => this.onTotal(message));
     }
 
     override async *complete(request: types.CompletionRequest, signal: AbortSignal): AsyncIterable<types.StreamEvent> {
@@ -68,15 +108,7 @@
     }
 
     override getFreeBatchSlots(): number {
-        const fleet = this.directory.tryGetFleet();
-        const engines = fleet?.upstreams.filter(
-            upstream =>
-                upstream.kind === core.UpstreamKind.Engine &&
-                upstream.role !== core.UpstreamRole.Online &&
-                !upstream.isLeaving &&
-                this.isHomeOf(upstream),
-        );
-        return (engines ?? []).reduce((sum, upstream) => sum + this.getFreeBatchSlotsOf(upstream), 0);
+        return this.lanes.getFreeSlots();
     }
 
     override getInProgress(): number {
@@ -84,18 +116,91 @@
     }
 
     override async [Symbol.asyncDispose](): Promise<void> {
+        this.stopListening();
+        this.poller[Symbol.dispose]();
+        this.pressure[Symbol.dispose]();
+        this.lanes[Symbol.dispose]();
+        this.table[Symbol.dispose]();
+        this.completionAdmission[Symbol.dispose]();
+        this.serviceAdmission[Symbol.dispose]();
         await this.directory[Symbol.asyncDispose]();
     }
 
-    private getFreeBatchSlotsOf(upstream: core.UpstreamDescription): number {
-        const { online, batch } = this.load.get(upstream.id);
-        const allowed = Math.max(1, Math.floor(upstream.concurrency * BatchShare));
-        return Math.max(0, Math.min(allowed - batch, upstream.concurrency - online - batch));
+    private createCompletionRunner(shared: SharedParts): completionRunner.CompletionRunner {
+        const { placement, table, lanes } = this;
+        const suspects = new suspectWatch.SuspectWatch({ ...shared, peers: this.options.peers });
+        return new completionRunner.CompletionRunner({
+            ...shared,
+            suspects,
+            chooser: new engineChooser.EngineChooser({ clock: shared.clock, placement, suspects, table, lanes }),
+            attempts: new attempts.Attempts({
+                clock: shared.clock,
+                placement,
+                suspects,
+                lanes,
+                pressure: this.pressure,
+                createId: request => `${request.id}.${this.attemptPrefix}${(this.attemptCount++).toString(36)}`,
+            }),
+            admission: this.completionAdmission,
+            retryBudget: new decisions.RetryBudget(),
+        });
+    }
+
+    private createServiceCaller(shared: SharedParts): serviceCaller.ServiceCaller {
+        const retryBudget = new decisions.RetryBudget();
+        const limits = new serverLimits.ServerLimits(shared.clock);
+        return new serviceCaller.ServiceCaller({
+            ...shared,
+            sender: new callSender.CallSender({ ...shared, limits, retryBudget }),
+            ledger: this.options.ledger,
+            admission: this.serviceAdmission,
+            retryBudget,
+            runBehind: task => void this.countWhile(task).catch(() => undefined),
+        });
     }
 
-    private isHomeOf(upstream: core.UpstreamDescription): boolean {
-        const { membership } = this.options;
-        return membership.tryGetHolderIn(upstream.dataCentre, `upstream/${upstream.id}`) === membership.getSelf();
+    private sendPressure(upstream: core.UpstreamId, pressure: pressureNotifier.Pressure): void {
+        const description = this.directory.tryGetFleet()?.upstreams.find(candidate => candidate.id === upstream);
+        const home = description === undefined ? undefined : this.table.tryGetHome(description);
+        const { membership, peers } = this.options;
+        if (home === undefined) {
+            return;
+        }
+        if (home === membership.getSelf()) {
+            this.lanes.onPressure(upstream, { ...pressure, instance: home });
+            return;
+        }
+        const message: protocol.OnlinePressure = { kind: protocol.MessageKind.OnlinePressure, upstream, ...pressure };
+        peers.notify(home, message, protocol.Lane.Control);
+    }
+
+    private async onPressure(message: protocol.OnlinePressure, from: core.InstanceId): Promise<undefined> {
+        const { upstream, inFlight, queued } = message;
+        const total = this.lanes.onPressure(upstream, { instance: from, inFlight, queued });
+        const isLeaving = this.table.isLeaving(upstream);
+        if (total !== undefined || isLeaving) {
+            const reply = {
+                kind: protocol.MessageKind.OnlineTotal as const,
+                upstream,
+                inFlight: total ?? 0,
+                isLeaving,
+            };
+            this.options.peers.notify(from, reply, protocol.Lane.Control);
+        }
+        return undefined;
+    }
+
+    private async onTotal(message: protocol.OnlineTotal): Promise<undefined> {
+        const now = this.options.clock.now();
+        this.table.setLeaving(message.upstream, message.isLeaving, now + upstreamPoller.LeavingLife);
+        if (!message.isLeaving) {
+            this.placement.onOnlineTotal(message.upstream, message.inFlight, now);
+        }
+        return undefined;
+    }
+
+    private forgetAbsent(fleet: core.FleetDescription): void {
+        this.placement.retain(new Set(fleet.upstreams.map(upstream => upstream.id)));
     }
 
     private async countWhile<T>(task: Promise<T>): Promise<T> {
@@ -108,3 +213,10 @@
         }
     }
 }
+
+/** What every part of the dispatch needs. */
+interface SharedParts {
+    readonly clock: core.Clock;
+    readonly telemetry: telemetry.Telemetry;
+    readonly directory: directory.UpstreamDirectory;
+}
--- a/packages/entry/src/dispatch/refusals.ts
+++ b/packages/entry/src/dispatch/refusals.ts
@@ -115,3 +115,18 @@
         retryAfterMilliseconds: KeyValueRetryAfter,
     });
 }
+
+export function createQuarantined(
+    deaths: number,
+    retryAfterMilliseconds: number,
+    certainty: core.RunCertainty,
+): core.Refusal {
+    const isUnsent = certainty === core.RunCertainty.NotRun;
+    return core.createRefusal({
+        kind: core.RefusalKind.Quarantined,
+        message: isUnsent ? core.messages.Quarantined : core.messages.UpstreamFailed,
+        values: [isUnsent ? deaths : `this request ended ${deaths} upstreams and is quarantined`],
+        certainty,
+        retryAfterMilliseconds,
+    });
+}
--- a/packages/entry/src/dispatch/serviceCaller.ts
+++ b/packages/entry/src/dispatch/serviceCaller.ts
@@ -1,8 +1,10 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
+import type * as decisions from "@boragedale/decisions";
 import * as telemetry from "@boragedale/telemetry";
 import type * as upstreams from "@boragedale/upstreams";
 import * as work from "@boragedale/work";
+import type * as admissionDesk from "./admissionDesk.js";
 import * as callRecovery from "./callRecovery.js";
 import * as callSender from "./callSender.js";
 import * as refusals from "./refusals.js";
@@ -16,6 +18,8 @@
     readonly directory: directory.UpstreamDirectory;
     readonly sender: callSender.CallSender;
     readonly ledger: work.CallLedger;
+    readonly admission: admissionDesk.AdmissionDesk;
+    readonly retryBudget: decisions.RetryBudget;
     /** Tasks that go on behind an answer; drain waits for them. */
     readonly runBehind: (task: Promise<unknown>) => void;
 }
@@ -45,21 +49,41 @@
         if (route === undefined) {
             return core.createFailure(refusals.createServiceUnknown(`${call.service}${call.path}`));
         }
-        return route.safety === core.CallSafety.Idempotent
-            ? this.options.sender.sendRepeatable(service, call, signal)
-            : this.callOnce(service, route, call, signal);
+        const admitted = await this.admit(fleet, service, call, signal);
+        if (!admitted.ok) {
+            return core.createFailure(admitted.refusal);
+        }
+        const startedAt = this.options.clock.now();
+        const leave = (): void => admitted.value.leave(this.options.clock.now() - startedAt);
+        if (route.safety === core.CallSafety.Idempotent) {
+            return this.options.sender.sendRepeatable(service, call, signal).finally(leave);
+        }
+        // A call that is not repeatable runs to its end, and is recorded, whether or not its caller still waits.
+        const task = this.runOnce({ service, route, call }).finally(leave);
+        this.options.runBehind(task);
+        return this.waitWithin(task, call, signal);
     }
 
-    /** A call that is not repeatable runs to its end, and is recorded, whether or not its caller still waits. */
-    private async callOnce(
+    /** Before the ledger: a call that is refused for lack of a place costs no write. */
+    private admit(
+        fleet: core.FleetDescription,
         service: core.ServiceDescription,
-        route: core.RouteDescription,
         call: types.ServiceCall,
         signal: AbortSignal,
-    ): Promise<CallOutcome> {
-        const task = this.runOnce({ service, route, call });
-        this.options.runBehind(task);
-        return this.waitWithin(task, call, signal);
+    ): Promise<core.Outcome<admissionDesk.Ticket>> {
+        const caller = fleet.callers.find(candidate => candidate.id === call.caller);
+        this.options.retryBudget.onRequest();
+        return this.options.admission.enter(
+            {
+                queue: `service/${service.id}/${call.requestClass}`,
+                caller: call.caller,
+                weight: caller?.weight ?? 1,
+                cost: 1,
+                deadlineAt: call.deadlineAt,
+                getLimit: () => this.options.sender.getLimit(service, call.requestClass),
+            },
+            signal,
+        );
     }
 
     private async runOnce(target: callSender.CallTarget): Promise<CallOutcome> {
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -78,7 +78,18 @@
         inFlight: count,
         queued: count,
     }),
-    zod.object({ kind: zod.literal(types.MessageKind.SuspectReport), fingerprint: name, deaths: count }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.OnlineTotal),
+        upstream: name,
+        inFlight: count,
+        isLeaving: zod.boolean(),
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SuspectReport),
+        fingerprint: name,
+        deaths: count,
+        deathsByUpstream: zod.record(name, count).optional(),
+    }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -28,6 +28,7 @@
     LedgerRecord = "LedgerRecord",
     JobCancelled = "JobCancelled",
     OnlinePressure = "OnlinePressure",
+    OnlineTotal = "OnlineTotal",
     SuspectReport = "SuspectReport",
     Refused = "Refused",
 }
@@ -116,11 +117,23 @@
     readonly queued: number;
 }
 
+/** The home's answer to `OnlinePressure`: what it knows of the upstream. */
+export interface OnlineTotal {
+    readonly kind: MessageKind.OnlineTotal;
+    readonly upstream: core.UpstreamId;
+    /** Online requests there, over all instances. */
+    readonly inFlight: number;
+    /** The upstream says itself that it takes no new work. */
+    readonly isLeaving: boolean;
+}
+
 /** A request that was in flight when an upstream died. */
 export interface SuspectReport {
     readonly kind: MessageKind.SuspectReport;
     readonly fingerprint: string;
     readonly deaths: number;
+    /** Deaths on each upstream; merging takes the higher count of each, so that a repeated report adds nothing. */
+    readonly deathsByUpstream?: Readonly<Record<core.UpstreamId, number>>;
 }
 
 /** The peer could not serve a request; `text` says why. */
@@ -144,6 +157,7 @@
     | LedgerRecord
     | JobCancelled
     | OnlinePressure
+    | OnlineTotal
     | SuspectReport
     | Refused;
 
