--- a/packages/entry/src/dispatch/deadline.ts
+++ b/packages/entry/src/dispatch/deadline.ts
@@ -1,3 +1,4 @@
+import * as events from "node:events";
 import type * as core from "@boragedale/core";
 
 /** Aborts when the outer signal does or when the deadline passes; tells which. */
@@ -16,6 +17,8 @@
             this.hasPassed = true;
             this.abort();
         });
+        // One signal may end all items of a chunk; node would take its listeners for a leak.
+        events.EventEmitter.setMaxListeners(0, outer);
         outer.addEventListener("abort", this.abort, { once: true });
         if (outer.aborted) {
             this.abort();
--- /dev/null
+++ b/packages/entry/test/batchLanes.test.ts
@@ -0,0 +1,152 @@
+import * as assert from "node:assert/strict";
+import * as uvu from "uvu";
+import * as core from "@boragedale/core";
+import * as standins from "@boragedale/standins";
+import * as upstreams from "@boragedale/upstreams";
+import * as work from "@boragedale/work";
+import * as dispatch from "../src/dispatch/index.js";
+import * as fixtures from "./dispatchFixtures.js";
+
+const suite = uvu.suite("batch lanes");
+
+/** Answers two tokens and then runs until it is cancelled, or a resumed run to the end. */
+async function* answerSlowly(
+    request: upstreams.EngineRequest,
+    signal: AbortSignal,
+): AsyncGenerator<upstreams.EngineEvent> {
+    if (request.resumeAfter !== undefined) {
+        yield* fixtures.answerWhole(request);
+        return;
+    }
+    yield { kind: upstreams.EngineEventKind.Accepted };
+    for (const text of fixtures.wholeAnswer.slice(0, 2)) {
+        yield { kind: upstreams.EngineEventKind.Token, text, tokens: 1 };
+    }
+    await new Promise<void>(resolve => signal.addEventListener("abort", () => resolve()));
+    const failure = { kind: upstreams.EngineFailureKind.Cancelled, text: "cancelled" };
+    yield { kind: upstreams.EngineEventKind.Failed, failure };
+}
+
+function createItem(index: number): work.JobItem {
+    const body = { model: "model-1", messages: [{ role: "user", content: `notice ${index}` }] };
+    return { index, customId: `item-${index}`, method: "POST", url: "/v1/chat/completions", body };
+}
+
+function createContext(clock: core.Clock): work.ItemContext {
+    return { job: "job-1", caller: "caller-1", generation: 1, deadlineAt: clock.wallNow() + 1_000_000 };
+}
+
+suite("sends batch items to an upstream from its home only", async () => {
+    // Three instances have items. If each sent what it saw fit, the engine would hold three times the batch that any of
+    // them knows of. Only the instance that all agree on as the engine's home has places for it.
+    const engines = { "engine-1": new fixtures.ScriptedEngine(fixtures.answerWhole) };
+    const hub = new standins.MemoryPeerHub();
+    const clock = new core.VirtualClock();
+    const live = ["instance-1", "instance-2", "instance-3"];
+    const fleet = live.map(instance => fixtures.createDispatcherFixture({ engines, hub, clock, live, instance }));
+    await clock.advance(10_000);
+    const free = fleet.map(fixture => fixture.dispatcher.getFreeBatchSlots());
+    assert.equal(free.filter(slots => slots > 0).length, 1);
+    const outcomes = await Promise.all(
+        fleet.map(fixture => {
+            const executor = new dispatch.DispatchingItemExecutor({ clock, dispatcher: fixture.dispatcher });
+            return executor.execute(createItem(1), createContext(clock), fixtures.neverAborted);
+        }),
+    );
+    const done = outcomes.map(outcome => outcome.kind === work.ItemOutcomeKind.Succeeded);
+    assert.deepEqual(
+        done,
+        free.map(slots => slots > 0),
+    );
+    assert.ok(
+        outcomes.every((outcome, index) => done[index] === true || outcome.kind === work.ItemOutcomeKind.GaveWay),
+    );
+    await Promise.all(fleet.map(fixture => fixture[Symbol.asyncDispose]()));
+});
+
+suite("lets batch streams give way to a burst on another instance, and resumes them with their tokens", async () => {
+    // Batch items fill an idle engine. Then callers of another instance burst onto it. That instance tells the engine's
+    // home at once, which cancels streams; the items cost no attempt, and when they run again the engine is asked only for
+    // what follows the text that was kept. The item's answer is the one of an uninterrupted run.
+    const engine = new fixtures.ScriptedEngine(answerSlowly);
+    const hub = new standins.MemoryPeerHub();
+    const clock = new core.VirtualClock();
+    const live = ["instance-1", "instance-2"];
+    const create = (instance: string): fixtures.DispatcherFixture =>
+        fixtures.createDispatcherFixture({ engines: { "engine-1": engine }, hub, clock, live, instance });
+    const both = [create("instance-1"), create("instance-2")];
+    await clock.advance(10_000);
+    const home = core.Debug.checkDefined(
+        both.find(fixture => fixture.dispatcher.getFreeBatchSlots() > 0),
+        "home",
+    );
+    const other = core.Debug.checkDefined(
+        both.find(fixture => fixture !== home),
+        "other",
+    );
+    const executor = new dispatch.DispatchingItemExecutor({ clock, dispatcher: home.dispatcher });
+    const run = (index: number): Promise<work.ItemOutcome> =>
+        executor.execute(createItem(index), createContext(clock), fixtures.neverAborted);
+    // A new home starts slowly, and counts on half of the places until the one before must have noticed.
+    await clock.advance(6_000);
+    const ended = new Map<number, work.ItemOutcome>();
+    let count = 0;
+    while (executor.getFreeSlots() > 0) {
+        const index = count++;
+        void run(index).then(outcome => ended.set(index, outcome));
+        await clock.advance(10);
+    }
+    assert.ok(count > 2);
+    const controller = new AbortController();
+    const online = Array.from({ length: 8 }, (...[, index]: [unknown, number]) =>
+        fixtures.collectAnswer(
+            other.dispatcher.complete(
+                fixtures.createCompletion({ id: `online-${index}`, deadlineAt: clock.now() + 30_000 }),
+                controller.signal,
+            ),
+        ),
+    );
+    await clock.advance(200);
+    const shifted = home.telemetry.timeLine.read({ number: 507 });
+    assert.ok(shifted.length > 0);
+    assert.ok(ended.size > 0);
+    assert.ok([...ended.values()].every(outcome => outcome.kind === work.ItemOutcomeKind.GaveWay));
+    const resumed = core.Debug.checkDefined([...ended.keys()][0], "an item that gave way");
+    controller.abort();
+    await Promise.all(online);
+    await clock.advance(2_000);
+    const again = await run(resumed);
+    assert.ok(again.kind === work.ItemOutcomeKind.Succeeded);
+    const body = again.body as { choices: readonly { message: { content: string } }[] };
+    assert.equal(body.choices[0]?.message.content, fixtures.wholeAnswer.join(""));
+    assert.equal(engine.requests.at(-1)?.resumeAfter?.text, fixtures.wholeAnswer.slice(0, 2).join(""));
+    await Promise.all(both.map(fixture => fixture[Symbol.asyncDispose]()));
+});
+
+suite("gives no new work to an engine that says that it is leaving, on any instance", async () => {
+    // The engine's own answer says that it is leaving while the release note still lists it. Its home finds out and tells
+    // the others; a few seconds later nobody sends it anything, batch or online.
+    const leaving = new fixtures.ScriptedEngine(fixtures.answerWhole);
+    const staying = new fixtures.ScriptedEngine(fixtures.answerWhole);
+    const engines = { "engine-1": leaving, "engine-2": staying };
+    const hub = new standins.MemoryPeerHub();
+    const clock = new core.VirtualClock();
+    const live = ["instance-1", "instance-2"];
+    const fleet = live.map(instance => fixtures.createDispatcherFixture({ engines, hub, clock, live, instance }));
+    leaving.isLeaving = true;
+    await clock.advance(2_000);
+    for (let index = 0; index < 20; index++) {
+        const body = { messages: [{ role: "user", content: `prompt ${index}` }] };
+        const request = fixtures.createCompletion({ id: `request-${index}`, body });
+        const fixture = core.Debug.checkDefined(fleet[index % 2], "instance");
+        await fixtures.collectAnswer(fixture.dispatcher.complete(request, fixtures.neverAborted));
+    }
+    assert.equal(leaving.requests.length, 0);
+    assert.equal(staying.requests.length, 20);
+    leaving.isLeaving = false;
+    await clock.advance(12_000);
+    assert.ok(fleet.some(fixture => fixture.dispatcher.getFreeBatchSlots() > 0));
+    await Promise.all(fleet.map(fixture => fixture[Symbol.asyncDispose]()));
+});
+
+suite.run();
