--- /dev/null
+++ b/packages/entry/test/wire.test.ts
@@ -0,0 +1,151 @@
+import * as assert from "node:assert/strict";
+import * as uvu from "uvu";
+import * as core from "@boragedale/core";
+import * as standins from "@boragedale/standins";
+import * as upstreams from "@boragedale/upstreams";
+import * as dispatch from "../src/dispatch/index.js";
+import * as fixtures from "./dispatchFixtures.js";
+
+/** Faults of real connections: the dispatcher, its HTTP clients and the stand-ins over loopback. */
+const suite = uvu.suite("wire");
+
+const limits: Partial<upstreams.ConnectionLimits> = { firstTokenMilliseconds: 1_000, interTokenMilliseconds: 150 };
+
+function startEngine(): Promise<standins.EngineStandin> {
+    return standins.createEngineStandin({
+        model: { timeScale: 0.2 },
+        holdings: { models: [{ model: "model-1", version: "1", adapters: [] }] },
+    });
+}
+
+function createWiredFixture(
+    engines: Readonly<Record<core.UpstreamId, standins.EngineStandin>>,
+): fixtures.DispatcherFixture {
+    const clock = new core.SystemClock();
+    const clients = Object.entries(engines).map(([upstream, engine]) => {
+        const events = fixtures.createTelemetry(clock);
+        const options = { upstream, url: engine.url, clock, telemetry: events, limits };
+        return [upstream, new upstreams.HttpEngineClient(options)] as const;
+    });
+    return fixtures.createFixtureOn(clock, { engines: Object.fromEntries(clients) });
+}
+
+function createRequest(clock: core.Clock, content: string, id = "request-1"): dispatch.CompletionRequest {
+    const body = { messages: [{ role: "user", content }], max_tokens: 20 };
+    return fixtures.createCompletion({ id, body, deadlineAt: clock.now() + 30_000 });
+}
+
+/** Runs a request and calls `act` with the engine that runs it once the caller has three tokens. */
+async function interrupt(
+    fixture: fixtures.DispatcherFixture,
+    engines: Readonly<Record<core.UpstreamId, standins.EngineStandin>>,
+    act: (engine: standins.EngineStandin) => void,
+): Promise<string> {
+    let text = "";
+    let tokens = 0;
+    const request = createRequest(fixture.clock, "a place for Nimal");
+    for await (const event of fixture.dispatcher.complete(request, fixtures.neverAborted)) {
+        assert.notEqual(event.kind, dispatch.StreamEventKind.Refused);
+        if (event.kind === dispatch.StreamEventKind.Token) {
+            text += event.text;
+            tokens++;
+            if (tokens === 3) {
+                const engine = Object.values(engines).find(candidate => candidate.requests.length > 0);
+                act(core.Debug.checkDefined(engine, "engine"));
+            }
+        }
+    }
+    return text;
+}
+
+suite("resumes a stream whose connection went silent or broke, without losing or doubling a byte", async () => {
+    // The caller reads its answer; mid-way the connection to the engine goes silent for good, or breaks. What it gets in
+    // the end is, byte for byte, what an uninterrupted run gives.
+    const acts: readonly ((engine: standins.EngineStandin) => void)[] = [
+        () => undefined,
+        engine => engine.silenceConnections(),
+        engine => engine.breakConnections(),
+    ];
+    const texts: string[] = [];
+    for (const act of acts) {
+        await using first = await startEngine();
+        await using second = await startEngine();
+        const engines = { "engine-1": first, "engine-2": second };
+        await using fixture = createWiredFixture(engines);
+        texts.push(await interrupt(fixture, engines, act));
+    }
+    assert.notEqual(texts[0], "");
+    assert.equal(texts[1], texts[0]);
+    assert.equal(texts[2], texts[0]);
+});
+
+suite("frees the engine's place when the caller goes away", async () => {
+    // The caller closes its page after the first token of an answer that would take hours. Nothing but the cancel can make
+    // the engine let go of it.
+    await using engine = await startEngine();
+    await using fixture = createWiredFixture({ "engine-1": engine });
+    const controller = new AbortController();
+    const request = createRequest(fixture.clock, "a long answer");
+    for await (const event of fixture.dispatcher.complete(request, controller.signal)) {
+        if (event.kind === dispatch.StreamEventKind.Token) {
+            engine.faults.slowdown = 1_000_000;
+            controller.abort();
+        }
+    }
+    while (engine.model.getInFlight() > 0) {
+        await new Promise<void>(resolve => setImmediate(resolve));
+    }
+});
+
+suite("loses two engines at most to a request that crashes them", async () => {
+    const started = await Promise.all([startEngine(), startEngine(), startEngine(), startEngine()]);
+    const engines = Object.fromEntries(started.map((engine, index) => [`engine-${index + 1}`, engine]));
+    await using fixture = createWiredFixture(engines);
+    for (let index = 0; index < 3; index++) {
+        const request = createRequest(fixture.clock, standins.CrashMark, `request-${index}`);
+        const answer = await fixtures.collectAnswer(fixture.dispatcher.complete(request, fixtures.neverAborted));
+        assert.equal(fixtures.getRefusal(answer)?.kind, core.RefusalKind.Quarantined);
+    }
+    const crashed = started.filter(engine => engine.requests.length > 0);
+    assert.equal(crashed.length, 2);
+    const innocent = createRequest(fixture.clock, "a place for Nimal", "innocent");
+    const answer = await fixtures.collectAnswer(fixture.dispatcher.complete(innocent, fixtures.neverAborted));
+    assert.equal(answer.end?.kind, dispatch.StreamEventKind.Finished);
+    await Promise.all(started.map(engine => engine[Symbol.asyncDispose]()));
+});
+
+suite("runs a booking once when its server dies before or after running it", async () => {
+    // The server breaks the connection. The caller can't see whether before or after the booking ran; in neither case may
+    // another server get it. Asked for the key, the service tells what became of it.
+    for (const fault of ["deathsBeforeRun", "deathsAfterRun"] as const) {
+        await using service = await standins.createServiceStandin();
+        const clock = new core.SystemClock();
+        const client = new upstreams.HttpServiceClient({ upstream: "server-1", url: service.url, clock });
+        const fleet = fixtures.createFleet({ servers: ["server-1"], safety: core.CallSafety.Askable });
+        await using fixture = fixtures.createFixtureOn(clock, { services: { "server-1": client }, fleet });
+        service.faults[fault] = 1;
+        const call = fixtures.createCall({ deadlineAt: clock.now() + 30_000 });
+        const outcome = await fixture.dispatcher.callService(call, fixtures.neverAborted);
+        assert.ok(outcome.ok, fault);
+        assert.equal(service.runs.get("key-1"), 1, fault);
+    }
+});
+
+suite("doesn't send a booking twice when its connection has gone silent", async () => {
+    // An open connection goes silent while idle. The next booking must not be lost on it: the way is tried with a new
+    // connection instead, and the booking runs exactly once.
+    await using service = await standins.createServiceStandin();
+    const clock = new core.VirtualClock();
+    const client = new upstreams.HttpServiceClient({ upstream: "server-1", url: service.url, clock });
+    await using fixture = fixtures.createDispatcherFixture({ services: { "server-1": client }, clock });
+    const first = await fixture.dispatcher.callService(fixtures.createCall(), fixtures.neverAborted);
+    assert.ok(first.ok);
+    service.silenceConnections();
+    await clock.advance(3_000);
+    const call = fixtures.createCall({ key: "key-2" });
+    const second = await fixture.dispatcher.callService(call, fixtures.neverAborted);
+    assert.ok(second.ok);
+    assert.equal(service.runs.get("key-2"), 1);
+});
+
+suite.run();
