--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -200,7 +200,6 @@
         ledger: parts.ledger,
         membership: parts.membership,
         peers: parts.network,
-        dataCentre: parts.settings.dataCentre,
         notes: parts.keeper,
         createEngineClient: upstream =>
             new upstreams.HttpEngineClient({ upstream: upstream.id, url: upstream.url, clock, telemetry: events }),
--- a/packages/entry/src/dispatch/admissionDesk.ts
+++ b/packages/entry/src/dispatch/admissionDesk.ts
@@ -11,6 +11,8 @@
     readonly deadlineAt: core.MonotonicMilliseconds;
     /** Requests of this queue that may run here at once; read again whenever one of them could start. */
     readonly getLimit: () => number;
+    /** Whether the request costs less than others now, such as one whose prefix is cached where a place is free. */
+    readonly isPreferred?: () => boolean;
 }
 
 /** Leave to run. It must be given back, with the time that running took where that teaches something. */
@@ -23,9 +25,11 @@
     readonly random: () => number;
     /** Time that one unit of cost takes until some have been seen, in milliseconds. */
     readonly expectedMillisecondsPerCost: number;
+    readonly expectedCost: number;
 }
 
 interface Waiter {
+    readonly isPreferred: () => boolean;
     readonly settle: (outcome: core.Outcome<Ticket>) => void;
 }
 
@@ -51,6 +55,7 @@
         state.queue.setLimit(request.getLimit());
         return new Promise(resolve => {
             const waiter: Waiter = {
+                isPreferred: request.isPreferred ?? (() => false),
                 settle: outcome => {
                     signal.removeEventListener("abort", cancel);
                     resolve(outcome);
@@ -88,8 +93,13 @@
     private getQueue(request: AdmissionRequest): QueueState {
         let state = this.queues.get(request.queue);
         if (state === undefined) {
-            const { random, expectedMillisecondsPerCost } = this.options;
-            const queue = new decisions.AdmissionQueue<Waiter>({ limit: 0, expectedMillisecondsPerCost, random });
+            const { random, expectedMillisecondsPerCost, expectedCost } = this.options;
+            const queue = new decisions.AdmissionQueue<Waiter>({
+                limit: 0,
+                expectedMillisecondsPerCost,
+                expectedCost,
+                random,
+            });
             state = { queue, getLimit: request.getLimit, stopTimer: undefined };
             this.queues.set(request.queue, state);
         }
@@ -115,7 +125,9 @@
         }
         const now = this.options.clock.now();
         state.queue.setLimit(state.getLimit());
-        for (let item = state.queue.take(now); item !== undefined; item = state.queue.take(now)) {
+        const take = (): decisions.AdmissionItem<Waiter> | undefined =>
+            state.queue.take(now, waiter => waiter.isPreferred());
+        for (let item = take(); item !== undefined; item = take()) {
             item.value.settle(core.createSuccess(this.createTicket(state, item.cost)));
         }
         for (const item of state.queue.expire(now)) {
--- a/packages/entry/src/dispatch/fleetDispatcher.ts
+++ b/packages/entry/src/dispatch/fleetDispatcher.ts
@@ -13,6 +13,7 @@
 import * as engineChooser from "./engineChooser.js";
 import * as engineTable from "./engineTable.js";
 import * as pressureNotifier from "./pressureNotifier.js";
+import * as requestProfile from "./requestProfile.js";
 import * as serverLimits from "./serverLimits.js";
 import * as serviceCaller from "./serviceCaller.js";
 import * as suspectWatch from "./suspectWatch.js";
@@ -70,11 +71,13 @@
             clock,
             random,
             expectedMillisecondsPerCost: ExpectedMillisecondsPerToken,
+            expectedCost: requestProfile.UsualTokens,
         });
         this.serviceAdmission = new admissionDesk.AdmissionDesk({
             clock,
             random,
             expectedMillisecondsPerCost: ExpectedMillisecondsPerCall,
+            expectedCost: 1,
         });
         this.completions = this.createCompletionRunner(shared);
         this.services = this.createServiceCaller(shared);
@@ -167,7 +170,8 @@
             return;
         }
         if (home === membership.getSelf()) {
-            this.lanes.onPressure(upstream, { ...pressure, instance: home });
+            const total = this.lanes.onPressure(upstream, { ...pressure, instance: home });
+            this.placement.onOnlineTotal(upstream, total ?? pressure.inFlight, this.options.clock.now());
             return;
         }
         const message: protocol.OnlinePressure = { kind: protocol.MessageKind.OnlinePressure, upstream, ...pressure };
--- a/packages/entry/src/dispatch/requestProfile.ts
+++ b/packages/entry/src/dispatch/requestProfile.ts
@@ -16,7 +16,7 @@
 /** Characters of each message that count for the prefix: past these, prompts that share a beginning share a cache. */
 const PrefixCharacters = 1_024;
 /** Tokens that an answer without a limit is taken to have. */
-const UsualTokens = 256;
+export const UsualTokens = 256;
 /** Limits far above any answer are common; counting them in full would refuse requests that end early. */
 const MostTokens = 1_024;
 const LeastTokens = 16;
--- a/packages/tools/src/runTests.ts
+++ b/packages/tools/src/runTests.ts
@@ -17,7 +17,8 @@
 }
 
 const RootFolder = path.resolve(import.meta.dirname, "../../../..");
-const FileTimeoutMilliseconds = 240_000;
+/** A file that doesn't end has left something running; it counts as failed. */
+const FileTimeoutMilliseconds = 120_000;
 
 void main();
 
