--- a/packages/entry/src/membership/fleetMembership.ts
+++ b/packages/entry/src/membership/fleetMembership.ts
@@ -1,7 +1,7 @@
 import * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
 import type * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
-import * as rendezvous from "./rendezvous.js";
 
 export interface MembershipOptions {
     readonly self: core.InstanceDescription;
@@ -87,12 +87,12 @@
     }
 
     override tryGetHolder(duty: string): core.InstanceId | undefined {
-        return rendezvous.tryChooseHolder(getIds(this.live), duty);
+        return decisions.rendezvous(duty, getIds(this.live));
     }
 
     override tryGetHolderIn(dataCentre: core.DataCentre, duty: string): core.InstanceId | undefined {
         const near = this.live.filter(instance => instance.dataCentre === dataCentre);
-        return rendezvous.tryChooseHolder(getIds(near.length > 0 ? near : this.live), duty);
+        return decisions.rendezvous(duty, getIds(near.length > 0 ? near : this.live));
     }
 
     override isGone(instance: core.InstanceId): boolean {
@@ -133,7 +133,7 @@
     /** The peers to stay linked with: the same few for as long as they live, and different ones for each instance. */
     getNeighbours(): readonly protocol.PeerAddress[] {
         const others = this.live.filter(instance => instance.id !== this.options.self.id);
-        const chosen = rendezvous.rankHolders(getIds(others), `neighbour/${this.options.self.id}`).slice(0, Neighbours);
+        const chosen = decisions.chooseSubset(`neighbour/${this.options.self.id}`, getIds(others), Neighbours);
         return chosen.flatMap(id => this.tryGetAddress(id) ?? []);
     }
 
--- a/packages/entry/src/membership/index.ts
+++ b/packages/entry/src/membership/index.ts
@@ -1,3 +1,2 @@
 /** Who is in the fleet, and who holds which duty. */
 export * from "./fleetMembership.js";
-export * from "./rendezvous.js";
--- a/packages/release/src/rolloutClaims.ts
+++ b/packages/release/src/rolloutClaims.ts
@@ -69,6 +69,8 @@
 export class ClaimStore implements AsyncDisposable {
     private lease: platform.LeaseId | undefined;
     private leaseValidUntil: core.MonotonicMilliseconds = 0;
+    /** Upstreams whose claims rest on the lease; without any it is let lapse, since renewals count as calls. */
+    private readonly held = new Set<core.UpstreamId>();
     private granting: Promise<platform.LeaseId | undefined> | undefined;
     private readonly stopper = new AbortController();
     private readonly task: Promise<void>;
@@ -109,6 +111,7 @@
             lease,
             purpose: platform.CallPurpose.Claim,
         });
+        this.held.add(upstream);
         if (result.ok) {
             return result.value.swapped ? createClaim(stored, result.value.revision) : undefined;
         }
@@ -123,9 +126,17 @@
             value: undefined,
             purpose: platform.CallPurpose.Claim,
         });
+        if (result.ok) {
+            this.forget(claim.upstream);
+        }
         return result.ok;
     }
 
+    /** Leaves a claim to the next home: it no longer keeps the lease alive. */
+    forget(upstream: core.UpstreamId): void {
+        this.held.delete(upstream);
+    }
+
     /** Whether this instance's claims surely still stand, as far as a clock can tell. */
     isLeaseValid(): boolean {
         return this.lease !== undefined && this.clock.now() < this.leaseValidUntil;
@@ -168,7 +179,7 @@
         const signal = this.stopper.signal;
         while (!signal.aborted) {
             await this.clock.sleep(KeepAliveMilliseconds, signal);
-            if (this.lease !== undefined && !signal.aborted) {
+            if (this.lease !== undefined && this.held.size > 0 && !signal.aborted) {
                 await this.keepAlive(this.lease);
             }
         }
--- a/packages/release/src/upstreamRollout.ts
+++ b/packages/release/src/upstreamRollout.ts
@@ -148,6 +148,7 @@
         if (tenure.claim !== undefined && tenure.lastOrder === undefined) {
             await this.claims.remove(tenure.claim);
         }
+        this.claims.forget(tenure.upstream);
     }
 
     /** One look and one step; returns how long to wait for the next. */
@@ -399,11 +400,16 @@
     }
 
     private holdClaim(tenure: Tenure, claim: rolloutClaims.Claim | undefined): void {
+        if (claim === undefined) {
+            this.dropClaim(tenure);
+            return;
+        }
         tenure.claim = claim;
-        tenure.claimedSince = claim === undefined ? undefined : this.options.clock.now();
+        tenure.claimedSince = this.options.clock.now();
     }
 
     private dropClaim(tenure: Tenure): void {
+        this.claims.forget(tenure.upstream);
         tenure.claim = undefined;
         tenure.claimedSince = undefined;
     }
--- a/packages/tools/src/measureRelease.ts
+++ b/packages/tools/src/measureRelease.ts
@@ -64,6 +64,9 @@
             await measureForce(size, way);
         }
     }
+}
+
+async function measureLinks(): Promise<void> {
     console.log(
         "| instances | links an instance | bytes/s sent an instance | CPU % of a core an instance | heap MB an instance |",
     );
