--- a/packages/platform/src/callPacer.ts
+++ b/packages/platform/src/callPacer.ts
@@ -19,6 +19,8 @@
     readonly guaranteedPart: number;
     /** Longest wait in the queue, in milliseconds; a call that would wait longer is refused at once. */
     readonly longestWaitMilliseconds: number;
+    /** Whether calls may take the last token; others leave it, except for their guaranteed part. */
+    readonly mayTakeLastToken: boolean;
 }
 
 export type PurposeLimits = Readonly<Record<types.CallPurpose, PurposeLimit>>;
@@ -26,19 +28,25 @@
 /**
  * Urgency alone would starve leases while the ledger is busy, and the instance would lose its leases just when it has
  * most to do; so each purpose keeps a part of its own. The waits follow who waits: a caller behind `Ledger` and
- * `Note`, engines with work in hand behind the rest.
+ * `Note`, engines with work in hand behind the rest. For the same reason these two alone may take the last token: in
+ * a large fleet a token comes every second or two, and a backlog of checkpoints that took each one as it came would
+ * keep every booking waiting for the next.
  */
 export const DefaultPurposeLimits: PurposeLimits = {
-    [types.CallPurpose.Ledger]: { guaranteedPart: 0.2, longestWaitMilliseconds: 2_000 },
-    [types.CallPurpose.Note]: { guaranteedPart: 0.1, longestWaitMilliseconds: 2_000 },
-    [types.CallPurpose.Claim]: { guaranteedPart: 0.1, longestWaitMilliseconds: 5_000 },
-    [types.CallPurpose.Checkpoint]: { guaranteedPart: 0.1, longestWaitMilliseconds: 5_000 },
-    [types.CallPurpose.Lease]: { guaranteedPart: 0.1, longestWaitMilliseconds: 5_000 },
-    [types.CallPurpose.JobInput]: { guaranteedPart: 0.1, longestWaitMilliseconds: 10_000 },
-    [types.CallPurpose.Read]: { guaranteedPart: 0.1, longestWaitMilliseconds: 5_000 },
-    [types.CallPurpose.Watch]: { guaranteedPart: 0.05, longestWaitMilliseconds: 30_000 },
+    [types.CallPurpose.Ledger]: createLimit(0.2, 2_000, true),
+    [types.CallPurpose.Note]: createLimit(0.1, 2_000, true),
+    [types.CallPurpose.Claim]: createLimit(0.1, 5_000),
+    [types.CallPurpose.Checkpoint]: createLimit(0.1, 5_000),
+    [types.CallPurpose.Lease]: createLimit(0.1, 5_000),
+    [types.CallPurpose.JobInput]: createLimit(0.1, 10_000),
+    [types.CallPurpose.Read]: createLimit(0.1, 5_000),
+    [types.CallPurpose.Watch]: createLimit(0.05, 30_000),
 };
 
+function createLimit(guaranteedPart: number, longestWaitMilliseconds: number, mayTakeLastToken = false): PurposeLimit {
+    return { guaranteedPart, longestWaitMilliseconds, mayTakeLastToken };
+}
+
 /** A call that waits for its turn. */
 export interface PacedCall {
     readonly purpose: types.CallPurpose;
@@ -56,6 +64,8 @@
 
 /** Part of the share that a burst may take at once; the steady rate is the rest, so that one second never exceeds it. */
 const BurstPart = 0.2;
+/** One token to leave for urgent calls, and one for the call that leaves it. */
+const SmallestBurst = 2;
 const SlowestFactor = 0.1;
 const FactorRecoveryPerSecond = 0.1;
 
@@ -65,7 +75,8 @@
  * Load: a fleet whose wishes together exceed the service's rate, and a service that comes back after an outage with
  * every instance's backlog waiting. Harm prevented: the service refuses everyone's calls once its rate is exceeded,
  * the ledger's among them. Limits: the instance takes its share of the fleet's budget. In any second a share of at
- * least 5 calls is kept exactly, since burst and steady rate add up to it; a smaller one may exceed it by one call.
+ * least 10 calls is kept exactly, since burst and steady rate add up to it; a smaller one may exceed it by less than
+ * two calls, which the service would notice only if all instances did so in the same second.
  */
 export class CallPacer<T extends PacedCall> {
     private readonly queues = new Map<types.CallPurpose, T[]>(PurposesByUrgency.map(purpose => [purpose, []]));
@@ -113,7 +124,7 @@
     /** Takes the call that goes now, or undefined where none may. */
     tryTake(now: core.MonotonicMilliseconds): T | undefined {
         this.refill(now);
-        const purpose = now < this.pausedUntil || !this.total.hasToken() ? undefined : this.tryGetNextPurpose();
+        const purpose = now < this.pausedUntil ? undefined : this.tryGetNextPurpose();
         if (purpose === undefined) {
             return undefined;
         }
@@ -124,11 +135,10 @@
 
     /** Milliseconds until a queued call may go; undefined where none is queued. */
     getDelay(now: core.MonotonicMilliseconds): number | undefined {
-        if (this.getQueueLength() === 0) {
-            return undefined;
-        }
         this.refill(now);
-        return Math.max(this.total.getDelay(), this.pausedUntil - now, 0);
+        const waiting = this.getWaitingPurposes();
+        const delays = waiting.map(purpose => this.getPurposeDelay(purpose, 1, 1));
+        return waiting.length === 0 ? undefined : Math.max(Math.min(...delays), this.pausedUntil - now, 0);
     }
 
     /** Takes a call out that was given up on; false where it had gone already. */
@@ -161,39 +171,57 @@
 
     /**
      * Starts over after an outage with less than one token, at a `phase` (0 to 1) of its own: full buckets on all
-     * instances would spend together, in one instant, far more than the service's rate.
+     * instances would spend together, in one instant, far more than the service's rate. The guaranteed parts get the
+     * phase too: emptied, they would all be full again at the same later instant.
      */
     restart(now: core.MonotonicMilliseconds, phase: number): void {
         this.refill(now);
-        this.total.empty();
-        this.total.add(phase);
-        this.guaranteed.forEach(bucket => bucket.empty());
+        this.total.limitTo(phase);
+        this.guaranteed.forEach(bucket => bucket.limitTo(phase));
     }
 
     /** Purposes with a guaranteed token go first, by urgency; what is left goes by urgency alone. */
     private tryGetNextPurpose(): types.CallPurpose | undefined {
-        const waiting = PurposesByUrgency.filter(purpose => this.getQueue(purpose).length > 0);
-        return waiting.find(purpose => this.getGuaranteed(purpose).hasToken()) ?? waiting[0];
+        const waiting = this.getWaitingPurposes();
+        const guaranteed = waiting.find(purpose => this.getGuaranteed(purpose).hasToken());
+        if (guaranteed !== undefined) {
+            return this.total.hasToken() ? guaranteed : undefined;
+        }
+        return waiting.find(purpose => this.total.hasToken(1 + this.getLeftTokens(purpose)));
+    }
+
+    private getWaitingPurposes(): readonly types.CallPurpose[] {
+        return PurposesByUrgency.filter(purpose => this.getQueue(purpose).length > 0);
+    }
+
+    /** Tokens that a call of this purpose leaves to more urgent ones. */
+    private getLeftTokens(purpose: types.CallPurpose): number {
+        return this.limits[purpose].mayTakeLastToken ? 0 : 1;
     }
 
     private estimateWait(purpose: types.CallPurpose, now: core.MonotonicMilliseconds): number {
         const urgency = PurposesByUrgency.indexOf(purpose);
         const before = PurposesByUrgency.slice(0, urgency + 1);
         const ahead = before.reduce((sum, other) => sum + this.getQueue(other).length, 0);
-        const byUrgency = this.total.getDelay(ahead + 1);
-        const byGuarantee = this.getGuaranteed(purpose).getDelay(this.getQueue(purpose).length + 1);
-        const wait = Math.max(Math.min(byUrgency, byGuarantee), this.total.getDelay());
+        const wait = this.getPurposeDelay(purpose, ahead + 1, this.getQueue(purpose).length + 1);
         return wait + Math.max(0, this.pausedUntil - now);
     }
 
+    /** Until the `position`th call from now by urgency, or the `ownPosition`th of the purpose's guaranteed part. */
+    private getPurposeDelay(purpose: types.CallPurpose, position: number, ownPosition: number): number {
+        const byUrgency = this.total.getDelay(position + this.getLeftTokens(purpose));
+        const byGuarantee = Math.max(this.getGuaranteed(purpose).getDelay(ownPosition), this.total.getDelay(1));
+        return Math.min(byUrgency, byGuarantee);
+    }
+
     private refill(now: core.MonotonicMilliseconds): void {
         const seconds = Math.max(0, now - this.factorChangedAt) / 1_000;
         this.factor = Math.min(1, this.factor + seconds * FactorRecoveryPerSecond);
         this.factorChangedAt = now;
         const rate = this.share * (1 - BurstPart) * this.factor;
-        this.total.refill(now, rate, this.share * BurstPart);
+        this.total.refill(now, rate, Math.max(SmallestBurst, this.share * BurstPart));
         for (const [purpose, bucket] of this.guaranteed) {
-            bucket.refill(now, rate * this.limits[purpose].guaranteedPart, this.share * BurstPart);
+            bucket.refill(now, rate * this.limits[purpose].guaranteedPart, Math.max(1, this.share * BurstPart));
         }
     }
 
@@ -219,13 +247,13 @@
     refill(now: core.MonotonicMilliseconds, ratePerSecond: number, capacity: number): void {
         const seconds = Math.max(0, now - this.refilledAt) / 1_000;
         this.rate = ratePerSecond;
-        this.capacity = Math.max(1, capacity);
+        this.capacity = capacity;
         this.tokens = Math.min(this.capacity, this.tokens + seconds * ratePerSecond);
         this.refilledAt = now;
     }
 
-    hasToken(): boolean {
-        return this.tokens >= 1 - Epsilon;
+    hasToken(count = 1): boolean {
+        return this.tokens >= count - Epsilon;
     }
 
     take(): void {
@@ -239,13 +267,13 @@
     }
 
     /** Milliseconds until `count` tokens have come. */
-    getDelay(count = 1): number {
+    getDelay(count: number): number {
         const missing = count - this.tokens;
         return missing <= Epsilon ? 0 : (missing / this.rate) * 1_000;
     }
 
-    add(tokens: number): void {
-        this.tokens = Math.min(this.capacity, this.tokens + tokens);
+    limitTo(tokens: number): void {
+        this.tokens = Math.min(this.tokens, tokens);
     }
 
     fill(): void {
