--- a/packages/platform/test/httpKeyValueService.test.ts
+++ b/packages/platform/test/httpKeyValueService.test.ts
@@ -160,6 +160,21 @@
     assert.equal([await watch.next(), await watch.next()], ["Changed b", "Removed b"]);
 });
 
+// The watch's connection goes silent for good while new ones work. The reader sees the next change all the same: the
+// service shows signs of life, and a connection without any is given up for a new one that starts where this ended.
+suite("a watch whose connection went silent goes on on a new one", async () => {
+    await using fixture = await createFixture({ watchSilenceMilliseconds: 1_500 });
+    const { client, standin } = fixture;
+    await using watch = openWatch(client, 0);
+    await client.compareAndSwap(createSwap("a", 0, "1"));
+    assert.equal(await watch.next(), "Changed a");
+    standin.silenceConnections();
+    const writer = new platform.HttpKeyValueService({ url: standin.url });
+    await writer.compareAndSwap(createSwap("b", 0, "1"));
+    await writer[Symbol.asyncDispose]();
+    assert.equal(await watch.next(), "Changed b");
+});
+
 // The service forgets old changes while the reader is away. The reader sees a gap, so that it reads the prefix again;
 // without it a withdrawn entry would stay in its memory for good.
 suite("a watch that starts behind the compaction begins with a gap", async () => {
--- a/packages/standins/src/keyValueStandin.ts
+++ b/packages/standins/src/keyValueStandin.ts
@@ -19,6 +19,8 @@
     readonly service: memory.MemoryKeyValueService;
     /** Breaks the connection of each waiting watch. */
     readonly breakWatches: () => void;
+    /** Open connections neither answer nor close from now on; new ones work. */
+    readonly silenceConnections: () => void;
 }
 
 /** Starts a stand-in that speaks a subset of etcd v3's JSON gateway. */
@@ -33,6 +35,7 @@
         faults: gateway.faults,
         service: gateway.service,
         breakWatches: () => gateway.breakWatches(),
+        silenceConnections: () => server.silenceConnections(),
         [Symbol.asyncDispose]: async () => {
             gateway.breakWatches();
             await server[Symbol.asyncDispose]();
@@ -231,7 +234,11 @@
         reply.raw.on("close", () => controller.abort());
         controller.signal.addEventListener("abort", () => reply.raw.socket?.destroy());
         reply.raw.writeHead(200, { "content-type": "application/json" });
-        const send = (result: unknown): unknown => reply.raw.write(JSON.stringify({ result }) + "\n");
+        const send = (result: unknown): void => {
+            if (!this.server.isSilenced(reply.request.raw)) {
+                reply.raw.write(JSON.stringify({ result }) + "\n");
+            }
+        };
         send({ header: this.createHeader(), created: true });
         this.sendProgress(send, controller.signal);
         const request = parseWatch(body, this.service.getRevision(), controller.signal);
@@ -247,7 +254,7 @@
     }
 
     /** Empty responses tell the client that a quiet watch still lives. */
-    private sendProgress(send: (result: unknown) => unknown, signal: AbortSignal): void {
+    private sendProgress(send: (result: unknown) => void, signal: AbortSignal): void {
         const stop = this.clock.schedule(KeepAliveMilliseconds, () => {
             send({ header: this.createHeader() });
             this.sendProgress(send, signal);
