--- /dev/null
+++ b/packages/tools/src/diskKeyValueService.ts
@@ -0,0 +1,82 @@
+import * as fileSystem from "node:fs";
+import * as platform from "@boragedale/platform";
+
+/**
+ * A key-value service whose values lie in a file, so that a measurement of this process's memory doesn't measure the
+ * service's. No leases, no watches, no faults.
+ */
+export class DiskKeyValueService extends platform.KeyValueService implements Disposable {
+    writes = 0;
+    private readonly entries = new Map<string, { revision: number; offset: number; bytes: number }>();
+    private readonly file: number;
+    private end = 0;
+
+    constructor(path: string) {
+        super();
+        this.file = fileSystem.openSync(path, "w+");
+    }
+
+    override async get(key: string): Promise<platform.KeyValueResult<platform.Entry | undefined>> {
+        return { ok: true, value: this.tryRead(key) };
+    }
+
+    override async list(request: platform.ListRequest): Promise<platform.KeyValueResult<readonly platform.Entry[]>> {
+        const keys = [...this.entries.keys()].filter(
+            key => key.startsWith(request.prefix) && (request.after === undefined || key > request.after),
+        );
+        const found = keys.sort().slice(0, request.limit);
+        return { ok: true, value: found.map(key => this.tryRead(key)).filter(entry => entry !== undefined) };
+    }
+
+    override async compareAndSwap(
+        request: platform.SwapRequest,
+    ): Promise<platform.KeyValueResult<platform.SwapOutcome>> {
+        const current = this.entries.get(request.key);
+        if ((current?.revision ?? 0) !== request.expectedRevision) {
+            return { ok: true, value: { swapped: false, current: this.tryRead(request.key) } };
+        }
+        const revision = ++this.writes;
+        if (request.value === undefined) {
+            this.entries.delete(request.key);
+            return { ok: true, value: { swapped: true, revision } };
+        }
+        if (request.value.byteLength > platform.MaximumValueBytes) {
+            throw new Error(`'${request.key}' is over the size limit`);
+        }
+        fileSystem.writeSync(this.file, request.value, 0, request.value.byteLength, this.end);
+        this.entries.set(request.key, { revision, offset: this.end, bytes: request.value.byteLength });
+        this.end += request.value.byteLength;
+        return { ok: true, value: { swapped: true, revision } };
+    }
+
+    override async grantLease(): Promise<platform.KeyValueResult<platform.LeaseId>> {
+        return { ok: true, value: "1" };
+    }
+
+    override async keepLeaseAlive(): Promise<platform.KeyValueResult<boolean>> {
+        return { ok: true, value: true };
+    }
+
+    override async revokeLease(): Promise<platform.KeyValueResult<void>> {
+        return { ok: true, value: undefined };
+    }
+
+    override async *watch(request: platform.WatchRequest): AsyncIterable<platform.WatchEvent> {
+        yield { kind: platform.WatchEventKind.Gap, revision: this.writes };
+        await new Promise<void>(resolve => request.signal.addEventListener("abort", () => resolve()));
+    }
+
+    [Symbol.dispose](): void {
+        fileSystem.closeSync(this.file);
+    }
+
+    private tryRead(key: string): platform.Entry | undefined {
+        const entry = this.entries.get(key);
+        if (entry === undefined) {
+            return undefined;
+        }
+        const value = new Uint8Array(entry.bytes);
+        fileSystem.readSync(this.file, value, 0, entry.bytes, entry.offset);
+        return { key, value, revision: entry.revision };
+    }
+}
--- a/packages/work/src/checkpointer.ts
+++ b/packages/work/src/checkpointer.ts
@@ -31,9 +31,10 @@
 
 /** Uncompressed results of one checkpoint; they fit into a value even where they don't compress. */
 export const CheckpointBytes = 850_000;
-/** Results below this size lie on the board, which saves small jobs a write. */
-const InlineBytes = 16_000;
-const InlineSegments = 8;
+/** Results of small jobs lie on the board, which saves a write; a large job's board is written too often for that. */
+const InlineBytes = 64_000;
+const InlineSegments = 4;
+const InlineJobItems = 2_000;
 
 interface ChunkResults {
     readonly chunk: heldChunk.HeldChunk;
@@ -119,6 +120,9 @@
     }
 
     private async hasRoomOnBoard(): Promise<boolean> {
+        if (this.job.total > InlineJobItems) {
+            return false;
+        }
         const board = await this.options.boards.read(this.job.id, Infinity);
         return board.ok && board.board.segments.filter(segment => segment.inline !== undefined).length < InlineSegments;
     }
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -4,3 +4,5 @@
 export * from "./ledger.js";
 export { createJobStore, KeyValueJobStore, type KeyValueJobStoreOptions } from "./jobStore.js";
 export * from "./jobRunner.js";
+export * from "./commitPacer.js";
+export * from "./jobSelection.js";
--- a/packages/work/src/itemRunner.ts
+++ b/packages/work/src/itemRunner.ts
@@ -16,11 +16,30 @@
     readonly signal: AbortSignal;
 }
 
+const RateMilliseconds = 1_000;
+const RateWeight = 0.3;
+
 /** Runs the items of the held chunks, as many at once as the executor has room for. */
 export class ItemRunner {
     private readonly turns = new jobSelection.JobSelection();
+    private ended = 0;
+    private rate = 0;
+    private ratedAt: core.MonotonicMilliseconds;
+
+    constructor(private readonly options: ItemRunnerOptions) {
+        this.ratedAt = options.clock.now();
+    }
 
-    constructor(private readonly options: ItemRunnerOptions) {}
+    /** Items that ended here in a millisecond, as lately seen. */
+    getRate(): number {
+        const passed = this.options.clock.now() - this.ratedAt;
+        if (passed >= RateMilliseconds) {
+            this.rate += RateWeight * (this.ended / passed - this.rate);
+            this.ended = 0;
+            this.ratedAt += passed;
+        }
+        return this.rate;
+    }
 
     startItems(): void {
         const { executor, clock, getChunks, signal } = this.options;
@@ -47,6 +66,7 @@
             return;
         }
         const outcome = await this.execute(chunk, waiting.position, item);
+        this.ended++;
         if (chunk.isDropped) {
             return;
         }
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -1,10 +1,11 @@
 import * as crypto from "node:crypto";
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as boards from "./board.js";
 import * as boardStore from "./boardStore.js";
+import * as claimPlan from "./claimPlan.js";
 import * as checkpointer from "./checkpointer.js";
 import * as chunkLoader from "./chunkLoader.js";
 import * as files from "./files.js";
@@ -38,7 +39,7 @@
 }
 
 const DefaultItemAttempts = 3;
-const DefaultCheckpointMilliseconds = 5_000;
+const DefaultCheckpointMilliseconds = 10_000;
 const DefaultDrainMilliseconds = 10_000;
 /** With each further instance all checkpoint a little more rarely, so that the fleet's rate of writes stays bounded. */
 const CheckpointMillisecondsPerInstance = 100;
@@ -51,13 +52,6 @@
 /** A claim that nobody renewed for so long is taken over even from an instance that seems to live. */
 const ClaimMilliseconds = 900_000;
 const RenewMilliseconds = 300_000;
-/** Items waiting here for each one that can run: work for a short outage of the key-value service. */
-const ItemsAhead = 4;
-const MaximumHeldChunks = 8;
-/** Boards that the whole fleet may read in a second to find open chunks, and the most for one instance. */
-const FleetReadsPerSecond = 400;
-const ReadsPerSecond = 40;
-const ReadBurst = 8;
 
 interface ActiveJob {
     readonly record: jobRecords.JobRecord;
@@ -88,8 +82,7 @@
     private readonly jobs = new Map<string, ActiveJob>();
     private readonly claimTurns = new jobSelection.JobSelection();
     private readonly items: itemRunner.ItemRunner;
-    private reads = ReadBurst;
-    private readsEarnedAt: core.MonotonicMilliseconds;
+    private readonly reads: claimPlan.ReadBudget;
     private readonly stopping = new AbortController();
     private readonly stopWatching = new AbortController();
     private readonly stopListening: () => void;
@@ -98,7 +91,7 @@
     constructor(private readonly options: JobRunnerOptions) {
         this.createId = options.createId ?? crypto.randomUUID;
         this.process = this.createId();
-        this.readsEarnedAt = options.clock.now();
+        this.reads = new claimPlan.ReadBudget(options.clock.now());
         this.boards = new boardStore.BoardStore({ ...options, createId: this.createId });
         this.vault = new files.FileVault(options);
         this.items = new itemRunner.ItemRunner({
@@ -172,44 +165,36 @@
         const { clock } = this.options;
         while (!this.stopping.signal.aborted) {
             await this.expireJobs();
-            for (this.earnReads(); this.reads >= 1 && this.wantsWork(); this.reads--) {
-                const job = this.claimTurns.choose(this.getClaimable(), clock.wallNow());
-                if (job === undefined) {
-                    break;
-                }
-                await this.claimFrom(job.active);
-            }
+            await this.claimWhileWanted();
             this.items.startItems();
             await clock.sleep(TickMilliseconds, this.stopping.signal);
         }
     }
 
-    private earnReads(): void {
-        const passed = this.options.clock.now() - this.readsEarnedAt;
-        this.reads = Math.min(ReadBurst, this.reads + (passed * this.getReadsPerSecond()) / 1_000);
-        this.readsEarnedAt += passed;
+    private async claimWhileWanted(): Promise<void> {
+        const { clock, membership } = this.options;
+        while (claimPlan.wantsWork(this.getAtHand())) {
+            const claimable = this.getClaimable();
+            if (claimable.length === 0 || !this.reads.tryTake(clock.now(), membership.getLiveInstances().length)) {
+                return;
+            }
+            const job = this.claimTurns.choose(claimable, clock.wallNow());
+            await this.claimFrom(core.Debug.checkDefined(job, "a claimable job").active);
+        }
     }
 
-    private getReadsPerSecond(): number {
-        const instances = Math.max(1, this.options.membership.getLiveInstances().length);
-        return Math.min(ReadsPerSecond, FleetReadsPerSecond / instances);
+    private getAtHand(): claimPlan.WorkAtHand {
+        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
+        return { chunks: this.getHeldChunks(), capacity, rate: this.items.getRate() };
     }
 
     /** Long enough for every job to be looked at before the first one is looked at again. */
     private getRecheckMilliseconds(): number {
         const instances = this.options.membership.getLiveInstances().length;
-        const wholePass = (2_000 * this.jobs.size) / this.getReadsPerSecond();
+        const wholePass = claimPlan.getPassMilliseconds(this.jobs.size, instances);
         return Math.max(RecheckMilliseconds + RecheckMillisecondsPerInstance * instances, wholePass);
     }
 
-    private wantsWork(): boolean {
-        const chunks = this.getHeldChunks().filter(chunk => !chunk.isComplete());
-        const waiting = chunks.reduce((count, chunk) => count + chunk.getWaitingCount(), 0);
-        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
-        const isLoading = chunks.some(chunk => !chunk.hasBeenLoaded());
-        return capacity > 0 && !isLoading && chunks.length < MaximumHeldChunks && waiting < capacity * ItemsAhead;
-    }
-
     private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: ActiveJob })[] {
         const { clock } = this.options;
         return [...this.jobs.values()]
@@ -233,10 +218,12 @@
             await this.endJobIfEnded(job, read);
             return;
         }
-        // A share of what is open: the other instances look at the same board.
-        const wanted = open.slice(0, Math.ceil(open.length / Math.max(1, membership.getLiveInstances().length)));
+        // Half a share of what is open: the others look at the same board, and the last chunks must not wait behind
+        // each other on one instance.
+        const share = Math.ceil(open.length / (2 * Math.max(1, membership.getLiveInstances().length)));
+        const wanted = open.slice(0, share);
         const result = await this.boards.update(record.id, platform.CallPurpose.Claim, board =>
-            boards.claimChunks(board, record, wanted.slice(0, this.getRoom(record)), claimer),
+            boards.claimChunks(board, record, wanted.slice(0, claimPlan.getRoom(this.getAtHand(), record)), claimer),
         );
         if (!result.ok) {
             job.recheckAt = clock.now() + recheck;
@@ -246,14 +233,6 @@
         this.holdClaimed(job, result.board);
     }
 
-    /** Chunks that may be claimed at once: enough for what can run, not more than fit. */
-    private getRoom(record: jobRecords.JobRecord): number {
-        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
-        const itemsOfChunk = Math.max(1, record.total / record.chunkItems.length);
-        const held = this.getHeldChunks().filter(chunk => !chunk.isComplete()).length;
-        return Math.max(1, Math.min(MaximumHeldChunks - held, Math.ceil((capacity * ItemsAhead) / itemsOfChunk)));
-    }
-
     /** Takes up all chunks that the board says are this process's, also those whose claim's reply was lost. */
     private holdClaimed(job: ActiveJob, board: boards.Board): void {
         if (boards.hasEnded(board)) {
--- a/packages/work/src/ledger.ts
+++ b/packages/work/src/ledger.ts
@@ -29,7 +29,7 @@
 }
 
 export const DefaultLedgerShards = 4;
-export const DefaultLedgerCommitsPerSecond = 80;
+export const DefaultLedgerCommitsPerSecond = 160;
 
 const DefaultRetentionMilliseconds = 7 * 86_400_000;
 const RemovalMilliseconds = 60_000;
--- a/packages/work/src/ledgerShard.ts
+++ b/packages/work/src/ledgerShard.ts
@@ -2,6 +2,7 @@
 import type * as platform from "@boragedale/platform";
 import * as telemetry from "@boragedale/telemetry";
 import * as callTable from "./callTable.js";
+import * as commitPacer from "./commitPacer.js";
 import * as ledgerHead from "./ledgerHead.js";
 import * as ledgerDecision from "./ledgerDecision.js";
 import * as requests from "./ledgerRequests.js";
@@ -42,7 +43,6 @@
 };
 /** A held `Wait` is answered after this time at the latest, so that a waiter notices when the shard has moved. */
 const WaitMilliseconds = 2_000;
-const CommitBurst = 4;
 
 /**
  * One shard of the ledger, as its holder works on it: one compare-and-swap at a time, and all that arrives meanwhile
@@ -53,13 +53,12 @@
     private readonly head: ledgerHead.LedgerHead;
     private removeBefore: core.WallMilliseconds | undefined;
     private isWorking = false;
-    private tokens = CommitBurst;
-    private refilledAt: core.MonotonicMilliseconds;
+    private readonly pacer: commitPacer.CommitPacer;
     private readonly queue: PendingRequest[] = [];
     private readonly waiters = new Map<string, Set<() => void>>();
 
     constructor(private readonly options: LedgerShardOptions) {
-        this.refilledAt = options.clock.now();
+        this.pacer = new commitPacer.CommitPacer(options, options.clock.now());
         this.head = new ledgerHead.LedgerHead(options);
     }
 
@@ -89,10 +88,16 @@
         if (this.isWorking) {
             return;
         }
+        const { clock } = this.options;
         this.isWorking = true;
         while (this.queue.length > 0 || this.removeBefore !== undefined) {
-            await this.waitForToken();
-            await this.runBatch(this.takeBatch());
+            const wait = this.pacer.getWait(clock.now());
+            if (wait > 0) {
+                await clock.sleep(wait);
+            }
+            const batch = this.takeBatch();
+            this.pacer.noteCommit(clock.now(), batch.length);
+            await this.runBatch(batch);
             if (this.removeBefore !== undefined) {
                 await this.head.removeOld(this.removeBefore);
                 this.removeBefore = undefined;
@@ -198,27 +203,6 @@
             this.waiters.delete(name);
         }
     }
-
-    /**
-     * Paces the commits: at low load each request is committed at once, at high load the rate stays within the
-     * shard's share of the call budget and each commit carries more requests.
-     */
-    private async waitForToken(): Promise<void> {
-        const { clock, commitsPerSecond } = this.options;
-        this.refill();
-        if (this.tokens < 1) {
-            await clock.sleep(((1 - this.tokens) * 1_000) / commitsPerSecond);
-            this.refill();
-        }
-        this.tokens -= 1;
-    }
-
-    private refill(): void {
-        const { clock, commitsPerSecond } = this.options;
-        const earned = ((clock.now() - this.refilledAt) * commitsPerSecond) / 1_000;
-        this.tokens = Math.min(CommitBurst, this.tokens + earned);
-        this.refilledAt = clock.now();
-    }
 }
 
 function isUnfinished(reply: requests.LedgerReply): boolean {
--- a/packages/work/test/jobFixtures.ts
+++ b/packages/work/test/jobFixtures.ts
@@ -212,6 +212,7 @@
                 ...base,
                 executor,
                 createId,
+                checkpointMilliseconds: 5_000,
                 getRetentionMilliseconds: () => options.retentionMilliseconds ?? 86_400_000,
                 getItemAttempts: () => options.itemAttempts ?? 3,
             }),
