--- /dev/null
+++ b/packages/work/src/activeJob.ts
@@ -0,0 +1,24 @@
+import type * as core from "@boragedale/core";
+import * as checkpointer from "./checkpointer.js";
+import type * as heldChunk from "./heldChunk.js";
+import type * as jobRecords from "./jobRecords.js";
+
+/** A running job as a runner sees it. */
+export interface ActiveJob {
+    readonly record: jobRecords.JobRecord;
+    readonly checkpoints: checkpointer.Checkpointer;
+    readonly held: Map<number, heldChunk.HeldChunk>;
+    /** Not looked at for open chunks before this time. */
+    recheckAt: core.MonotonicMilliseconds;
+    /** Every chunk was claimed or had ended when the board was last looked at. */
+    isExhausted: boolean;
+    /** Since when something waits to be recorded; also moved by a failed try. */
+    checkpointedAt: core.MonotonicMilliseconds;
+    isCheckpointing: boolean;
+}
+
+/** Whether what has ended fills a checkpoint already, so that it need not wait for its time. */
+export function hasFullCheckpoint(job: ActiveJob): boolean {
+    const bytes = [...job.held.values()].reduce((total, chunk) => total + chunk.getEndedBytes(), 0);
+    return bytes >= checkpointer.CheckpointBytes;
+}
--- a/packages/work/src/claimPlan.ts
+++ b/packages/work/src/claimPlan.ts
@@ -18,6 +18,12 @@
 const ItemsAhead = 4;
 const AheadMilliseconds = 60_000;
 const MaximumHeldChunks = 12;
+/**
+ * Results that wait to be recorded, in bytes. Where items end faster than checkpoints take them away, or the service is
+ * down, they would otherwise fill the memory of a small instance: first no more is claimed, then no more is started.
+ */
+const ClaimingBytes = 16_000_000;
+const StartingBytes = 48_000_000;
 /** Boards that the whole fleet may read in a second to find open chunks, and the most for one instance. */
 const FleetReadsPerSecond = 400;
 const ReadsPerSecond = 40;
@@ -26,8 +32,13 @@
 /** Whether to claim. Only below half of what is wanted, so that one write claims several chunks. */
 export function wantsWork(atHand: WorkAtHand): boolean {
     const chunks = atHand.chunks.filter(chunk => !chunk.isComplete());
-    const isLoading = chunks.some(chunk => !chunk.hasBeenLoaded());
-    return !isLoading && chunks.length < MaximumHeldChunks && countWaiting(chunks) < getWantedItems(atHand) / 2;
+    const isBehind = chunks.some(chunk => !chunk.hasBeenLoaded()) || countEndedBytes(atHand.chunks) > ClaimingBytes;
+    return !isBehind && chunks.length < MaximumHeldChunks && countWaiting(chunks) < getWantedItems(atHand) / 2;
+}
+
+/** Whether another item may be started, as far as its result will find room. */
+export function hasRoomForResults(chunks: readonly heldChunk.HeldChunk[]): boolean {
+    return countEndedBytes(chunks) < StartingBytes;
 }
 
 /** Chunks of a job that may be claimed at once: what is wanted, not more than fit. */
@@ -75,6 +86,10 @@
     return capacity === 0 ? 0 : Math.max(capacity * ItemsAhead, rate * AheadMilliseconds);
 }
 
+function countEndedBytes(chunks: readonly heldChunk.HeldChunk[]): number {
+    return chunks.reduce((bytes, chunk) => bytes + chunk.getEndedBytes(), 0);
+}
+
 function countWaiting(chunks: readonly heldChunk.HeldChunk[]): number {
     return chunks.reduce((count, chunk) => count + chunk.getWaitingCount(), 0);
 }
--- a/packages/work/src/itemRunner.ts
+++ b/packages/work/src/itemRunner.ts
@@ -1,5 +1,6 @@
 import type * as core from "@boragedale/core";
 import * as telemetry from "@boragedale/telemetry";
+import * as claimPlan from "./claimPlan.js";
 import type * as heldChunk from "./heldChunk.js";
 import * as jobInput from "./jobInput.js";
 import * as jobSelection from "./jobSelection.js";
@@ -44,6 +45,9 @@
     startItems(): void {
         const { executor, clock, getChunks, signal } = this.options;
         for (let free = executor.getFreeSlots(); free > 0 && !signal.aborted; free--) {
+            if (!claimPlan.hasRoomForResults(getChunks())) {
+                return;
+            }
             const ready = getChunks().filter(chunk => chunk.hasReadyItem(clock.now()));
             const candidates = ready.map(chunk => ({ ...jobSelection.toCandidate(chunk.job), chunk }));
             const chosen = this.turns.choose(candidates, clock.wallNow());
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -3,6 +3,7 @@
 import * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
+import * as activeJob from "./activeJob.js";
 import * as boards from "./board.js";
 import * as boardStore from "./boardStore.js";
 import * as claimPlan from "./claimPlan.js";
@@ -53,19 +54,6 @@
 const ClaimMilliseconds = 900_000;
 const RenewMilliseconds = 300_000;
 
-interface ActiveJob {
-    readonly record: jobRecords.JobRecord;
-    readonly checkpoints: checkpointer.Checkpointer;
-    readonly held: Map<number, heldChunk.HeldChunk>;
-    /** Not looked at for open chunks before this time. */
-    recheckAt: core.MonotonicMilliseconds;
-    /** Every chunk was claimed or had ended when the board was last looked at. */
-    isExhausted: boolean;
-    /** Since when something waits to be recorded; also moved by a failed try. */
-    checkpointedAt: core.MonotonicMilliseconds;
-    isCheckpointing: boolean;
-}
-
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
     return new JobRunner(options);
 }
@@ -79,7 +67,7 @@
     private readonly vault: files.FileVault;
     private readonly createId: () => string;
     private readonly process: string;
-    private readonly jobs = new Map<string, ActiveJob>();
+    private readonly jobs = new Map<string, activeJob.ActiveJob>();
     private readonly claimTurns = new jobSelection.JobSelection();
     private readonly items: itemRunner.ItemRunner;
     private readonly reads: claimPlan.ReadBudget;
@@ -195,14 +183,14 @@
         return Math.max(RecheckMilliseconds + RecheckMillisecondsPerInstance * instances, wholePass);
     }
 
-    private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: ActiveJob })[] {
+    private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: activeJob.ActiveJob })[] {
         const { clock } = this.options;
         return [...this.jobs.values()]
             .filter(job => job.recheckAt <= clock.now() && job.record.deadlineAt > clock.wallNow())
             .map(active => ({ ...jobSelection.toCandidate(active.record), active }));
     }
 
-    private async claimFrom(job: ActiveJob): Promise<void> {
+    private async claimFrom(job: activeJob.ActiveJob): Promise<void> {
         const { membership, clock } = this.options;
         const { record } = job;
         const recheck = this.getRecheckMilliseconds();
@@ -234,7 +222,7 @@
     }
 
     /** Takes up all chunks that the board says are this process's, also those whose claim's reply was lost. */
-    private holdClaimed(job: ActiveJob, board: boards.Board): void {
+    private holdClaimed(job: activeJob.ActiveJob, board: boards.Board): void {
         if (boards.hasEnded(board)) {
             return;
         }
@@ -274,12 +262,15 @@
         const { clock } = this.options;
         while (!this.stopping.signal.aborted) {
             const due = [...this.jobs.values()].filter(job => this.isCheckpointDue(job));
-            await Promise.all(due.map(job => this.checkpoint(job, false)));
+            const isBehind = await Promise.all(due.map(job => this.checkpoint(job, false)));
+            if (isBehind.includes(true)) {
+                continue;
+            }
             await clock.sleep(TickMilliseconds, this.stopping.signal);
         }
     }
 
-    private isCheckpointDue(job: ActiveJob): boolean {
+    private isCheckpointDue(job: activeJob.ActiveJob): boolean {
         const { clock, membership, checkpointMilliseconds = DefaultCheckpointMilliseconds } = this.options;
         const chunks = [...job.held.values()];
         const passed = clock.now() - job.checkpointedAt;
@@ -290,35 +281,34 @@
             return chunks.length > 0 && passed >= RenewMilliseconds;
         }
         const fleet = membership.getLiveInstances().length * CheckpointMillisecondsPerInstance;
-        const bytes = chunks.reduce((total, chunk) => total + chunk.getEndedBytes(), 0);
         const isLast = job.isExhausted && chunks.every(chunk => chunk.isComplete());
-        return isLast || bytes >= checkpointer.CheckpointBytes || passed >= Math.max(checkpointMilliseconds, fleet);
+        return isLast || activeJob.hasFullCheckpoint(job) || passed >= Math.max(checkpointMilliseconds, fleet);
     }
 
-    private async checkpoint(job: ActiveJob, releases: boolean): Promise<void> {
+    /** Records what has ended; true when that worked and the next checkpoint is full already. */
+    private async checkpoint(job: activeJob.ActiveJob, releases: boolean): Promise<boolean> {
         if (job.isCheckpointing || job.held.size === 0) {
-            return;
+            return false;
         }
         job.isCheckpointing = true;
         const outcome = await job.checkpoints.record([...job.held.values()], releases);
         job.isCheckpointing = false;
         job.checkpointedAt = this.options.clock.now();
         outcome.lost.forEach(chunk => this.loseChunk(job, chunk));
-        for (const [chunk, held] of job.held) {
+        for (const chunk of [...job.held.keys()]) {
             if (outcome.board?.chunks[chunk]?.hasEnded === true) {
                 job.held.delete(chunk);
-                this.options.telemetry.record(telemetry.events.ChunkFinished, {
-                    job: held.job.id,
-                    text: `chunk ${chunk}`,
-                });
+                const subject = { job: job.record.id, text: `chunk ${chunk}` };
+                this.options.telemetry.record(telemetry.events.ChunkFinished, subject);
             }
         }
         if (outcome.board !== undefined && boards.hasEnded(outcome.board)) {
             await this.endJobIfEnded(job, { ok: true, board: outcome.board });
         }
+        return outcome.kind === checkpointer.CheckpointKind.Recorded && activeJob.hasFullCheckpoint(job);
     }
 
-    private loseChunk(job: ActiveJob, chunk: number): void {
+    private loseChunk(job: activeJob.ActiveJob, chunk: number): void {
         job.held.get(chunk)?.drop();
         job.held.delete(chunk);
         this.options.telemetry.record(telemetry.events.ChunkLost, { job: job.record.id, text: `chunk ${chunk}` });
@@ -342,7 +332,7 @@
         }
     }
 
-    private async endJobIfEnded(job: ActiveJob, read: boardStore.BoardResult): Promise<void> {
+    private async endJobIfEnded(job: activeJob.ActiveJob, read: boardStore.BoardResult): Promise<void> {
         if (!read.ok || !boards.hasEnded(read.board)) {
             return;
         }
