--- a/packages/tools/src/diskKeyValueService.ts
+++ b/packages/tools/src/diskKeyValueService.ts
@@ -1,19 +1,33 @@
 import * as fileSystem from "node:fs";
 import * as platform from "@boragedale/platform";
 
+interface StoredEntry {
+    readonly revision: number;
+    readonly offset: number;
+    readonly bytes: number;
+}
+
 /**
  * A key-value service whose values lie in a file, so that a measurement of this process's memory doesn't measure the
  * service's. No leases, no watches, no faults.
  */
 export class DiskKeyValueService extends platform.KeyValueService implements Disposable {
     writes = 0;
-    private readonly entries = new Map<string, { revision: number; offset: number; bytes: number }>();
+    private readonly entries: Map<string, StoredEntry> = new Map();
     private readonly file: number;
     private end = 0;
 
-    constructor(path: string) {
+    constructor(private readonly path: string) {
         super();
-        this.file = fileSystem.openSync(path, "w+");
+        const isKept = fileSystem.existsSync(this.getIndexPath());
+        this.file = fileSystem.openSync(path, isKept ? "r+" : "w+");
+        if (isKept) {
+            const text = fileSystem.readFileSync(this.getIndexPath(), "utf8");
+            const kept = JSON.parse(text) as { writes: number; end: number; entries: [string, StoredEntry][] };
+            this.writes = kept.writes;
+            this.end = kept.end;
+            this.entries = new Map(kept.entries);
+        }
     }
 
     override async get(key: string): Promise<platform.KeyValueResult<platform.Entry | undefined>> {
@@ -66,10 +80,17 @@
         await new Promise<void>(resolve => request.signal.addEventListener("abort", () => resolve()));
     }
 
+    /** Writes where the values lie, for the next process. */
     [Symbol.dispose](): void {
+        const kept = { writes: this.writes, end: this.end, entries: [...this.entries] };
+        fileSystem.writeFileSync(this.getIndexPath(), JSON.stringify(kept));
         fileSystem.closeSync(this.file);
     }
 
+    private getIndexPath(): string {
+        return `${this.path}.index`;
+    }
+
     private tryRead(key: string): platform.Entry | undefined {
         const entry = this.entries.get(key);
         if (entry === undefined) {
--- a/packages/tools/src/measureWork.ts
+++ b/packages/tools/src/measureWork.ts
@@ -27,7 +27,10 @@
             await measureTakeover();
             break;
         case "memory":
-            await measureMemory.measureMemory(Number(values[0] ?? 600));
+            measureMemory.measureMemory(Number(values[0] ?? 600));
+            break;
+        case "memory-phase":
+            await measureMemory.measurePhase(values[0] ?? "", values[1] ?? "", Number(values[2]));
             break;
         default:
             console.log("measure:work -- ledger | jobs [items …] | takeover | memory [bytes a line]");
--- a/packages/work/src/claimPlan.ts
+++ b/packages/work/src/claimPlan.ts
@@ -22,7 +22,7 @@
  * Results that wait to be recorded, in bytes. Where items end faster than checkpoints take them away, or the service is
  * down, they would otherwise fill the memory of a small instance: first no more is claimed, then no more is started.
  */
-const ClaimingBytes = 16_000_000;
+const ClaimingBytes = 8_000_000;
 const StartingBytes = 48_000_000;
 /** Boards that the whole fleet may read in a second to find open chunks, and the most for one instance. */
 const FleetReadsPerSecond = 400;
--- a/packages/work/src/codec.ts
+++ b/packages/work/src/codec.ts
@@ -8,8 +8,12 @@
 const deflate = util.promisify(zlib.deflateRaw);
 const inflate = util.promisify(zlib.inflateRaw);
 
+/** Larger values own their buffer; a small one is copied, since it would keep the packer's whole buffer in memory. */
+const CopiedBytes = 64_000;
+
 export function encode(value: unknown): Uint8Array {
-    return Uint8Array.from(packer.pack(value));
+    const packed = packer.pack(value);
+    return packed.byteLength > CopiedBytes ? packed : Uint8Array.from(packed);
 }
 
 /** Decodes what `encode` made; the caller names the type, since only our own writes are read. */
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./jobRunner.js";
 export * from "./commitPacer.js";
 export * from "./jobSelection.js";
+export type { SpoolFiles } from "./resultSpool.js";
--- a/packages/work/src/ledger.ts
+++ b/packages/work/src/ledger.ts
@@ -4,10 +4,12 @@
 import type * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as files from "./files.js";
+import * as ledgerReplies from "./ledgerReplies.js";
 import * as ledgerRouter from "./ledgerRouter.js";
 import * as ledgerShard from "./ledgerShard.js";
 import * as requests from "./ledgerRequests.js";
 import * as resultBodies from "./resultBodies.js";
+import * as resultSpool from "./resultSpool.js";
 import * as services from "./services.js";
 import * as types from "./types.js";
 
@@ -24,6 +26,8 @@
     readonly commitsPerSecond?: number;
     /** How long calls stay readable, from the release note in force. */
     readonly getRetentionMilliseconds?: () => number;
+    /** The instance's small disk, where it has one: keeps results that wait for the key-value service. */
+    readonly spool?: resultSpool.SpoolFiles;
     /** Gives names that no other process gives; tests pass a counter. */
     readonly createId?: () => string;
 }
@@ -65,7 +69,8 @@
     private readonly running = new Map<string, core.MonotonicMilliseconds>();
     private readonly recordings = new Set<Promise<void>>();
     private readonly stopping = new AbortController();
-    private readonly removal: Promise<void>;
+    private readonly spool: resultSpool.ResultSpool | undefined;
+    private readonly tasks: readonly Promise<void>[];
 
     constructor(private readonly options: ShardedCallLedgerOptions) {
         super();
@@ -81,7 +86,8 @@
             getRunState: startId => this.getRunState(startId),
         });
         this.bodies = new resultBodies.ResultBodies(new files.FileVault(options));
-        this.removal = this.removeOldWhileRunning();
+        this.spool = options.spool === undefined ? undefined : new resultSpool.ResultSpool(options.spool);
+        this.tasks = [this.removeOldWhileRunning(), this.recordSpooled()];
     }
 
     override async begin(call: types.CallRequest): Promise<types.BeginOutcome> {
@@ -91,7 +97,7 @@
                 return this.examineInFlight(call, outcome);
             case types.BeginKind.Finished: {
                 const result = await this.bodies.moveIn(outcome.result);
-                return result === undefined ? createUnreadable() : { ...outcome, result };
+                return result === undefined ? ledgerReplies.createUnreadable() : { ...outcome, result };
             }
             default:
                 return outcome;
@@ -113,6 +119,9 @@
             isKept = kept;
         });
         await this.withinBound(this.keepRecording(recording), boundMilliseconds);
+        if (!isKept && this.spool !== undefined) {
+            await this.spoolUntilKept(this.spool, { record: toBare(record), result }, recording, () => isKept);
+        }
         return isKept;
     }
 
@@ -152,13 +161,15 @@
         const request: requests.LedgerRequest = { kind: requests.LedgerRequestKind.Read, identity: pick(identity) };
         const reply = await this.router.ask(identity, request);
         if (reply.kind !== requests.LedgerReplyKind.Found) {
-            return core.createFailure(createUnavailable());
+            return core.createFailure(ledgerReplies.createUnavailable());
         }
         if (reply.record === undefined) {
             return core.createSuccess(undefined);
         }
         const record = await this.complete(reply.record);
-        return record === undefined ? core.createFailure(createUnavailable()) : core.createSuccess(record);
+        return record === undefined
+            ? core.createFailure(ledgerReplies.createUnavailable())
+            : core.createSuccess(record);
     }
 
     override async waitForResult(
@@ -190,18 +201,20 @@
     }
 
     override async listOutcomesUnknown(): Promise<core.Outcome<readonly types.CallRecord[]>> {
-        return collectRecords(await this.router.askAll({ kind: requests.LedgerRequestKind.ListUnknown }));
+        return ledgerReplies.collectRecords(await this.router.askAll({ kind: requests.LedgerRequestKind.ListUnknown }));
     }
 
     override async listOrphaned(): Promise<core.Outcome<readonly types.CallRecord[]>> {
-        return collectRecords(await this.router.askAll({ kind: requests.LedgerRequestKind.ListOrphaned }));
+        return ledgerReplies.collectRecords(
+            await this.router.askAll({ kind: requests.LedgerRequestKind.ListOrphaned }),
+        );
     }
 
     /** Waits a bounded time for results that are still being recorded, then stops. */
     override async [Symbol.asyncDispose](): Promise<void> {
         await this.withinBound(Promise.all(this.recordings), BeginBoundMilliseconds);
         this.stopping.abort();
-        await this.removal;
+        await Promise.all(this.tasks);
     }
 
     private async tryBegin(call: types.CallRequest, neverSent: string | undefined): Promise<types.BeginOutcome> {
@@ -210,7 +223,7 @@
         const kind = requests.LedgerRequestKind.Begin;
         const asked = this.router.ask(call, { kind, call, instance, startId, neverSent });
         const reply = await this.withinBound(asked, BeginBoundMilliseconds);
-        const outcome = toBeginOutcome(reply);
+        const outcome = ledgerReplies.toBeginOutcome(reply);
         if (outcome.kind !== types.BeginKind.Started) {
             // From here on this process answers for the start that it was never sent, should it be recorded after all.
             this.running.delete(startId);
@@ -283,6 +296,26 @@
         return undefined;
     }
 
+    /** Puts a result on disk before its answer goes out, and takes it away once the service has it. */
+    private async spoolUntilKept(
+        spool: resultSpool.ResultSpool,
+        spooled: resultSpool.SpooledResult,
+        recording: Promise<void>,
+        isKept: () => boolean,
+    ): Promise<void> {
+        const sequence = await spool.keep(spooled);
+        void recording.then(async () => {
+            if (sequence !== undefined && isKept()) {
+                await spool.markRecorded(sequence);
+            }
+        });
+    }
+
+    /** Records what earlier processes of this instance have left on its disk. */
+    private async recordSpooled(): Promise<void> {
+        await this.spool?.replay(({ record, result }) => this.recordUntilKept(record, result));
+    }
+
     private async removeOldWhileRunning(): Promise<void> {
         const { clock, getRetentionMilliseconds } = this.options;
         const { signal } = this.stopping;
@@ -335,38 +368,6 @@
     }
 }
 
-function toBeginOutcome(reply: requests.LedgerReply | undefined): types.BeginOutcome {
-    if (reply?.kind === requests.LedgerReplyKind.Begun) {
-        return reply.outcome;
-    }
-    const text = reply?.kind === requests.LedgerReplyKind.Unavailable ? reply.text : "no answer within the bound";
-    return { kind: types.BeginKind.Unavailable, text };
-}
-
-function collectRecords(replies: readonly requests.LedgerReply[]): core.Outcome<readonly types.CallRecord[]> {
-    const records: types.CallRecord[] = [];
-    for (const reply of replies) {
-        if (reply.kind !== requests.LedgerReplyKind.Listed) {
-            return core.createFailure(createUnavailable());
-        }
-        records.push(...reply.records);
-    }
-    return core.createSuccess(records);
-}
-
-function createUnreadable(): types.BeginOutcome {
-    return { kind: types.BeginKind.Unavailable, text: "the result's body can't be read now" };
-}
-
-function createUnavailable(): core.Refusal {
-    return core.createRefusal({
-        kind: core.RefusalKind.KeyValueDown,
-        message: core.messages.KeyValueDown,
-        certainty: core.RunCertainty.NotRun,
-        retryAfterMilliseconds: LongestRetryMilliseconds,
-    });
-}
-
 function pick(identity: types.CallIdentity): types.CallIdentity {
     return { caller: identity.caller, key: identity.key };
 }
--- a/packages/work/test/fixtures.ts
+++ b/packages/work/test/fixtures.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
 import * as standins from "@boragedale/standins";
 import * as telemetry from "@boragedale/telemetry";
@@ -79,6 +79,8 @@
     readonly shards?: number;
     readonly commitsPerSecond?: number;
     readonly retentionMilliseconds?: number;
+    /** The disk of every instance of the fleet. */
+    readonly spool?: work.SpoolFiles;
     /** Tells the processes of an instance that is restarted several times apart. */
     readonly idSuffix?: string;
     /** Wraps the key-value service for one instance, to hold or lose its calls. */
@@ -145,6 +147,7 @@
         instance,
         shards: options.shards,
         commitsPerSecond: options.commitsPerSecond,
+        spool: options.spool,
         getRetentionMilliseconds: () => options.retentionMilliseconds ?? 86_400_000,
         createId: createCounter(idPrefix),
     });
@@ -159,6 +162,26 @@
     return () => `${prefix}-${next++}`;
 }
 
+/** A spool in memory that outlives the processes which use it. */
+export function createSpool(): work.SpoolFiles & { readonly records: platform.SpoolRecord[] } {
+    const records: platform.SpoolRecord[] = [];
+    let next = 1;
+    return {
+        records,
+        async append(payload) {
+            const sequence = next++;
+            records.push({ sequence, payload: Buffer.from(payload) });
+            return { kind: platform.AppendOutcomeKind.Appended, sequence };
+        },
+        async *read() {
+            yield* [...records];
+        },
+        async acknowledge(sequence) {
+            records.splice(0, records.filter(record => record.sequence <= sequence).length);
+        },
+    };
+}
+
 export function createCall(key: string, fingerprint = "body-1", caller = "kandula"): work.CallRequest {
     return { caller, key, fingerprint, service: "bookings" };
 }
--- a/packages/work/test/ledgerFailures.test.ts
+++ b/packages/work/test/ledgerFailures.test.ts
@@ -112,6 +112,30 @@
     },
 );
 
+suite("a result that waits for the service survives the process that ran the call", async () => {
+    // The booking has run and is answered while the key-value service is down. Then the process dies. When it starts
+    // again on the same disk and the service is back, a resend must read the result, not an unknown outcome.
+    const spool = fixtures.createSpool();
+    const target = fixtures.createLedgerFleet({ instances: 2, spool });
+    const begun = await fixtures.runWithin(target.clock, target.ledgers[0]!.begin(call));
+    target.keyValue.faults.isDown = true;
+    const record = getRecord(begun);
+    await fixtures.runWithin(target.clock, target.ledgers[0]!.finish(record, fixtures.createResult("cot 7"), 500));
+    assert.is(spool.records.length, 1);
+    await fixtures.runWithin(
+        target.clock,
+        target.ledgers[0]![Symbol.asyncDispose]().then(() => true),
+    );
+    fixtures.restartLedger(target, 0, { spool });
+    await target.clock.advance(10_000);
+    assert.is(spool.records.length, 1);
+    target.keyValue.faults.isDown = false;
+    await target.clock.advance(10_000);
+    const read = await fixtures.runWithin(target.clock, target.ledgers[1]!.begin(call));
+    assert.is(read.kind === work.BeginKind.Finished && fixtures.readBody(read.result), "cot 7");
+    assert.is(spool.records.length, 0);
+});
+
 suite("after a kill one instance takes the call over, and the dead one's late result still counts", async () => {
     // The instance that ran the booking is taken as gone; its upstream had run it. Two resends arrive: both learn that
     // the call is orphaned, and only one may ask the service about it. Then the "dead" instance records the result.
