--- a/packages/work/src/boardStore.ts
+++ b/packages/work/src/boardStore.ts
@@ -57,7 +57,7 @@
                 return current;
             }
             const board = { ...changed, nonce: this.options.createId() };
-            const written = await swap.writeValue(this.options.keyValue, {
+            const written = await swap.writeValue(this.options.keyValue, this.options.clock, {
                 key: jobRecords.getBoardKey(job),
                 expectedRevision: this.known.get(job)?.revision ?? 0,
                 value: codec.encode(board),
--- a/packages/work/src/files.ts
+++ b/packages/work/src/files.ts
@@ -87,7 +87,12 @@
 
     /** One try to create a value that nobody else writes; true once it is there. */
     async tryCreate(key: string, value: Uint8Array, purpose: platform.CallPurpose): Promise<boolean> {
-        const written = await swap.writeValue(this.options.keyValue, { key, expectedRevision: 0, value, purpose });
+        const written = await swap.writeValue(this.options.keyValue, this.options.clock, {
+            key,
+            expectedRevision: 0,
+            value,
+            purpose,
+        });
         return written.kind === swap.WriteKind.Written;
     }
 
@@ -96,7 +101,7 @@
         const { keyValue, clock } = this.options;
         const giveUpAt = clock.now() + PatienceMilliseconds;
         for (;;) {
-            const written = await swap.writeValue(keyValue, { key, expectedRevision: 0, value, purpose });
+            const written = await swap.writeValue(keyValue, clock, { key, expectedRevision: 0, value, purpose });
             switch (written.kind) {
                 case swap.WriteKind.Written:
                     return { ok: true };
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -337,7 +337,7 @@
             return;
         }
         this.dropJob(job.record.id);
-        const isWritten = await jobStore.endJobRecord(this.options.keyValue, job.record, read.board);
+        const isWritten = await jobStore.endJobRecord(this.options, job.record, read.board);
         if (isWritten) {
             this.options.telemetry.record(telemetry.events.JobFinished, {
                 job: job.record.id,
--- a/packages/work/src/jobStore.ts
+++ b/packages/work/src/jobStore.ts
@@ -111,7 +111,7 @@
             return checked;
         }
         const record = this.createRecord(id, request, checked.value);
-        const written = await swap.writeValue(this.options.keyValue, {
+        const written = await swap.writeValue(this.options.keyValue, this.options.clock, {
             key,
             expectedRevision: 0,
             value: codec.encode(record),
@@ -179,8 +179,8 @@
         if (updated.board.state !== types.JobState.Cancelled) {
             return refusals.createStateConflict(updated.board.state, "cancelled");
         }
-        await this.tellHolders(id, holders);
-        await endJobRecord(this.options.keyValue, record.value, updated.board);
+        // Both at once: a holder that the notice doesn't reach learns of the end from the record's change.
+        await Promise.all([this.tellHolders(id, holders), endJobRecord(this.options, record.value, updated.board)]);
         this.options.telemetry.record(telemetry.events.JobCancelled, { job: id, caller });
         return core.createSuccess(description);
     }
@@ -290,9 +290,11 @@
     }
 }
 
+type EndOptions = Pick<KeyValueJobStoreOptions, "keyValue" | "clock">;
+
 /** Writes the end of a job into its record; what holds is the board, so a failure here costs a later reader a read. */
 export async function endJobRecord(
-    keyValue: platform.KeyValueService,
+    { keyValue, clock }: EndOptions,
     record: jobRecords.JobRecord,
     board: boards.Board,
 ): Promise<boolean> {
@@ -307,7 +309,7 @@
     }
     const { state, counts } = describeJob(record, board);
     const ended: jobRecords.JobEnd = { state, counts, endedAt: board.endedAt };
-    const written = await swap.writeValue(keyValue, {
+    const written = await swap.writeValue(keyValue, clock, {
         key,
         expectedRevision: entry.value.revision,
         value: codec.encode({ ...current, ended }),
--- a/packages/work/src/ledgerHead.ts
+++ b/packages/work/src/ledgerHead.ts
@@ -135,8 +135,8 @@
         calls: readonly types.CallRecord[],
         sealed: sealedCalls.SealedState,
     ): Promise<CommitOutcome> {
-        const { keyValue, shard, createId } = this.options;
-        const written = await swap.writeValue(keyValue, {
+        const { keyValue, clock, shard, createId } = this.options;
+        const written = await swap.writeValue(keyValue, clock, {
             key: getHeadKey(shard),
             expectedRevision: head.revision,
             value: codec.encode({ nonce: createId(), calls, sealed } satisfies StoredHead),
--- a/packages/work/src/swap.ts
+++ b/packages/work/src/swap.ts
@@ -1,3 +1,4 @@
+import type * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
 
 export enum WriteKind {
@@ -16,53 +17,37 @@
     | { readonly kind: WriteKind.Failed; readonly text: string; readonly retryAfterMilliseconds?: number }
     | { readonly kind: WriteKind.Unknown; readonly text: string };
 
-const Attempts = 3;
-
 /**
  * Compare-and-swap that survives a lost reply: without reading back, a writer whose write took effect would take its
  * own value for somebody else's, and refuse or repeat work that it has recorded. Every value carries a nonce (or is
- * unique as a whole), so equal bytes mean the own write. A write that has left no trace may only be late; it is sent
- * again under the same revision, so that at most one of the two takes effect.
+ * unique as a whole), so equal bytes mean the own write.
  */
 export async function writeValue(
-    keyValue: platform.KeyValueService,
+    service: platform.KeyValueService,
+    clock: core.Clock,
     request: platform.SwapRequest,
 ): Promise<WriteOutcome> {
-    let text = "";
-    for (let attempt = 0; attempt < Attempts; attempt++) {
-        const result = await keyValue.compareAndSwap(request);
-        if (result.ok) {
-            return toOutcome(request, result.value);
-        }
-        text = result.failure.text;
-        if (result.failure.kind !== platform.KeyValueFailureKind.ReplyLost) {
-            // Nothing was written this time; of an earlier try whose reply was lost that tells nothing.
-            const { retryAfterMilliseconds } = result.failure;
-            return attempt === 0
-                ? { kind: WriteKind.Failed, text, retryAfterMilliseconds }
-                : { kind: WriteKind.Unknown, text };
-        }
-        const entry = await keyValue.get(request.key, request.purpose);
-        if (!entry.ok) {
-            return { kind: WriteKind.Unknown, text };
-        }
-        if ((entry.value?.revision ?? 0) !== request.expectedRevision) {
-            return toOutcome(request, { swapped: false, current: entry.value });
-        }
+    const isOwn = (entry: platform.Entry): boolean => isEqual(entry.value, request.value);
+    const result = await platform.swapWithReadBack(request, { service, clock, isOwn });
+    if (!result.ok) {
+        const { kind, text, retryAfterMilliseconds } = result.failure;
+        return kind === platform.KeyValueFailureKind.ReplyLost
+            ? { kind: WriteKind.Unknown, text }
+            : { kind: WriteKind.Failed, text, retryAfterMilliseconds };
     }
-    return { kind: WriteKind.Unknown, text };
+    const { value } = result;
+    return value.swapped
+        ? { kind: WriteKind.Written, revision: value.revision }
+        : createConflict(request, value.current);
 }
 
-function toOutcome(request: platform.SwapRequest, outcome: platform.SwapOutcome): WriteOutcome {
-    if (outcome.swapped) {
-        return { kind: WriteKind.Written, revision: outcome.revision };
-    }
-    const { current } = outcome;
-    return current !== undefined && request.value !== undefined && areEqual(current.value, request.value)
+/** A value that is there already as it was to be written counts as written: an earlier try was not known to work. */
+function createConflict(request: platform.SwapRequest, current: platform.Entry | undefined): WriteOutcome {
+    return current !== undefined && isEqual(current.value, request.value)
         ? { kind: WriteKind.Written, revision: current.revision }
         : { kind: WriteKind.Conflict, current };
 }
 
-function areEqual(left: Uint8Array, right: Uint8Array): boolean {
-    return Buffer.compare(left, right) === 0;
+function isEqual(left: Uint8Array, right: Uint8Array | undefined): boolean {
+    return right !== undefined && Buffer.compare(left, right) === 0;
 }
--- a/packages/work/test/jobFailures.test.ts
+++ b/packages/work/test/jobFailures.test.ts
@@ -98,6 +98,24 @@
     assert.is(jobFixtures.getValue(job).state, work.JobState.Running);
 });
 
+suite("a cancel stops running streams within a second, even where the notice can't get through", async () => {
+    // The link to the instance that runs the items is cut. It must learn of the cancel from the job's record.
+    const target = createFaultyFleet({
+        instances: 2,
+        execute: (item, signal) =>
+            new Promise(resolve => signal.addEventListener("abort", () => resolve(jobFixtures.succeed(item)))),
+    });
+    target.instances[0]!.start();
+    const job = await jobFixtures.submitLines(target, jobFixtures.createLines(10));
+    await target.clock.advance(1_000);
+    assert.is(target.instances[0]!.executor.running, 4);
+    target.hub.cutOff.add("instance-0");
+    const cancelled = target.instances[1]!.store.cancel(job.caller, job.id);
+    await target.clock.advance(1_000);
+    assert.is(target.instances[0]!.executor.running, 0);
+    assert.ok((await cancelled).ok);
+});
+
 suite("a cancel before the last checkpoint's write keeps its results out", async () => {
     // The teacher cancels the class batch while its last results are on their way to the board. The cancel is
     // acknowledged first; the checkpoint's write arrives after it and must change nothing.
