--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -1,10 +1,12 @@
 import * as crypto from "node:crypto";
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
+import * as activeJob from "./activeJob.js";
 import * as boards from "./board.js";
 import * as boardStore from "./boardStore.js";
+import * as claimPlan from "./claimPlan.js";
 import * as checkpointer from "./checkpointer.js";
 import * as chunkLoader from "./chunkLoader.js";
 import * as files from "./files.js";
@@ -38,7 +40,7 @@
 }
 
 const DefaultItemAttempts = 3;
-const DefaultCheckpointMilliseconds = 5_000;
+const DefaultCheckpointMilliseconds = 10_000;
 const DefaultDrainMilliseconds = 10_000;
 /** With each further instance all checkpoint a little more rarely, so that the fleet's rate of writes stays bounded. */
 const CheckpointMillisecondsPerInstance = 100;
@@ -51,26 +53,6 @@
 /** A claim that nobody renewed for so long is taken over even from an instance that seems to live. */
 const ClaimMilliseconds = 900_000;
 const RenewMilliseconds = 300_000;
-/** Items waiting here for each one that can run: work for a short outage of the key-value service. */
-const ItemsAhead = 4;
-const MaximumHeldChunks = 8;
-/** Boards that the whole fleet may read in a second to find open chunks, and the most for one instance. */
-const FleetReadsPerSecond = 400;
-const ReadsPerSecond = 40;
-const ReadBurst = 8;
-
-interface ActiveJob {
-    readonly record: jobRecords.JobRecord;
-    readonly checkpoints: checkpointer.Checkpointer;
-    readonly held: Map<number, heldChunk.HeldChunk>;
-    /** Not looked at for open chunks before this time. */
-    recheckAt: core.MonotonicMilliseconds;
-    /** Every chunk was claimed or had ended when the board was last looked at. */
-    isExhausted: boolean;
-    /** Since when something waits to be recorded; also moved by a failed try. */
-    checkpointedAt: core.MonotonicMilliseconds;
-    isCheckpointing: boolean;
-}
 
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
     return new JobRunner(options);
@@ -85,11 +67,10 @@
     private readonly vault: files.FileVault;
     private readonly createId: () => string;
     private readonly process: string;
-    private readonly jobs = new Map<string, ActiveJob>();
+    private readonly jobs = new Map<string, activeJob.ActiveJob>();
     private readonly claimTurns = new jobSelection.JobSelection();
     private readonly items: itemRunner.ItemRunner;
-    private reads = ReadBurst;
-    private readsEarnedAt: core.MonotonicMilliseconds;
+    private readonly reads: claimPlan.ReadBudget;
     private readonly stopping = new AbortController();
     private readonly stopWatching = new AbortController();
     private readonly stopListening: () => void;
@@ -98,7 +79,7 @@
     constructor(private readonly options: JobRunnerOptions) {
         this.createId = options.createId ?? crypto.randomUUID;
         this.process = this.createId();
-        this.readsEarnedAt = options.clock.now();
+        this.reads = new claimPlan.ReadBudget(options.clock.now());
         this.boards = new boardStore.BoardStore({ ...options, createId: this.createId });
         this.vault = new files.FileVault(options);
         this.items = new itemRunner.ItemRunner({
@@ -172,52 +153,44 @@
         const { clock } = this.options;
         while (!this.stopping.signal.aborted) {
             await this.expireJobs();
-            for (this.earnReads(); this.reads >= 1 && this.wantsWork(); this.reads--) {
-                const job = this.claimTurns.choose(this.getClaimable(), clock.wallNow());
-                if (job === undefined) {
-                    break;
-                }
-                await this.claimFrom(job.active);
-            }
+            await this.claimWhileWanted();
             this.items.startItems();
             await clock.sleep(TickMilliseconds, this.stopping.signal);
         }
     }
 
-    private earnReads(): void {
-        const passed = this.options.clock.now() - this.readsEarnedAt;
-        this.reads = Math.min(ReadBurst, this.reads + (passed * this.getReadsPerSecond()) / 1_000);
-        this.readsEarnedAt += passed;
+    private async claimWhileWanted(): Promise<void> {
+        const { clock, membership } = this.options;
+        while (claimPlan.wantsWork(this.getAtHand())) {
+            const claimable = this.getClaimable();
+            if (claimable.length === 0 || !this.reads.tryTake(clock.now(), membership.getLiveInstances().length)) {
+                return;
+            }
+            const job = this.claimTurns.choose(claimable, clock.wallNow());
+            await this.claimFrom(core.Debug.checkDefined(job, "a claimable job").active);
+        }
     }
 
-    private getReadsPerSecond(): number {
-        const instances = Math.max(1, this.options.membership.getLiveInstances().length);
-        return Math.min(ReadsPerSecond, FleetReadsPerSecond / instances);
+    private getAtHand(): claimPlan.WorkAtHand {
+        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
+        return { chunks: this.getHeldChunks(), capacity, rate: this.items.getRate() };
     }
 
     /** Long enough for every job to be looked at before the first one is looked at again. */
     private getRecheckMilliseconds(): number {
         const instances = this.options.membership.getLiveInstances().length;
-        const wholePass = (2_000 * this.jobs.size) / this.getReadsPerSecond();
+        const wholePass = claimPlan.getPassMilliseconds(this.jobs.size, instances);
         return Math.max(RecheckMilliseconds + RecheckMillisecondsPerInstance * instances, wholePass);
     }
 
-    private wantsWork(): boolean {
-        const chunks = this.getHeldChunks().filter(chunk => !chunk.isComplete());
-        const waiting = chunks.reduce((count, chunk) => count + chunk.getWaitingCount(), 0);
-        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
-        const isLoading = chunks.some(chunk => !chunk.hasBeenLoaded());
-        return capacity > 0 && !isLoading && chunks.length < MaximumHeldChunks && waiting < capacity * ItemsAhead;
-    }
-
-    private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: ActiveJob })[] {
+    private getClaimable(): readonly (jobSelection.JobCandidate & { readonly active: activeJob.ActiveJob })[] {
         const { clock } = this.options;
         return [...this.jobs.values()]
             .filter(job => job.recheckAt <= clock.now() && job.record.deadlineAt > clock.wallNow())
             .map(active => ({ ...jobSelection.toCandidate(active.record), active }));
     }
 
-    private async claimFrom(job: ActiveJob): Promise<void> {
+    private async claimFrom(job: activeJob.ActiveJob): Promise<void> {
         const { membership, clock } = this.options;
         const { record } = job;
         const recheck = this.getRecheckMilliseconds();
@@ -233,10 +206,12 @@
             await this.endJobIfEnded(job, read);
             return;
         }
-        // A share of what is open: the other instances look at the same board.
-        const wanted = open.slice(0, Math.ceil(open.length / Math.max(1, membership.getLiveInstances().length)));
+        // Half a share of what is open: the others look at the same board, and the last chunks must not wait behind
+        // each other on one instance.
+        const share = Math.ceil(open.length / (2 * Math.max(1, membership.getLiveInstances().length)));
+        const wanted = open.slice(0, share);
         const result = await this.boards.update(record.id, platform.CallPurpose.Claim, board =>
-            boards.claimChunks(board, record, wanted.slice(0, this.getRoom(record)), claimer),
+            boards.claimChunks(board, record, wanted.slice(0, claimPlan.getRoom(this.getAtHand(), record)), claimer),
         );
         if (!result.ok) {
             job.recheckAt = clock.now() + recheck;
@@ -246,16 +221,8 @@
         this.holdClaimed(job, result.board);
     }
 
-    /** Chunks that may be claimed at once: enough for what can run, not more than fit. */
-    private getRoom(record: jobRecords.JobRecord): number {
-        const capacity = this.options.executor.getFreeSlots() + this.getRunningCount();
-        const itemsOfChunk = Math.max(1, record.total / record.chunkItems.length);
-        const held = this.getHeldChunks().filter(chunk => !chunk.isComplete()).length;
-        return Math.max(1, Math.min(MaximumHeldChunks - held, Math.ceil((capacity * ItemsAhead) / itemsOfChunk)));
-    }
-
     /** Takes up all chunks that the board says are this process's, also those whose claim's reply was lost. */
-    private holdClaimed(job: ActiveJob, board: boards.Board): void {
+    private holdClaimed(job: activeJob.ActiveJob, board: boards.Board): void {
         if (boards.hasEnded(board)) {
             return;
         }
@@ -295,12 +262,15 @@
         const { clock } = this.options;
         while (!this.stopping.signal.aborted) {
             const due = [...this.jobs.values()].filter(job => this.isCheckpointDue(job));
-            await Promise.all(due.map(job => this.checkpoint(job, false)));
+            const isBehind = await Promise.all(due.map(job => this.checkpoint(job, false)));
+            if (isBehind.includes(true)) {
+                continue;
+            }
             await clock.sleep(TickMilliseconds, this.stopping.signal);
         }
     }
 
-    private isCheckpointDue(job: ActiveJob): boolean {
+    private isCheckpointDue(job: activeJob.ActiveJob): boolean {
         const { clock, membership, checkpointMilliseconds = DefaultCheckpointMilliseconds } = this.options;
         const chunks = [...job.held.values()];
         const passed = clock.now() - job.checkpointedAt;
@@ -311,35 +281,34 @@
             return chunks.length > 0 && passed >= RenewMilliseconds;
         }
         const fleet = membership.getLiveInstances().length * CheckpointMillisecondsPerInstance;
-        const bytes = chunks.reduce((total, chunk) => total + chunk.getEndedBytes(), 0);
         const isLast = job.isExhausted && chunks.every(chunk => chunk.isComplete());
-        return isLast || bytes >= checkpointer.CheckpointBytes || passed >= Math.max(checkpointMilliseconds, fleet);
+        return isLast || activeJob.hasFullCheckpoint(job) || passed >= Math.max(checkpointMilliseconds, fleet);
     }
 
-    private async checkpoint(job: ActiveJob, releases: boolean): Promise<void> {
+    /** Records what has ended; true when that worked and the next checkpoint is full already. */
+    private async checkpoint(job: activeJob.ActiveJob, releases: boolean): Promise<boolean> {
         if (job.isCheckpointing || job.held.size === 0) {
-            return;
+            return false;
         }
         job.isCheckpointing = true;
         const outcome = await job.checkpoints.record([...job.held.values()], releases);
         job.isCheckpointing = false;
         job.checkpointedAt = this.options.clock.now();
         outcome.lost.forEach(chunk => this.loseChunk(job, chunk));
-        for (const [chunk, held] of job.held) {
+        for (const chunk of [...job.held.keys()]) {
             if (outcome.board?.chunks[chunk]?.hasEnded === true) {
                 job.held.delete(chunk);
-                this.options.telemetry.record(telemetry.events.ChunkFinished, {
-                    job: held.job.id,
-                    text: `chunk ${chunk}`,
-                });
+                const subject = { job: job.record.id, text: `chunk ${chunk}` };
+                this.options.telemetry.record(telemetry.events.ChunkFinished, subject);
             }
         }
         if (outcome.board !== undefined && boards.hasEnded(outcome.board)) {
             await this.endJobIfEnded(job, { ok: true, board: outcome.board });
         }
+        return outcome.kind === checkpointer.CheckpointKind.Recorded && activeJob.hasFullCheckpoint(job);
     }
 
-    private loseChunk(job: ActiveJob, chunk: number): void {
+    private loseChunk(job: activeJob.ActiveJob, chunk: number): void {
         job.held.get(chunk)?.drop();
         job.held.delete(chunk);
         this.options.telemetry.record(telemetry.events.ChunkLost, { job: job.record.id, text: `chunk ${chunk}` });
@@ -363,12 +332,12 @@
         }
     }
 
-    private async endJobIfEnded(job: ActiveJob, read: boardStore.BoardResult): Promise<void> {
+    private async endJobIfEnded(job: activeJob.ActiveJob, read: boardStore.BoardResult): Promise<void> {
         if (!read.ok || !boards.hasEnded(read.board)) {
             return;
         }
         this.dropJob(job.record.id);
-        const isWritten = await jobStore.endJobRecord(this.options.keyValue, job.record, read.board);
+        const isWritten = await jobStore.endJobRecord(this.options, job.record, read.board);
         if (isWritten) {
             this.options.telemetry.record(telemetry.events.JobFinished, {
                 job: job.record.id,
--- a/packages/work/src/swap.ts
+++ b/packages/work/src/swap.ts
@@ -1,3 +1,4 @@
+import type * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
 
 export enum WriteKind {
@@ -22,33 +23,31 @@
  * unique as a whole), so equal bytes mean the own write.
  */
 export async function writeValue(
-    keyValue: platform.KeyValueService,
+    service: platform.KeyValueService,
+    clock: core.Clock,
     request: platform.SwapRequest,
 ): Promise<WriteOutcome> {
-    const result = await keyValue.compareAndSwap(request);
-    if (result.ok) {
-        return result.value.swapped
-            ? { kind: WriteKind.Written, revision: result.value.revision }
-            : createConflict(request, result.value.current);
+    const isOwn = (entry: platform.Entry): boolean => isEqual(entry.value, request.value);
+    const result = await platform.swapWithReadBack(request, { service, clock, isOwn });
+    if (!result.ok) {
+        const { kind, text, retryAfterMilliseconds } = result.failure;
+        return kind === platform.KeyValueFailureKind.ReplyLost
+            ? { kind: WriteKind.Unknown, text }
+            : { kind: WriteKind.Failed, text, retryAfterMilliseconds };
     }
-    const { failure } = result;
-    if (failure.kind !== platform.KeyValueFailureKind.ReplyLost) {
-        return {
-            kind: WriteKind.Failed,
-            text: failure.text,
-            retryAfterMilliseconds: failure.retryAfterMilliseconds,
-        };
-    }
-    const entry = await keyValue.get(request.key, request.purpose);
-    return entry.ok ? createConflict(request, entry.value) : { kind: WriteKind.Unknown, text: entry.failure.text };
+    const { value } = result;
+    return value.swapped
+        ? { kind: WriteKind.Written, revision: value.revision }
+        : createConflict(request, value.current);
 }
 
+/** A value that is there already as it was to be written counts as written: an earlier try was not known to work. */
 function createConflict(request: platform.SwapRequest, current: platform.Entry | undefined): WriteOutcome {
-    return current !== undefined && request.value !== undefined && areEqual(current.value, request.value)
+    return current !== undefined && isEqual(current.value, request.value)
         ? { kind: WriteKind.Written, revision: current.revision }
         : { kind: WriteKind.Conflict, current };
 }
 
-function areEqual(left: Uint8Array, right: Uint8Array): boolean {
-    return Buffer.compare(left, right) === 0;
+function isEqual(left: Uint8Array, right: Uint8Array | undefined): boolean {
+    return right !== undefined && Buffer.compare(left, right) === 0;
 }
