--- a/packages/entry/src/callerFace/batches.ts
+++ b/packages/entry/src/callerFace/batches.ts
@@ -1,6 +1,6 @@
 import type * as fastify from "fastify";
 import * as zod from "zod";
-import * as core from "@boragedale/core";
+import type * as core from "@boragedale/core";
 import * as work from "@boragedale/work";
 import * as answers from "./answers.js";
 import type * as parts from "./parts.js";
--- a/packages/entry/src/dispatch/fleetDispatcher.ts
+++ b/packages/entry/src/dispatch/fleetDispatcher.ts
@@ -13,6 +13,7 @@
 import * as engineChooser from "./engineChooser.js";
 import * as engineTable from "./engineTable.js";
 import * as pressureNotifier from "./pressureNotifier.js";
+import * as requestProfile from "./requestProfile.js";
 import * as serverLimits from "./serverLimits.js";
 import * as serviceCaller from "./serviceCaller.js";
 import * as suspectWatch from "./suspectWatch.js";
@@ -70,11 +71,13 @@
             clock,
             random,
             expectedMillisecondsPerCost: ExpectedMillisecondsPerToken,
+            expectedCost: requestProfile.UsualTokens,
         });
         this.serviceAdmission = new admissionDesk.AdmissionDesk({
             clock,
             random,
             expectedMillisecondsPerCost: ExpectedMillisecondsPerCall,
+            expectedCost: 1,
         });
         this.completions = this.createCompletionRunner(shared);
         this.services = this.createServiceCaller(shared);
@@ -92,12 +95,14 @@
 
     override async *complete(request: types.CompletionRequest, signal: AbortSignal): AsyncIterable<types.StreamEvent> {
         this.inProgress++;
+        let end: types.EndEvent;
         try {
-            yield* this.completions.run(request, signal);
+            end = yield* this.completions.run(request, signal);
         }
         finally {
             this.inProgress--;
         }
+        yield end;
     }
 
     override async callService(
@@ -167,7 +172,8 @@
             return;
         }
         if (home === membership.getSelf()) {
-            this.lanes.onPressure(upstream, { ...pressure, instance: home });
+            const total = this.lanes.onPressure(upstream, { ...pressure, instance: home });
+            this.placement.onOnlineTotal(upstream, total ?? pressure.inFlight, this.options.clock.now());
             return;
         }
         const message: protocol.OnlinePressure = { kind: protocol.MessageKind.OnlinePressure, upstream, ...pressure };
--- a/packages/entry/src/dispatch/types.ts
+++ b/packages/entry/src/dispatch/types.ts
@@ -18,12 +18,18 @@
     Refused = "Refused",
 }
 
-/** The answer, in order. Ends with exactly one `Finished` or `Refused`. */
-export type StreamEvent =
-    | { readonly kind: StreamEventKind.Token; readonly text: string }
+export interface TokenEvent {
+    readonly kind: StreamEventKind.Token;
+    readonly text: string;
+}
+
+export type EndEvent =
     | { readonly kind: StreamEventKind.Finished; readonly reason: string; readonly usage: upstreams.Usage }
     | { readonly kind: StreamEventKind.Refused; readonly refusal: core.Refusal };
 
+/** The answer, in order. Ends with exactly one `Finished` or `Refused`. */
+export type StreamEvent = TokenEvent | EndEvent;
+
 export interface ServiceCall {
     readonly id: string;
     readonly caller: core.CallerId;
