--- a/packages/entry/src/dispatch/attempts.ts
+++ b/packages/entry/src/dispatch/attempts.ts
@@ -39,13 +39,16 @@
         request: types.CompletionRequest,
         profile: requestProfile.RequestProfile,
         upstream: core.UpstreamDescription,
+        resumedTokens: number,
     ): Attempt {
         const id = this.options.createId(request);
         const now = this.options.clock.now();
         this.options.placement.onSent(id, upstream.id, request.requestClass, now);
         this.options.suspects.registry.onSent(id, profile.fingerprint, upstream.id, now);
         const isBatch = request.requestClass === core.RequestClass.Batch;
-        const stream = isBatch ? this.options.lanes.start(upstream, id, profile.promptTokens) : undefined;
+        const stream = isBatch
+            ? this.options.lanes.start(upstream, id, profile.promptTokens + resumedTokens)
+            : undefined;
         this.options.pressure.onChange(upstream.id);
         return new TrackedAttempt(this.options, id, upstream, stream);
     }
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -53,8 +53,19 @@
     readonly progress: Progress;
 }
 
-/** How one attempt ended: undefined after the whole answer. */
-type AttemptEnd = { readonly failure: upstreams.EngineFailure; readonly gaveWay: boolean } | undefined;
+/** The tokens of an answer, and how it ended. */
+export type CompletionTokens = AsyncGenerator<types.TokenEvent, types.EndEvent>;
+
+enum AttemptEndKind {
+    Whole = "Whole",
+    Failed = "Failed",
+    /** A batch stream made room for online work. */
+    GaveWay = "GaveWay",
+}
+
+type AttemptEnd =
+    | { readonly kind: AttemptEndKind.Whole; readonly event: types.EndEvent }
+    | { readonly kind: AttemptEndKind.Failed | AttemptEndKind.GaveWay; readonly failure: upstreams.EngineFailure };
 
 /** Runs completions: admits, places, retries and resumes them until the answer is whole or is given up. */
 export class CompletionRunner {
@@ -62,16 +73,18 @@
 
     constructor(private readonly options: CompletionRunnerOptions) {}
 
-    async *run(request: types.CompletionRequest, signal: AbortSignal): AsyncGenerator<types.StreamEvent> {
+    /**
+     * Yields the tokens and returns the closing event. It is not yielded: a consumer that has it stops reading, and what
+     * stands behind a `yield` (the place given back, the attempt closed) would never be done.
+     */
+    async *run(request: types.CompletionRequest, signal: AbortSignal): CompletionTokens {
         const fleet = this.options.directory.tryGetFleet();
         if (fleet === undefined) {
-            yield this.refuse(request, refusals.createNoNote());
-            return;
+            return this.refuse(request, refusals.createNoNote());
         }
         const base = directory.tryGetBaseModel(fleet, request.model);
         if (base === undefined) {
-            yield this.refuse(request, refusals.createModelUnknown(request.model));
-            return;
+            return this.refuse(request, refusals.createModelUnknown(request.model));
         }
         using limit = new deadline.Deadline(this.options.clock, request.deadlineAt, signal);
         const run: Run = {
@@ -84,16 +97,21 @@
         };
         const admitted = await this.admit(run, fleet);
         if (!admitted.ok) {
-            yield this.refuse(request, admitted.refusal);
-            return;
+            return this.refuse(request, admitted.refusal);
         }
+        const leave = (): void => admitted.value.leave(undefined);
+        // A consumer that just stops reading never gets this function to its end, but its deadline comes.
+        limit.signal.addEventListener("abort", leave, { once: true });
         const startedAt = this.options.clock.now();
-        let isWhole = false;
         try {
-            isWhole = yield* this.runAdmitted(run);
+            const end = yield* this.runAdmitted(run);
+            if (end.kind === types.StreamEventKind.Finished) {
+                admitted.value.leave(this.options.clock.now() - startedAt);
+            }
+            return end;
         }
         finally {
-            admitted.value.leave(isWhole ? this.options.clock.now() - startedAt : undefined);
+            leave();
         }
     }
 
@@ -117,30 +135,28 @@
                 cost: run.profile.cost,
                 deadlineAt: request.deadlineAt,
                 getLimit: () => this.options.chooser.getOnlineLimit(run.base),
+                isPreferred: () => this.options.chooser.isLocal(createWish(run)),
             },
             run.limit.signal,
         );
     }
 
-    /** True after the whole answer. */
-    private async *runAdmitted(run: Run): AsyncGenerator<types.StreamEvent, boolean> {
+    private async *runAdmitted(run: Run): CompletionTokens {
         const { request, progress } = run;
         yield* this.takeUpKept(run);
         for (;;) {
             const place = await this.choosePlace(run);
             if (!place.ok) {
-                yield this.refuse(request, place.refusal);
-                return false;
+                return this.refuse(request, place.refusal);
             }
             const end = yield* this.runOn(place.value, run);
-            if (end === undefined) {
+            if (end.kind === AttemptEndKind.Whole) {
                 this.options.telemetry.record(telemetry.events.RequestFinished, createSubject(request));
-                return true;
+                return end.event;
             }
-            const refusal = end.gaveWay ? this.keep(run) : this.tryGetRefusal(end.failure, run);
+            const refusal = end.kind === AttemptEndKind.GaveWay ? this.keep(run) : this.tryGetRefusal(end.failure, run);
             if (refusal !== undefined) {
-                yield this.refuse(request, refusal);
-                return false;
+                return this.refuse(request, refusal);
             }
             progress.excluded.add(place.value.id);
             this.recordRetry(run, place.value, end.failure);
@@ -148,7 +164,7 @@
     }
 
     /** A batch item that gave way before goes on behind the text it had. */
-    private *takeUpKept(run: Run): Generator<types.StreamEvent> {
+    private *takeUpKept(run: Run): Generator<types.TokenEvent> {
         if (run.request.requestClass === core.RequestClass.Online) {
             return;
         }
@@ -181,12 +197,7 @@
             if (quarantine !== undefined) {
                 return core.createFailure(quarantine);
             }
-            const choice = this.options.chooser.choose({
-                base: run.base,
-                requestClass: request.requestClass,
-                profile: run.profile,
-                excluded: progress.excluded,
-            });
+            const choice = this.options.chooser.choose(createWish(run));
             if (choice.upstream !== undefined) {
                 return core.createSuccess(choice.upstream);
             }
@@ -216,10 +227,9 @@
         return refusals.createQuarantined(decision.deaths, decision.retryAfterMilliseconds, getCertainty(run.progress));
     }
 
-    /** One attempt. Returns why it ended early, or undefined after the whole answer. */
-    private async *runOn(upstream: core.UpstreamDescription, run: Run): AsyncGenerator<types.StreamEvent, AttemptEnd> {
+    private async *runOn(upstream: core.UpstreamDescription, run: Run): AsyncGenerator<types.TokenEvent, AttemptEnd> {
         const { request, progress } = run;
-        using attempt = this.options.attempts.start(request, run.profile, upstream);
+        using attempt = this.options.attempts.start(request, run.profile, upstream, progress.tokens);
         using use = this.options.directory.useEngine(upstream, request.requestClass);
         progress.attempts++;
         this.options.telemetry.record(telemetry.events.RequestPlaced, createSubject(request, upstream.id));
@@ -241,19 +251,24 @@
                     break;
                 case upstreams.EngineEventKind.Finished:
                     attempt.onFinished();
-                    yield createFinish(event.reason, event.usage, resumeAfter?.tokens ?? 0);
-                    return undefined;
+                    return {
+                        kind: AttemptEndKind.Whole,
+                        event: createFinish(event.reason, event.usage, resumeAfter?.tokens ?? 0),
+                    };
                 case upstreams.EngineEventKind.Failed:
                     progress.mayHaveRun ||= mayHaveRunAfter(event.failure.kind);
                     await attempt.onFailed(event.failure);
                     return {
+                        kind:
+                            givesWay?.aborted === true && !run.limit.signal.aborted
+                                ? AttemptEndKind.GaveWay
+                                : AttemptEndKind.Failed,
                         failure: event.failure,
-                        gaveWay: givesWay?.aborted === true && !run.limit.signal.aborted,
                     };
             }
         }
         const text = "the stream ended without a closing event";
-        return { failure: { kind: upstreams.EngineFailureKind.Broken, text }, gaveWay: false };
+        return { kind: AttemptEndKind.Failed, failure: { kind: upstreams.EngineFailureKind.Broken, text } };
     }
 
     /** Undefined where the request goes on elsewhere. */
@@ -292,13 +307,22 @@
         this.options.telemetry.record(event, { ...createSubject(run.request, upstream.id), text });
     }
 
-    private refuse(request: types.CompletionRequest, refusal: core.Refusal): types.StreamEvent {
+    private refuse(request: types.CompletionRequest, refusal: core.Refusal): types.EndEvent {
         const subject = { ...createSubject(request), text: refusal.kind };
         this.options.telemetry.record(telemetry.events.RequestRefused, subject);
         return { kind: types.StreamEventKind.Refused, refusal };
     }
 }
 
+function createWish(run: Run): engineChooser.EngineWish {
+    return {
+        base: run.base,
+        requestClass: run.request.requestClass,
+        profile: run.profile,
+        excluded: run.progress.excluded,
+    };
+}
+
 /** Busy and NotSent run nothing, and a rejected request was judged before it ran. */
 function mayHaveRunAfter(kind: upstreams.EngineFailureKind): boolean {
     switch (kind) {
@@ -318,7 +342,7 @@
 }
 
 /** A resumed engine counts what it was given as prompt; to the caller it is part of the answer. */
-function createFinish(reason: string, usage: upstreams.Usage, resumedTokens: number): types.StreamEvent {
+function createFinish(reason: string, usage: upstreams.Usage, resumedTokens: number): types.EndEvent {
     return {
         kind: types.StreamEventKind.Finished,
         reason,
--- a/packages/entry/src/dispatch/engineChooser.ts
+++ b/packages/entry/src/dispatch/engineChooser.ts
@@ -49,6 +49,12 @@
         return this.options.placement.getCapacity(base, core.RequestClass.Online, engines, this.options.clock.now());
     }
 
+    /** Whether a place is free where the request's prefix belongs. */
+    isLocal(wish: EngineWish): boolean {
+        const engines = this.options.table.listOnline(wish.base);
+        return this.options.placement.isLocal(createPlacementRequest(wish), engines, this.options.clock.now());
+    }
+
     private listCandidates(wish: EngineWish): readonly core.UpstreamDescription[] {
         return wish.requestClass === core.RequestClass.Batch
             ? this.options.lanes.listOpen(wish.base)
@@ -86,7 +92,7 @@
         exclude: ReadonlySet<core.UpstreamId>,
     ): EngineChoice {
         const decision = this.options.placement.choose(
-            { model: wish.base, prefixHash: wish.profile.prefixHash, requestClass: wish.requestClass, exclude },
+            { ...createPlacementRequest(wish), exclude },
             candidates,
             this.options.clock.now(),
         );
@@ -96,5 +102,14 @@
     }
 }
 
+function createPlacementRequest(wish: EngineWish): decisions.PlacementRequest {
+    return {
+        model: wish.base,
+        prefixHash: wish.profile.prefixHash,
+        requestClass: wish.requestClass,
+        exclude: wish.excluded,
+    };
+}
+
 /** A suspect that has to wait for another one's end, in milliseconds. */
 const SuspectRetryAfter = 500;
--- a/packages/entry/src/dispatch/fleetDispatcher.ts
+++ b/packages/entry/src/dispatch/fleetDispatcher.ts
@@ -95,12 +95,14 @@
 
     override async *complete(request: types.CompletionRequest, signal: AbortSignal): AsyncIterable<types.StreamEvent> {
         this.inProgress++;
+        let end: types.EndEvent;
         try {
-            yield* this.completions.run(request, signal);
+            end = yield* this.completions.run(request, signal);
         }
         finally {
             this.inProgress--;
         }
+        yield end;
     }
 
     override async callService(
--- a/packages/entry/test/completions.test.ts
+++ b/packages/entry/test/completions.test.ts
@@ -53,6 +53,23 @@
     await fastCheck.assert(property, { seed: 5, numRuns: 150 });
 });
 
+suite("gives places back although the caller face reads no further than the closing event", async () => {
+    // A face that has the closing event has no reason to read on. Were the place given back only behind it, an instance
+    // would refuse everything after as many answers as it has places.
+    const engine = new fixtures.ScriptedEngine(fixtures.answerWhole);
+    await using fixture = fixtures.createDispatcherFixture({ engines: { "engine-1": engine } });
+    for (let index = 0; index < 40; index++) {
+        const request = fixtures.createCompletion({ id: `request-${index}`, deadlineAt: 30_000 });
+        const iterator = fixture.dispatcher.complete(request, fixtures.neverAborted)[Symbol.asyncIterator]();
+        let next = await iterator.next();
+        while (next.done !== true && next.value.kind === dispatch.StreamEventKind.Token) {
+            next = await iterator.next();
+        }
+        assert.equal(next.value?.kind, dispatch.StreamEventKind.Finished);
+        assert.equal(fixture.dispatcher.getInProgress(), 0);
+    }
+});
+
 suite("says not run only where no engine can have worked on it", async () => {
     // A refusal that says "not run" is taken at its word. An engine that could not be reached, or that is busy, has run
     // nothing; one whose connection broke may have.
