--- a/packages/bench/src/batchHome.ts
+++ b/packages/bench/src/batchHome.ts
@@ -56,13 +56,13 @@
         }
     }
 
-    /** Takes in what an instance told; returns the online total of the upstream. */
-    onPressure(upstream: string, pressure: decisions.OnlinePressure): number {
+    /** Takes in what an instance told, and answers. */
+    onPressure(upstream: string, pressure: decisions.OnlinePressure): decisions.HomeReport {
         const now = this.context.simulation.now();
         const gate = this.gates.get(upstream);
         gate?.onOnlinePressure(pressure, now);
         this.apply(upstream);
-        return gate?.getOnline(now) ?? pressure.inFlight;
+        return gate?.createReport(upstream, now) ?? { upstream, inFlight: pressure.inFlight };
     }
 
     tick(): void {
--- a/packages/bench/src/policyInstance.ts
+++ b/packages/bench/src/policyInstance.ts
@@ -142,9 +142,9 @@
     }
 
     onPressure(upstream: string, pressure: decisions.OnlinePressure): void {
-        const total = this.home.onPressure(upstream, pressure);
+        const report = this.home.onPressure(upstream, pressure);
         this.fleet.send(pressure.instance, instance =>
-            instance.placement.onOnlineTotal(upstream, total, this.context.simulation.now()),
+            instance.placement.onHomeReport(report, this.context.simulation.now()),
         );
     }
 
@@ -289,9 +289,9 @@
         }
         this.told.set(upstream, { inFlight, at: now });
         const home = this.getHome(upstream);
-        const pressure = { instance: this.id, inFlight, queued: 0 };
+        const pressure = this.placement.createPressure(this.id, upstream, now);
         if (home === this.id) {
-            this.placement.onOnlineTotal(upstream, this.home.onPressure(upstream, pressure), now);
+            this.placement.onHomeReport(this.home.onPressure(upstream, pressure), now);
         }
         else if (home !== undefined) {
             this.fleet.send(home, instance => instance.onPressure(upstream, pressure));
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -1,5 +1,6 @@
 import type * as core from "@boragedale/core";
 import * as estimates from "./estimates.js";
+import type * as placement from "./placement.js";
 import * as stepCost from "./stepCost.js";
 
 export interface BatchGateSettings {
@@ -16,6 +17,8 @@
     readonly instance: core.InstanceId;
     readonly inFlight: number;
     readonly queued: number;
+    /** Shortest time between two tokens that it saw there in the last second, in milliseconds. */
+    readonly fastestGap?: number;
 }
 
 export interface GateDecision {
@@ -80,6 +83,7 @@
     private readonly streams = new Map<string, BatchStream>();
     private readonly rise = new estimates.DecayingMaximum(ReserveHalfLife);
     private readonly peak = new estimates.DecayingMaximum(PeakHalfLife);
+    private readonly gap = new estimates.RecentMinimum(2);
     private readonly cost = new stepCost.StepCost();
     private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
     private queuedAt: core.MonotonicMilliseconds = -Infinity;
@@ -120,6 +124,9 @@
             this.arrivedAt = now;
         }
         this.pressures.set(pressure.instance, { pressure, heardAt: now });
+        if (pressure.fastestGap !== undefined) {
+            this.gap.add(pressure.fastestGap, now);
+        }
         if (pressure.queued > 0) {
             this.queuedAt = now;
         }
@@ -144,6 +151,11 @@
             return;
         }
         stream.heldTokens += tokens;
+        if (milliseconds <= 0) {
+            // The first token has no time before it; taken for a gap it would make any upstream look fast.
+            return;
+        }
+        this.gap.add(milliseconds / tokens, now);
         this.cost.add(this.streams.size + this.getOnline(now), milliseconds / tokens);
     }
 
@@ -175,6 +187,11 @@
         return heard === 0 ? 0 : Math.ceil((sum * Math.max(heard, this.instances.length)) / heard);
     }
 
+    /** What the home answers to an instance that told its online work. */
+    createReport(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): placement.HomeReport {
+        return { upstream, inFlight: this.getOnline(now), fastestGap: this.gap.getFresh(now) };
+    }
+
     /** Batch streams held now, those being cancelled included. */
     getStreamCount(): number {
         return this.streams.size;
--- a/packages/decisions/src/estimates.ts
+++ b/packages/decisions/src/estimates.ts
@@ -65,26 +65,43 @@
     }
 }
 
-/** The lowest of the last samples. */
+/**
+ * The lowest sample of each of the last seconds in which there were any. By seconds and not by samples, since an
+ * engine's streams advance together: eight samples from eight streams tell of the same few steps.
+ */
 export class RecentMinimum implements Estimate {
-    private readonly samples: number[] = [];
+    private readonly seconds: { readonly second: number; lowest: number }[] = [];
 
-    constructor(private readonly kept: number) {}
+    constructor(private readonly keptSeconds: number) {}
 
-    add(sample: number): void {
-        this.samples.push(sample);
-        if (this.samples.length > this.kept) {
-            this.samples.shift();
+    add(sample: number, now: core.MonotonicMilliseconds): void {
+        const second = Math.floor(now / 1_000);
+        const last = this.seconds.at(-1);
+        if (last?.second === second) {
+            last.lowest = Math.min(last.lowest, sample);
+            return;
+        }
+        this.seconds.push({ second, lowest: sample });
+        if (this.seconds.length > this.keptSeconds) {
+            this.seconds.shift();
         }
     }
 
     /** Infinity without samples. */
     get(): number {
-        return Math.min(...this.samples);
+        return Math.min(...this.seconds.map(entry => entry.lowest));
+    }
+
+    /** The lowest sample of this second and the one before; undefined without one. */
+    getFresh(now: core.MonotonicMilliseconds): number | undefined {
+        const second = Math.floor(now / 1_000);
+        const fresh = this.seconds.filter(entry => entry.second >= second - 1).map(entry => entry.lowest);
+        return fresh.length === 0 ? undefined : Math.min(...fresh);
     }
 
+    /** Seconds with samples, as far as they are kept. */
     getCount(): number {
-        return this.samples.length;
+        return this.seconds.length;
     }
 }
 
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -1,4 +1,5 @@
 import * as core from "@boragedale/core";
+import type * as batchGate from "./batchGate.js";
 import * as breaker from "./breaker.js";
 import * as prefixShares from "./prefixShares.js";
 import * as rankCache from "./rankCache.js";
@@ -24,6 +25,15 @@
     readonly exclude?: ReadonlySet<core.UpstreamId>;
 }
 
+/** What the home of an upstream tells each instance that told it something. */
+export interface HomeReport {
+    readonly upstream: core.UpstreamId;
+    /** Online requests there, of all instances. */
+    readonly inFlight: number;
+    /** Shortest time between two tokens seen there by anybody in the last second, in milliseconds. */
+    readonly fastestGap?: number;
+}
+
 export enum PlacementKind {
     Placed = "Placed",
     None = "None",
@@ -235,11 +245,28 @@
         }
     }
 
-    /** The upstream's home told how many online requests all instances have there. */
-    onOnlineTotal(upstream: core.UpstreamId, inFlight: number, now: core.MonotonicMilliseconds): void {
-        const record = this.getRecord(upstream);
-        record.others = Math.max(0, inFlight - record.online);
+    /** The upstream's home answered: what all instances together have and saw there. */
+    onHomeReport(report: HomeReport, now: core.MonotonicMilliseconds): void {
+        const record = this.getRecord(report.upstream);
+        record.others = Math.max(0, report.inFlight - record.online);
         record.hintedAt = now;
+        if (report.fastestGap !== undefined) {
+            this.health.onGapTold(report.upstream, report.fastestGap, now);
+        }
+    }
+
+    /** What this instance tells the upstream's home. */
+    createPressure(
+        instance: core.InstanceId,
+        upstream: core.UpstreamId,
+        now: core.MonotonicMilliseconds,
+    ): batchGate.OnlinePressure {
+        return {
+            instance,
+            inFlight: this.getOnlineInFlight(upstream),
+            queued: 0,
+            fastestGap: this.health.getFreshGap(upstream, now),
+        };
     }
 
     /** The engine's own report; a hint, since it lags and counts batch work that gives way. */
--- a/packages/decisions/src/upstreamHealth.ts
+++ b/packages/decisions/src/upstreamHealth.ts
@@ -20,9 +20,8 @@
 const SlowFirstTokenDifference = 500;
 /** An upstream returns once it is under this, apart from `SlowFactor` so that it doesn't flap. */
 const ReturnFactor = 1.6;
-/** Samples before an upstream can be called slow, and how many are kept. */
-const SamplesToJudge = 3;
-const SamplesKept = 8;
+/** Seconds with samples that a verdict rests on: in a burst an engine reads prompts without a pause for a second. */
+const SecondsToJudge = 3;
 /** A first token that takes this many times the usual time is overdue: new requests go elsewhere until it comes. */
 const OverdueFactor = 4;
 /** Below this no first token counts as overdue, in milliseconds: a long prompt takes as much. */
@@ -36,8 +35,10 @@
 
 /** What this instance has seen of one upstream's speed. */
 class SpeedRecord {
-    readonly firstToken = new estimates.RecentMinimum(SamplesKept);
-    readonly gap = new estimates.RecentMinimum(SamplesKept);
+    readonly firstToken = new estimates.RecentMinimum(SecondsToJudge);
+    readonly gap = new estimates.RecentMinimum(SecondsToJudge);
+    /** Of `gap` only what was seen here: what others told must not be told on as news. */
+    readonly ownGap = new estimates.RecentMinimum(1);
     readonly meanFirstToken = new estimates.MovingAverage(0.1, 0);
     readonly awaiting = new Map<string, core.MonotonicMilliseconds>();
     state = SpeedState.Usual;
@@ -58,12 +59,15 @@
  *
  * Load: one upstream that runs several times slower than its peers (a throttled accelerator, a noisy neighbour). Harm
  * prevented: least-loaded placement finds out only after requests have piled up there, and each of them is in the
- * tail. Engines' own load reports don't show it. The fastest of the last samples is what counts: a long prompt, a cold
+ * tail. Engines' own load reports don't show it. The fastest of the last seconds is what counts: a long prompt, a cold
  * prefix or a burst makes single answers slow on a healthy upstream, and taking that one out of use in a burst is worse
  * than the fault; an upstream that is slow itself has no fast answers at all. Against the peers, since a fleet that is slow as a whole must not be
  * taken out of use one by one; the median, since one slow upstream can't move it. An overdue first token keeps
  * new requests off at once, without a verdict: waiting for three slow answers would cost three tail requests an instance.
  *
+ * In a large fleet one instance has too few requests on an upstream to tell. So each tells the upstream's home the
+ * shortest gap it saw, along with its online work, and the home (whose batch streams see the most) tells all.
+ *
  * Return: by probes and then a share that doubles at most every half second, since an upstream that gets its whole share
  * back at once from all instances is overrun in the same second (its prefix cache is cold) and called slow again.
  */
@@ -83,20 +87,33 @@
             return;
         }
         record.awaiting.delete(request);
-        record.firstToken.add(now - sentAt);
+        record.firstToken.add(now - sentAt, now);
         record.meanFirstToken.add(now - sentAt);
         this.judge(record, now);
     }
 
     /** `tokens` came within `milliseconds`. */
     onProgress(upstream: core.UpstreamId, tokens: number, milliseconds: number, now: core.MonotonicMilliseconds): void {
-        if (tokens > 0) {
+        if (tokens > 0 && milliseconds > 0) {
             const record = this.getRecord(upstream);
-            record.gap.add(milliseconds / tokens);
+            record.gap.add(milliseconds / tokens, now);
+            record.ownGap.add(milliseconds / tokens, now);
             this.judge(record, now);
         }
     }
 
+    /** The upstream's home told the shortest time between two tokens that anybody saw there in the last second. */
+    onGapTold(upstream: core.UpstreamId, milliseconds: number, now: core.MonotonicMilliseconds): void {
+        const record = this.getRecord(upstream);
+        record.gap.add(milliseconds, now);
+        this.judge(record, now);
+    }
+
+    /** The shortest time between two tokens that was seen here in the last second, to tell the home. */
+    getFreshGap(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): number | undefined {
+        return this.records.get(upstream)?.ownGap.getFresh(now);
+    }
+
     onEnded(upstream: core.UpstreamId, request: string): void {
         this.records.get(upstream)?.awaiting.delete(request);
     }
@@ -209,13 +226,13 @@
 }
 
 function getRatioTo(own: estimates.RecentMinimum, usual: number | undefined): number {
-    return own.getCount() < SamplesToJudge || usual === undefined || usual === 0 ? 1 : own.get() / usual;
+    return own.getCount() < SecondsToJudge || usual === undefined || usual === 0 ? 1 : own.get() / usual;
 }
 
 function getMedianOf(
     records: readonly SpeedRecord[],
     getEstimate: (record: SpeedRecord) => estimates.Estimate,
 ): number | undefined {
-    const known = records.map(getEstimate).filter(estimate => estimate.getCount() >= SamplesToJudge);
+    const known = records.map(getEstimate).filter(estimate => estimate.getCount() >= SecondsToJudge);
     return estimates.getMedian(known.map(estimate => estimate.get()));
 }
