--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -91,6 +91,7 @@
     private waitingCount = 0;
     private waitingCost = 0;
     private waitingWeight = 0;
+    private waitingCallers = 0;
     private limit: number;
 
     constructor(private readonly settings: AdmissionSettings) {
@@ -232,12 +233,14 @@
         return undefined;
     }
 
-    /** What would be before the item: all that waits, but of each other caller only what its share lets pass. */
+    /**
+     * What would be before the item: all that waits, but of each other caller only what its share lets pass, and one
+     * request that is first in its caller's line already.
+     */
     private estimateWait(item: AdmissionItem<T>): number {
-        const startTag = this.getStartTag(item);
-        const passing = (startTag - this.virtualTime) * (this.waitingWeight + item.weight);
-        const ownTurn = item.cost;
-        return this.toWait(Math.min(this.waitingCost, passing) + ownTurn);
+        const passing = (this.getStartTag(item) - this.virtualTime) * (this.waitingWeight + item.weight);
+        const firstOnes = (this.waitingCallers * this.waitingCost) / Math.max(1, this.waitingCount);
+        return this.toWait(Math.min(this.waitingCost, passing + firstOnes) + item.cost);
     }
 
     private toWait(cost: number): number {
@@ -268,6 +271,7 @@
         const state = this.getCallerState(item.caller);
         if (state.waiting.length === 0) {
             this.waitingWeight += item.weight;
+            this.waitingCallers++;
         }
         state.waiting.push(entry);
         state.finishTag = startTag + item.cost / item.weight;
@@ -285,6 +289,7 @@
         this.waitingCost -= entry.item.cost;
         if (state.waiting.length === 0) {
             this.waitingWeight -= entry.item.weight;
+            this.waitingCallers--;
         }
         if (this.waitingCount === 0) {
             this.forgetAll();
@@ -299,6 +304,7 @@
         this.virtualTime = 0;
         this.waitingCost = 0;
         this.waitingWeight = 0;
+        this.waitingCallers = 0;
     }
 
     private advanceVirtualTime(item: AdmissionItem<T>): void {
--- /dev/null
+++ b/packages/decisions/test/suspects.test.ts
@@ -0,0 +1,106 @@
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as decisions from "@boragedale/decisions";
+
+const suite = uvu.suite("suspects");
+
+// A request crashes each upstream that runs it, and its caller sends it again to any instance. Three requests run on
+// the upstream when it dies; nobody can tell which one did it. Each runs again, alone; the one that kills a second
+// upstream is quarantined, the other two finish and are innocent.
+suite("the second death quarantines, and the innocent are cleared by finishing", () => {
+    const registry = new decisions.SuspectRegistry();
+    for (const id of ["good-1", "bad", "good-2"]) {
+        registry.onSent(id, id, "engine-0", 0);
+    }
+    assert.is(registry.onUpstreamDied("engine-0", 10).length, 3);
+    assert.ok(registry.maySend("good-1", "engine-1", 20));
+    registry.onSent("again-1", "good-1", "engine-1", 20);
+    assert.not.ok(registry.maySend("bad", "engine-1", 20), "two suspects on one upstream");
+    assert.not.ok(registry.maySend("good-1", "engine-2", 20), "one suspect on two upstreams");
+    registry.onFinished("again-1", "engine-1");
+    assert.is(registry.judge("good-1", 30).verdict, decisions.SuspectVerdict.Usual);
+    registry.onSent("again-bad", "bad", "engine-1", 30);
+    registry.onSent("beside", "usual", "engine-1", 30);
+    registry.onUpstreamDied("engine-1", 40);
+    assert.is(registry.judge("bad", 50).verdict, decisions.SuspectVerdict.Quarantined);
+    assert.is(registry.judge("usual", 50).verdict, decisions.SuspectVerdict.Usual, "blamed although it was explained");
+});
+
+suite("merging reports is idempotent and doesn't depend on the order", () => {
+    const reports = fastCheck.array(
+        fastCheck.record({
+            fingerprint: fastCheck.constantFrom("one", "two"),
+            deathsByUpstream: fastCheck.dictionary(
+                fastCheck.constantFrom("engine-0", "engine-1"),
+                fastCheck.integer({ min: 1, max: 2 }),
+            ),
+        }),
+    );
+    fastCheck.assert(
+        fastCheck.property(reports, list => {
+            const forward = new decisions.SuspectRegistry();
+            const backward = new decisions.SuspectRegistry();
+            list.forEach(report => forward.merge(report, 0));
+            [...list, ...list].reverse().forEach(report => backward.merge(report, 0));
+            for (const fingerprint of ["one", "two"]) {
+                assert.equal(forward.judge(fingerprint, 1), backward.judge(fingerprint, 1));
+            }
+        }),
+        { seed: 5 },
+    );
+});
+
+// The caller gets an error and sends the crashing request again, to any instance, for ever. The instance that saw the
+// death told its peers before it answered; their reports come late, twice and out of order among themselves, and other
+// requests run on the same upstreams. The whole fleet loses two upstreams and no more.
+suite("one crashing request costs at most two deaths, under any order of reports", () => {
+    const attempt = fastCheck.record({
+        instance: fastCheck.integer({ min: 0, max: 3 }),
+        upstream: fastCheck.integer({ min: 0, max: 4 }),
+        innocents: fastCheck.integer({ min: 0, max: 3 }),
+        isRetriedBeforeReports: fastCheck.boolean(),
+        isTwice: fastCheck.boolean(),
+        order: fastCheck.integer({ min: 0, max: 5 }),
+    });
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(attempt, { minLength: 1, maxLength: 30 }), attempts => {
+            const registries = [0, 1, 2, 3].map(() => new decisions.SuspectRegistry());
+            let deaths = 0;
+            let nextId = 0;
+            attempts.forEach((step, turn) => {
+                const reports: decisions.SuspectReport[] = [];
+                const registry = registries[step.instance]!;
+                const tries = step.isRetriedBeforeReports ? 2 : 1;
+                for (let count = 0; count < tries; count++) {
+                    const upstream = `engine-${(step.upstream + count) % 5}`;
+                    if (!registry.maySend("bad", upstream, turn)) {
+                        break;
+                    }
+                    for (let index = 0; index < step.innocents; index++) {
+                        registry.onSent(`${nextId}`, `innocent-${nextId++}`, upstream, turn);
+                    }
+                    registry.onSent(`${nextId++}`, "bad", upstream, turn);
+                    deaths++;
+                    reports.push(...registry.onUpstreamDied(upstream, turn));
+                }
+                const sent = step.isTwice ? [...reports, ...reports] : reports;
+                registries.forEach((peer, index) => {
+                    const rotation = (step.order + index) % Math.max(1, sent.length);
+                    [...sent.slice(rotation), ...sent.slice(0, rotation)].forEach(report => peer.merge(report, turn));
+                });
+            });
+            assert.ok(deaths <= 2, `${deaths} deaths`);
+        }),
+        { seed: 6, numRuns: 500 },
+    );
+});
+
+suite("a quarantine and a suspicion end", () => {
+    const registry = new decisions.SuspectRegistry();
+    registry.merge({ fingerprint: "bad", deathsByUpstream: { "engine-0": 1, "engine-1": 1 } }, 0);
+    const { retryAfterMilliseconds } = registry.judge("bad", 1);
+    assert.is(registry.judge("bad", 1 + retryAfterMilliseconds).verdict, decisions.SuspectVerdict.Usual);
+});
+
+suite.run();
