--- a/packages/decisions/src/concurrencyLimit.ts
+++ b/packages/decisions/src/concurrencyLimit.ts
@@ -18,6 +18,10 @@
 
 /** Times the usual latency at which a service counts as queueing inside. */
 const SlowFactor = 2.5;
+/** Calls before latencies are compared. */
+const SamplesToJudge = 20;
+/** Time in which the remembered usual latency doubles, in milliseconds: a new version may be slower for good. */
+const UsualDoubling = 600_000;
 /** What an overload leaves of the limit: low enough to drain a queue within a few calls, high enough to go on. */
 const Decrease = 0.8;
 
@@ -34,8 +38,9 @@
     private limit: number;
     private running = 0;
     private lowered: core.MonotonicMilliseconds = -Infinity;
-    private readonly usualLatency = new estimates.MovingAverage(0.005, 0);
-    private readonly recentLatency = new estimates.MovingAverage(0.1, 0);
+    private readonly recentLatency = new estimates.MovingAverage(0.05, 0);
+    private usualLatency = Infinity;
+    private usualAt: core.MonotonicMilliseconds = 0;
 
     constructor(private readonly settings: ConcurrencySettings) {
         this.limit = clamp(settings.initial, 1, settings.maximum);
@@ -56,13 +61,12 @@
             return;
         }
         if (signal === CallSignal.Success) {
-            this.recentLatency.add(latencyMilliseconds);
+            this.learn(latencyMilliseconds, now);
         }
         if (signal === CallSignal.Overload || this.isSlow()) {
             this.lower(now);
             return;
         }
-        this.usualLatency.add(latencyMilliseconds);
         if (wasInUse) {
             this.limit = clamp(this.limit + 1 / this.limit, 1, this.settings.maximum);
         }
@@ -77,7 +81,20 @@
     }
 
     private isSlow(): boolean {
-        return this.usualLatency.getCount() >= 20 && this.recentLatency.get() > SlowFactor * this.usualLatency.get();
+        return (
+            this.recentLatency.getCount() >= SamplesToJudge && this.recentLatency.get() > SlowFactor * this.usualLatency
+        );
+    }
+
+    /** The usual latency is the lowest mean of late: a mean of all would follow a queue that builds up slowly. */
+    private learn(latencyMilliseconds: number, now: core.MonotonicMilliseconds): void {
+        this.recentLatency.add(latencyMilliseconds);
+        if (this.recentLatency.getCount() < SamplesToJudge) {
+            return;
+        }
+        const forgotten = this.usualLatency * 2 ** (Math.max(0, now - this.usualAt) / UsualDoubling);
+        this.usualLatency = Math.min(forgotten, this.recentLatency.get());
+        this.usualAt = now;
     }
 
     private lower(now: core.MonotonicMilliseconds): void {
--- a/packages/decisions/src/upstreamHealth.ts
+++ b/packages/decisions/src/upstreamHealth.ts
@@ -22,6 +22,11 @@
 const ReturnFactor = 1.6;
 /** Seconds with samples that a verdict rests on: in a burst an engine reads prompts without a pause for a second. */
 const SecondsToJudge = 3;
+/**
+ * How long an upstream must look slow before the verdict, in milliseconds. When the whole fleet gets slower, the first
+ * upstream to be heard of in a new second is compared with what the others were in the old one.
+ */
+const VerdictDelay = 1_100;
 /** A first token that takes this many times the usual time is overdue: new requests go elsewhere until it comes. */
 const OverdueFactor = 4;
 /** Below this no first token counts as overdue, in milliseconds: a long prompt takes as much. */
@@ -44,6 +49,7 @@
     state = SpeedState.Usual;
     share = 1;
     steppedAt: core.MonotonicMilliseconds = 0;
+    suspectedAt: core.MonotonicMilliseconds | undefined;
 }
 
 /** Medians over the upstreams, in milliseconds; undefined where too few samples are known. */
@@ -151,10 +157,16 @@
             }
         }
         else if (this.isSlow(record, now)) {
-            this.setSlow(record);
+            record.suspectedAt ??= now;
+            if (now - record.suspectedAt >= VerdictDelay) {
+                this.setSlow(record);
+            }
         }
-        else if (record.state === SpeedState.Returning) {
-            this.stepReturn(record, now);
+        else {
+            record.suspectedAt = undefined;
+            if (record.state === SpeedState.Returning) {
+                this.stepReturn(record, now);
+            }
         }
     }
 
@@ -172,6 +184,7 @@
     private setSlow(record: SpeedRecord): void {
         record.state = SpeedState.Slow;
         record.share = 0;
+        record.suspectedAt = undefined;
     }
 
     private isSlow(record: SpeedRecord, now: core.MonotonicMilliseconds): boolean {
--- /dev/null
+++ b/packages/decisions/test/batchGate.test.ts
@@ -0,0 +1,156 @@
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as decisions from "@boragedale/decisions";
+
+const suite = uvu.suite("batch gate");
+
+const Concurrency = 16;
+
+/** A gate whose streams get their first token at once and end when cancelled. */
+class Harness {
+    readonly gate: decisions.BatchGate;
+    readonly running = new Map<string, number>();
+    readonly cancelled: string[] = [];
+    private nextId = 0;
+
+    constructor(batchWeight = 1, startedAt = -100_000) {
+        this.gate = new decisions.BatchGate({ concurrency: Concurrency, batchWeight, startedAt });
+    }
+
+    turn(now: number, promptTokens = 100): void {
+        const decision = this.gate.decide(now);
+        for (const id of decision.streamsToCancel) {
+            this.cancelled.push(id);
+            this.running.delete(id);
+            this.gate.onEnded(id);
+        }
+        for (let count = 0; count < decision.mayStart; count++) {
+            const id = `stream-${this.nextId++}`;
+            this.running.set(id, promptTokens);
+            this.gate.onStarted(id, promptTokens);
+            this.gate.onFirstToken(id);
+        }
+    }
+
+    fill(now: number): void {
+        for (let turn = 0; turn < 2 * Concurrency; turn++) {
+            this.turn(now, 100 + turn);
+        }
+    }
+
+    tell(instance: string, inFlight: number, now: number): void {
+        this.gate.onOnlinePressure({ instance, inFlight, queued: 0 }, now);
+    }
+}
+
+// Batch holds all places of an engine when a burst of online requests comes. The engine admits as they come, so each
+// would wait for a batch stream of many seconds to end. The home has to cancel as many as the burst needs, those that
+// lose least, and start none until it is over.
+suite("a burst takes its places at once, from the streams that lose least", () => {
+    const harness = new Harness();
+    harness.fill(0);
+    assert.is(harness.running.size, Concurrency - 1);
+    const cheapest = [...harness.running.keys()].slice(0, 5);
+    harness.tell("instance-0", 6, 1_000);
+    harness.turn(1_000);
+    assert.equal(harness.cancelled, cheapest);
+    harness.turn(1_500);
+    assert.is(harness.running.size, Concurrency - 6);
+    harness.tell("instance-0", 0, 2_000);
+    harness.turn(2_000);
+    harness.fill(20_000);
+    assert.ok(harness.running.size > Concurrency - 6, "idle places are used again");
+});
+
+suite("with what is online it never exceeds the places, and keeps the learned reserve free", () => {
+    const script = fastCheck.array(
+        fastCheck.record({
+            instance: fastCheck.integer({ min: 0, max: 3 }),
+            inFlight: fastCheck.integer({ min: 0, max: 8 }),
+            time: fastCheck.integer({ min: 1, max: 2_000 }),
+        }),
+        { maxLength: 60 },
+    );
+    const weight = fastCheck.constantFrom(0, 0.5, 1);
+    fastCheck.assert(
+        fastCheck.property(weight, script, (batchWeight, steps) => {
+            const harness = new Harness(batchWeight);
+            let now = 0;
+            for (const step of steps) {
+                now += step.time;
+                harness.tell(`instance-${step.instance}`, step.inFlight, now);
+                const before = harness.running.size;
+                harness.turn(now);
+                const held = harness.running.size + harness.gate.getOnline(now);
+                assert.ok(harness.running.size === 0 || held <= Concurrency, `${held} held`);
+                const hasStarted = harness.running.size > before;
+                assert.ok(
+                    !hasStarted || held + harness.gate.getReserve(now) <= Concurrency,
+                    "started into the reserve",
+                );
+            }
+        }),
+        { seed: 8, numRuns: 300 },
+    );
+});
+
+// A lagging instance list makes two instances believe to be the home. Each knows only its own streams; unless both
+// take half, the engine holds twice the batch and online requests queue behind it.
+suite("two homes together hold no more than one would", () => {
+    const homes = [new Harness(), new Harness()];
+    for (const home of homes) {
+        home.gate.setHomes(2);
+        home.fill(0);
+    }
+    assert.ok(homes[0]!.running.size + homes[1]!.running.size < Concurrency);
+});
+
+// A new home hears from an instance only when that one's list names it. Taking silence for idleness it would fill the
+// engine under the online work of all that have not told it yet.
+suite("instances not heard of count as much as the others", () => {
+    const harness = new Harness();
+    harness.gate.setInstances(["instance-0", "instance-1", "instance-2", "instance-3"]);
+    harness.tell("instance-0", 3, 0);
+    assert.is(harness.gate.getOnline(1), 12);
+    harness.fill(60_000);
+    assert.is(harness.gate.getOnline(60_000), 0, "told long ago by an instance that may be gone");
+});
+
+suite("a new home starts with few streams", () => {
+    const harness = new Harness(1, 0);
+    harness.fill(0);
+    assert.is(harness.running.size, 2);
+    harness.fill(1_000);
+    assert.is(harness.running.size, Concurrency - 1);
+});
+
+suite("one prompt is read at a time, and none right after an online request came", () => {
+    const { gate } = new Harness();
+    assert.is(gate.decide(0).mayStart, 1);
+    gate.onStarted("stream", 100);
+    assert.is(gate.decide(0).mayStart, 0);
+    gate.onFirstToken("stream");
+    assert.is(gate.decide(0).mayStart, 1);
+    gate.onOnlinePressure({ instance: "instance-0", inFlight: 1, queued: 0 }, 10);
+    assert.is(gate.decide(11).mayStart, 0);
+    assert.is(gate.decide(200).mayStart, 1);
+});
+
+suite("the weight bounds how much batch lengthens the step", () => {
+    const counts = [0, 0.5, 1].map(weight => {
+        const harness = new Harness(weight);
+        harness.turn(0);
+        const id = [...harness.running.keys()][0]!;
+        for (let sample = 0; sample < 500; sample++) {
+            const online = sample % 8;
+            harness.tell("instance-0", online, sample);
+            harness.gate.onProgress(id, 8, 8 * (10 + 1 + online), sample);
+        }
+        harness.fill(60_000);
+        return harness.running.size;
+    });
+    assert.ok(counts[0]! < counts[1]! && counts[1]! < counts[2]!, counts.join(" "));
+});
+
+suite.run();
--- a/packages/decisions/test/fixtures.ts
+++ b/packages/decisions/test/fixtures.ts
@@ -1,11 +1,19 @@
 import * as core from "@boragedale/core";
 import type * as decisions from "@boragedale/decisions";
+import * as uniform from "pure-rand/distribution/uniformFloat64";
+import * as generator from "pure-rand/generator/xoroshiro128plus";
 
 /** A random source that always gives the middle: spreads without chance. */
 export function createMiddle(): () => number {
     return () => 0.5;
 }
 
+/** A random source with a fixed seed. */
+export function createRandom(seed: number): () => number {
+    const source = generator.xoroshiro128plus(seed);
+    return () => uniform.uniformFloat64(source);
+}
+
 /** Upstreams `engine-0`, `engine-1`, … that hold `model`. */
 export function createCandidates(count: number, concurrency = 16): readonly decisions.PlacementCandidate[] {
     return Array.from(Array(count).keys(), index => createCandidate(`engine-${index}`, concurrency));
