--- a/packages/decisions/test/admissionQueue.test.ts
+++ b/packages/decisions/test/admissionQueue.test.ts
@@ -59,6 +59,15 @@
     assert.is(queue.take(1_002), undefined);
 });
 
+suite("a request whose time is over isn't run, even when nobody asked for the expired ones before", () => {
+    const queue = createQueue(1);
+    queue.offer(fixtures.createItem("running", "one"), 0);
+    queue.offer(fixtures.createItem("waiting", "two", 1_000), 0);
+    queue.complete(1, 100);
+    assert.is(queue.take(1_001), undefined);
+    assert.is(queue.expire(1_001).length, 1);
+});
+
 suite("a request that is passed over for a preferred one runs after a bounded number of times", () => {
     const queue = createQueue(1);
     queue.offer(fixtures.createItem("running", "zero", 1e9), 0);
--- a/packages/decisions/test/batchOrder.test.ts
+++ b/packages/decisions/test/batchOrder.test.ts
@@ -59,6 +59,8 @@
 
 suite("a caller that comes back doesn't catch up for the time it was away", () => {
     const order = createOrder();
+    order.add(fixtures.createBatchItem("second", "two", 10));
+    order.take(0);
     for (let index = 0; index < 200; index++) {
         order.add(fixtures.createBatchItem("first", "one", 10));
     }
