--- a/packages/bench/src/batchHome.ts
+++ b/packages/bench/src/batchHome.ts
@@ -10,6 +10,12 @@
 /** How long a new home takes it that the old one may still act, in milliseconds: what the instance list lags. */
 const TwoHomesTime = 10_000;
 
+/** What the home of an upstream tells each instance that told it something. */
+export interface HomeReport {
+    readonly inFlight: number;
+    readonly fastestGap: number | undefined;
+}
+
 interface BatchStream {
     readonly id: string;
     readonly item: workload.BatchItem;
@@ -56,13 +62,21 @@
         }
     }
 
-    /** Takes in what an instance told, and answers. */
-    onPressure(upstream: string, pressure: decisions.OnlinePressure): decisions.HomeReport {
+    /** Takes in what an instance told, and answers what all together have there. */
+    onPressure(upstream: string, pressure: decisions.OnlinePressure): HomeReport {
         const now = this.context.simulation.now();
         const gate = this.gates.get(upstream);
         gate?.onOnlinePressure(pressure, now);
         this.apply(upstream);
-        return gate?.createReport(upstream, now) ?? { upstream, inFlight: pressure.inFlight };
+        return { inFlight: gate?.getOnline(now) ?? pressure.inFlight, fastestGap: gate?.getFastestGap(now) };
+    }
+
+    /** Asks the engines for their memory, as the home does. */
+    readReports(ageMilliseconds: number): void {
+        for (const [upstream, gate] of this.gates) {
+            const { cacheUsage } = this.getEngine(upstream).getLoad();
+            gate.onLoadReport({ cacheUsage, ageMilliseconds }, this.context.simulation.now());
+        }
     }
 
     tick(): void {
--- a/packages/bench/src/engine.ts
+++ b/packages/bench/src/engine.ts
@@ -122,8 +122,8 @@
         }
     }
 
-    getLoad(): { readonly running: number; readonly waiting: number } {
-        return { running: this.running.length, waiting: this.waiting.length };
+    getLoad(): { readonly waiting: number; readonly cacheUsage: number } {
+        return { waiting: this.waiting.length, cacheUsage: this.heldTokens / this.model.memoryTokens };
     }
 
     countOnline(): number {
--- a/packages/bench/src/policyInstance.ts
+++ b/packages/bench/src/policyInstance.ts
@@ -143,9 +143,12 @@
 
     onPressure(upstream: string, pressure: decisions.OnlinePressure): void {
         const report = this.home.onPressure(upstream, pressure);
-        this.fleet.send(pressure.instance, instance =>
-            instance.placement.onHomeReport(report, this.context.simulation.now()),
-        );
+        this.fleet.send(pressure.instance, instance => instance.onHomeReport(upstream, report));
+    }
+
+    onHomeReport(upstream: string, report: batchHome.HomeReport): void {
+        const now = this.context.simulation.now();
+        this.placement.onOnlineTotal(upstream, report.inFlight, now, report.fastestGap);
     }
 
     /** An upstream died: tells the peers which requests were there. */
@@ -271,6 +274,7 @@
 
     private readReports(now: number): void {
         this.reportedAt = now;
+        this.home.readReports(ReportAge);
         for (const engine of this.context.engines.filter(candidate => candidate.isAlive)) {
             const { waiting } = engine.getLoad();
             this.placement.onLoadReport(engine.id, { waiting, ageMilliseconds: ReportAge }, now);
@@ -291,7 +295,7 @@
         const home = this.getHome(upstream);
         const pressure = this.placement.createPressure(this.id, upstream, now);
         if (home === this.id) {
-            this.placement.onHomeReport(this.home.onPressure(upstream, pressure), now);
+            this.onHomeReport(upstream, this.home.onPressure(upstream, pressure));
         }
         else if (home !== undefined) {
             this.fleet.send(home, instance => instance.onPressure(upstream, pressure));
--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -38,9 +38,10 @@
 export interface AdmissionSettings {
     /** Requests that may run at once; changes by `setLimit`. */
     readonly limit: number;
-    /** Time that one unit of cost takes, and the usual cost, as long as nothing has been learned. */
+    /** Time that one unit of cost takes, as long as nothing has been learned. */
     readonly expectedMillisecondsPerCost: number;
-    readonly expectedCost: number;
+    /** The usual cost; 1 where it isn't given. */
+    readonly expectedCost?: number;
     /** From 0 up to 1; spreads the times to come back, so that refused callers don't all return together. */
     readonly random: () => number;
 }
@@ -96,7 +97,7 @@
 
     constructor(private readonly settings: AdmissionSettings) {
         this.limit = settings.limit;
-        this.service = new serviceTime.ServiceTime(settings.expectedMillisecondsPerCost, settings.expectedCost);
+        this.service = new serviceTime.ServiceTime(settings.expectedMillisecondsPerCost, settings.expectedCost ?? 1);
     }
 
     /** Sets how many may run at once, as upstreams come, go and fill. */
--- a/packages/decisions/src/batchGate.ts
+++ b/packages/decisions/src/batchGate.ts
@@ -1,6 +1,5 @@
 import type * as core from "@boragedale/core";
 import * as estimates from "./estimates.js";
-import type * as placement from "./placement.js";
 import * as stepCost from "./stepCost.js";
 
 export interface BatchGateSettings {
@@ -46,6 +45,14 @@
 const PeakHalfLife = 2_000;
 /** Places kept free for online work even where no burst was ever seen. */
 const LeastReserve = 1;
+/**
+ * Parts of the engine's memory in use at which no batch prompt is sent, and at which streams are cancelled. The rest is
+ * the cache of online's prefixes; and when memory is full the engine admits nobody, however many places are free.
+ */
+const MemoryToStart = 0.6;
+const MemoryToCancel = 0.75;
+/** Reports of memory older than this aren't used, in milliseconds. */
+const MemoryReportLife = 5_000;
 /** A new home knows nothing yet: it starts with few streams and doubles them each step, in milliseconds. */
 const SlowStartStep = 100;
 const SlowStartFirst = 2;
@@ -65,7 +72,7 @@
  *
  * Load: batch work without end beside online work that is idle for seconds and then bursts. Harm prevented: engines
  * know no priorities and admit as requests come, so a batch stream that is there slows each online token, holds a place
- * and memory that a burst needs, and can't be overtaken. Three limits, each against one of these:
+ * and memory that a burst needs, and can't be overtaken. Four limits, each against one of these:
  *
  * - places: concurrency less online in flight less a reserve that covers the largest recent rise within the time it
  *   takes to notice and to cancel. Without it a burst waits inside the engine behind streams that last seconds. While a
@@ -73,7 +80,8 @@
  *   single request, none would cancel too late.
  * - step time: as many streams as lengthen the engine's step, which is online's time between tokens, by no more than the
  *   operators' weight allows. The slope is learned from the streams themselves.
- * - prompts: few batch prompts are read at once, since reading one stops all streams of the engine for a step.
+ * - memory: long streams grow until the engine has room for nobody, places or not; the engine's report tells.
+ * - prompts: one batch prompt is read at once, since reading one stops all streams of the engine for a step.
  */
 export class BatchGate {
     private readonly pressures = new Map<
@@ -86,6 +94,9 @@
     private readonly gap = new estimates.RecentMinimum(2);
     private readonly cost = new stepCost.StepCost();
     private recentLows: { readonly at: core.MonotonicMilliseconds; readonly online: number }[] = [];
+    private memoryUsage = 0;
+    private memoryHeldThen = 0;
+    private memoryReportedAt: core.MonotonicMilliseconds = -Infinity;
     private queuedAt: core.MonotonicMilliseconds = -Infinity;
     private arrivedAt: core.MonotonicMilliseconds = -Infinity;
     private cancelledAt: core.MonotonicMilliseconds = -Infinity;
@@ -159,18 +170,29 @@
         this.cost.add(this.streams.size + this.getOnline(now), milliseconds / tokens);
     }
 
+    /** The engine's own report. Only its memory is used: nothing seen from outside tells of it. */
+    onLoadReport(
+        report: { readonly cacheUsage: number; readonly ageMilliseconds: number },
+        now: core.MonotonicMilliseconds,
+    ): void {
+        this.memoryUsage = report.cacheUsage;
+        this.memoryReportedAt = now - report.ageMilliseconds;
+        this.memoryHeldThen = this.getHeldTokens();
+    }
+
     onEnded(id: string): void {
         this.streams.delete(id);
     }
 
     decide(now: core.MonotonicMilliseconds): GateDecision {
         const reserve = this.getReserve(now);
-        const streamsToCancel = this.chooseCancelled(this.getPlaces(this.getOnline(now), Math.floor(reserve / 2)));
+        const places = this.getPlaces(this.getOnline(now), Math.floor(reserve / 2));
+        const streamsToCancel = this.chooseCancelled(places, this.getExcessTokens(now));
         if (streamsToCancel.length > 0) {
             this.cancelledAt = now;
         }
-        const places = this.getStartLimit(reserve, now) - this.streams.size;
-        return { mayStart: Math.max(0, Math.min(places, this.getPromptPlaces(now))), streamsToCancel };
+        const free = this.getStartLimit(reserve, now) - this.streams.size;
+        return { mayStart: Math.max(0, Math.min(free, this.getPromptPlaces(now))), streamsToCancel };
     }
 
     /** Online requests on the upstream, over all instances: what the home tells back. */
@@ -187,9 +209,9 @@
         return heard === 0 ? 0 : Math.ceil((sum * Math.max(heard, this.instances.length)) / heard);
     }
 
-    /** What the home answers to an instance that told its online work. */
-    createReport(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): placement.HomeReport {
-        return { upstream, inFlight: this.getOnline(now), fastestGap: this.gap.getFresh(now) };
+    /** The shortest time between two tokens seen on the upstream by anybody in the last second: told with the total. */
+    getFastestGap(now: core.MonotonicMilliseconds): number | undefined {
+        return this.gap.getFresh(now);
     }
 
     /** Batch streams held now, those being cancelled included. */
@@ -229,7 +251,7 @@
             now - this.arrivedAt < HoldAfterArrival ||
             now - this.queuedAt < HoldAfterQueue ||
             now - this.cancelledAt < HoldAfterCancel;
-        if (isHeld) {
+        if (isHeld || this.getMemoryUsage(now) >= MemoryToStart) {
             return 0;
         }
         let reading = 0;
@@ -240,17 +262,44 @@
     }
 
     /** The streams that lose least: resuming reads the prompt and what was generated again. */
-    private chooseCancelled(limit: number): readonly string[] {
+    private chooseCancelled(places: number, excessTokens: number): readonly string[] {
         const running = [...this.streams.values()].filter(stream => !stream.isCancelling);
-        const excess = running.length - limit;
-        if (excess <= 0) {
-            return [];
-        }
-        const chosen = running.sort((left, right) => left.heldTokens - right.heldTokens).slice(0, excess);
-        for (const stream of chosen) {
+        running.sort((left, right) => left.heldTokens - right.heldTokens);
+        const chosen: string[] = [];
+        let tokens = excessTokens;
+        for (const stream of running) {
+            if (running.length - chosen.length <= places && tokens <= 0) {
+                break;
+            }
             stream.isCancelling = true;
+            tokens -= stream.heldTokens;
+            chosen.push(stream.id);
+        }
+        return chosen;
+    }
+
+    /** Part of the engine's memory in use: as reported, and what batch streams have added since. */
+    private getMemoryUsage(now: core.MonotonicMilliseconds): number {
+        if (now - this.memoryReportedAt > MemoryReportLife) {
+            return 0;
+        }
+        const held = this.getHeldTokens();
+        const grown = this.memoryHeldThen > 0 ? held / this.memoryHeldThen : 1;
+        return this.memoryUsage * Math.max(1, grown);
+    }
+
+    /** Tokens that batch streams must give back so that online requests find memory. */
+    private getExcessTokens(now: core.MonotonicMilliseconds): number {
+        const usage = this.getMemoryUsage(now);
+        return usage < MemoryToCancel ? 0 : this.getHeldTokens() * (1 - MemoryToStart / usage);
+    }
+
+    private getHeldTokens(): number {
+        let sum = 0;
+        for (const stream of this.streams.values()) {
+            sum += stream.isCancelling ? 0 : stream.heldTokens;
         }
-        return chosen.map(stream => stream.id);
+        return sum;
     }
 
     private noteRise(now: core.MonotonicMilliseconds): void {
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -25,15 +25,6 @@
     readonly exclude?: ReadonlySet<core.UpstreamId>;
 }
 
-/** What the home of an upstream tells each instance that told it something. */
-export interface HomeReport {
-    readonly upstream: core.UpstreamId;
-    /** Online requests there, of all instances. */
-    readonly inFlight: number;
-    /** Shortest time between two tokens seen there by anybody in the last second, in milliseconds. */
-    readonly fastestGap?: number;
-}
-
 export enum PlacementKind {
     Placed = "Placed",
     None = "None",
@@ -245,13 +236,21 @@
         }
     }
 
-    /** The upstream's home answered: what all instances together have and saw there. */
-    onHomeReport(report: HomeReport, now: core.MonotonicMilliseconds): void {
-        const record = this.getRecord(report.upstream);
-        record.others = Math.max(0, report.inFlight - record.online);
+    /**
+     * The upstream's home told how many online requests all instances have there, and the shortest time between two
+     * tokens that anybody saw there in the last second, in milliseconds.
+     */
+    onOnlineTotal(
+        upstream: core.UpstreamId,
+        inFlight: number,
+        now: core.MonotonicMilliseconds,
+        fastestGap?: number,
+    ): void {
+        const record = this.getRecord(upstream);
+        record.others = Math.max(0, inFlight - record.online);
         record.hintedAt = now;
-        if (report.fastestGap !== undefined) {
-            this.health.onGapTold(report.upstream, report.fastestGap, now);
+        if (fastestGap !== undefined) {
+            this.health.onGapTold(upstream, fastestGap, now);
         }
     }
 
--- a/packages/decisions/test/batchGate.test.ts
+++ b/packages/decisions/test/batchGate.test.ts
@@ -95,6 +95,23 @@
     );
 });
 
+// Batch streams of thousands of tokens fill an engine's memory while a third of its places is free. The engine then
+// admits nobody, and online requests wait for a stream to end: their first token took 12 s in place of 0.2 s.
+suite("batch gives memory back before the engine has room for nobody", () => {
+    const harness = new Harness();
+    harness.fill(0);
+    const before = harness.running.size;
+    harness.gate.onLoadReport({ cacheUsage: 0.7, ageMilliseconds: 100 }, 1_000);
+    harness.turn(1_000);
+    assert.is(harness.cancelled.length, 0);
+    harness.gate.onEnded([...harness.running.keys()].at(-1)!);
+    assert.is(harness.gate.decide(1_001).mayStart, 0, "no prompt is added when memory is short");
+    harness.gate.onLoadReport({ cacheUsage: 0.9, ageMilliseconds: 100 }, 2_000);
+    harness.turn(2_000);
+    const kept = before - 1 - harness.cancelled.length;
+    assert.ok(kept > 0 && kept <= (before * 0.75) / 0.9, `${kept} of ${before} kept`);
+});
+
 // A lagging instance list makes two instances believe to be the home. Each knows only its own streams; unless both
 // take half, the engine holds twice the batch and online requests queue behind it.
 suite("two homes together hold no more than one would", () => {
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -115,6 +115,8 @@
     readonly upstream: core.UpstreamId;
     readonly inFlight: number;
     readonly queued: number;
+    /** Shortest time between two tokens that the sender saw there in the last second, in milliseconds. */
+    readonly fastestGap?: number;
 }
 
 /** The home's answer to `OnlinePressure`: what it knows of the upstream. */
@@ -125,6 +127,8 @@
     readonly inFlight: number;
     /** The upstream says itself that it takes no new work. */
     readonly isLeaving: boolean;
+    /** Shortest time between two tokens that anybody saw there in the last second, in milliseconds. */
+    readonly fastestGap?: number;
 }
 
 /** A request that was in flight when an upstream died. */
