--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -38,9 +38,10 @@
 export interface AdmissionSettings {
     /** Requests that may run at once; changes by `setLimit`. */
     readonly limit: number;
-    /** Time that one unit of cost takes, and the usual cost, as long as nothing has been learned. */
+    /** Time that one unit of cost takes, as long as nothing has been learned. */
     readonly expectedMillisecondsPerCost: number;
-    readonly expectedCost: number;
+    /** The usual cost; 1 where it isn't given. */
+    readonly expectedCost?: number;
     /** From 0 up to 1; spreads the times to come back, so that refused callers don't all return together. */
     readonly random: () => number;
 }
@@ -91,11 +92,12 @@
     private waitingCount = 0;
     private waitingCost = 0;
     private waitingWeight = 0;
+    private waitingCallers = 0;
     private limit: number;
 
     constructor(private readonly settings: AdmissionSettings) {
         this.limit = settings.limit;
-        this.service = new serviceTime.ServiceTime(settings.expectedMillisecondsPerCost, settings.expectedCost);
+        this.service = new serviceTime.ServiceTime(settings.expectedMillisecondsPerCost, settings.expectedCost ?? 1);
     }
 
     /** Sets how many may run at once, as upstreams come, go and fill. */
@@ -232,12 +234,14 @@
         return undefined;
     }
 
-    /** What would be before the item: all that waits, but of each other caller only what its share lets pass. */
+    /**
+     * What would be before the item: all that waits, but of each other caller only what its share lets pass, and one
+     * request that is first in its caller's line already.
+     */
     private estimateWait(item: AdmissionItem<T>): number {
-        const startTag = this.getStartTag(item);
-        const passing = (startTag - this.virtualTime) * (this.waitingWeight + item.weight);
-        const ownTurn = item.cost;
-        return this.toWait(Math.min(this.waitingCost, passing) + ownTurn);
+        const passing = (this.getStartTag(item) - this.virtualTime) * (this.waitingWeight + item.weight);
+        const firstOnes = (this.waitingCallers * this.waitingCost) / Math.max(1, this.waitingCount);
+        return this.toWait(Math.min(this.waitingCost, passing + firstOnes) + item.cost);
     }
 
     private toWait(cost: number): number {
@@ -268,6 +272,7 @@
         const state = this.getCallerState(item.caller);
         if (state.waiting.length === 0) {
             this.waitingWeight += item.weight;
+            this.waitingCallers++;
         }
         state.waiting.push(entry);
         state.finishTag = startTag + item.cost / item.weight;
@@ -285,6 +290,7 @@
         this.waitingCost -= entry.item.cost;
         if (state.waiting.length === 0) {
             this.waitingWeight -= entry.item.weight;
+            this.waitingCallers--;
         }
         if (this.waitingCount === 0) {
             this.forgetAll();
@@ -299,6 +305,7 @@
         this.virtualTime = 0;
         this.waitingCost = 0;
         this.waitingWeight = 0;
+        this.waitingCallers = 0;
     }
 
     private advanceVirtualTime(item: AdmissionItem<T>): void {
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -1,4 +1,5 @@
 import * as core from "@boragedale/core";
+import type * as batchGate from "./batchGate.js";
 import * as breaker from "./breaker.js";
 import * as prefixShares from "./prefixShares.js";
 import * as rankCache from "./rankCache.js";
@@ -235,11 +236,36 @@
         }
     }
 
-    /** The upstream's home told how many online requests all instances have there. */
-    onOnlineTotal(upstream: core.UpstreamId, inFlight: number, now: core.MonotonicMilliseconds): void {
+    /**
+     * The upstream's home told how many online requests all instances have there, and the shortest time between two
+     * tokens that anybody saw there in the last second, in milliseconds.
+     */
+    onOnlineTotal(
+        upstream: core.UpstreamId,
+        inFlight: number,
+        now: core.MonotonicMilliseconds,
+        fastestGap?: number,
+    ): void {
         const record = this.getRecord(upstream);
         record.others = Math.max(0, inFlight - record.online);
         record.hintedAt = now;
+        if (fastestGap !== undefined) {
+            this.health.onGapTold(upstream, fastestGap, now);
+        }
+    }
+
+    /** What this instance tells the upstream's home. */
+    createPressure(
+        instance: core.InstanceId,
+        upstream: core.UpstreamId,
+        now: core.MonotonicMilliseconds,
+    ): batchGate.OnlinePressure {
+        return {
+            instance,
+            inFlight: this.getOnlineInFlight(upstream),
+            queued: 0,
+            fastestGap: this.health.getFreshGap(upstream, now),
+        };
     }
 
     /** The engine's own report; a hint, since it lags and counts batch work that gives way. */
