--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -66,6 +66,7 @@
     readonly stream?: boolean;
     readonly stream_options?: { readonly include_usage?: boolean };
     readonly max_tokens?: number;
+    readonly min_tokens?: number;
     readonly max_completion_tokens?: number;
     readonly continue_final_message?: boolean;
 }
@@ -220,14 +221,14 @@
     }
 }
 
-/** Reads the prompt, and how long the answer is: as long as the prompt's hash says, cut off at `max_tokens`. */
+/** Reads the prompt, and how long the answer is: as long as the prompt's hash says, within `min_tokens` and `max_tokens`. */
 function parseCompletion(body: ChatBody, id: string): Completion {
     const last = body.messages.at(-1);
     const isResumed = body.continue_final_message === true && last?.role === "assistant";
     const asked = isResumed ? body.messages.slice(0, -1) : body.messages;
     const prompt = [body.model, ...asked.flatMap(message => [message.role, ...splitContent(message.content)])];
     const resumed = isResumed ? splitContent(last?.content).length : 0;
-    const natural = ShortestAnswer + (engineModel.hashWords(prompt) % AnswerSpread);
+    const natural = Math.max(ShortestAnswer + (engineModel.hashWords(prompt) % AnswerSpread), body.min_tokens ?? 0);
     // The limit counts what this run generates, so it is reached `resumed` words further on.
     const limit = resumed + (body.max_completion_tokens ?? body.max_tokens ?? Infinity);
     const length = Math.max(resumed, Math.min(natural, limit));
--- a/packages/tools/src/demo/callers.ts
+++ b/packages/tools/src/demo/callers.ts
@@ -30,6 +30,7 @@
     const response = await send(baseUrl, "POST", "/v1/chat/completions", {
         model: "kestrel",
         stream: true,
+        min_tokens: maximumTokens,
         max_tokens: maximumTokens,
         messages: [{ role: "user", content: prompt }],
     });
--- a/packages/tools/src/demo/fleet.ts
+++ b/packages/tools/src/demo/fleet.ts
@@ -39,7 +39,8 @@
     const keyValueUrl = await start("key-value");
     const instanceListUrl = await start("instance-list");
     const weightStoreUrl = await start("weight-store");
-    const engineFlags = ["--weight-store", weightStoreUrl];
+    // Slow enough that the batch is still running when an instance is killed.
+    const engineFlags = ["--weight-store", weightStoreUrl, "--base-step", "15"];
     const engineUrls = await Promise.all(Array.from({ length: EngineCount }, () => start("engine", engineFlags)));
     const bookingUrl = await start("service");
     const fleet: Fleet = {
--- a/packages/tools/src/demo/report.ts
+++ b/packages/tools/src/demo/report.ts
@@ -16,10 +16,11 @@
     add(promise: string, held: boolean, seen: string): void {
         const now = performance.now();
         this.steps.push({ promise, seen, held, milliseconds: Math.round(now - this.lastTime) });
-        this.lastTime = now;
         clearProgress();
         const mark = held ? "held  " : "BROKEN";
-        console.log(`${mark}  ${promise.padEnd(62)}  ${seen}`);
+        const seconds = `${((now - this.lastTime) / 1_000).toFixed(1)} s`.padStart(7);
+        console.log(`${mark}  ${seconds}  ${promise.padEnd(62)}  ${seen}`);
+        this.lastTime = now;
     }
 
     isEveryPromiseHeld(): boolean {
--- a/packages/tools/src/demo/scenario.ts
+++ b/packages/tools/src/demo/scenario.ts
@@ -27,8 +27,8 @@
     await showBooking(fleet, first, second, report);
     const batch = await showSubmission(first, second, report);
     await showCancel(second, report);
-    await publishNote(fleet, report, notes.createSecondNote(), 1);
     await showKill(fleet, second, batch, report);
+    await publishNote(fleet, report, notes.createSecondNote(), 1);
     await showDrain(fleet, third, report);
     await showBatchResult(second, batch, report);
     const call = await callers.readCall(second, "booking-1");
@@ -130,7 +130,7 @@
     await timers.setTimeout(1_000);
     await removeFromList(fleet, killed);
     const done = before.request_counts.completed + before.request_counts.failed;
-    const held = done < BatchItems;
+    const held = done > 0 && done < BatchItems;
     report.add(
         `${killed.process.name} is killed in the middle of the batch`,
         held,
@@ -189,6 +189,7 @@
             url: "/v1/chat/completions",
             body: {
                 model: isImpossible ? "no-such-model" : "kestrel",
+                min_tokens: 60,
                 max_tokens: 60,
                 messages: [{ role: "user", content: `Draft the waitlist notice for family ${index}.` }],
             },
