--- a/packages/platform/src/etcdFormat.ts
+++ b/packages/platform/src/etcdFormat.ts
@@ -1,45 +1,60 @@
+import * as zod from "zod";
 import * as types from "./types.js";
 
 /**
  * etcd v3's JSON gateway, as far as it is used: keys and values in base64, 64-bit integers as text, and members that
- * hold their default left out.
+ * hold their default left out. Each response has a header, and is taken for none without it: an empty object, as a
+ * broken balancer may give, would else read as "the key is absent" or "another write won".
  */
 
-export interface EtcdKeyValue {
-    readonly key?: string;
-    readonly value?: string;
-    readonly mod_revision?: string;
-}
+const integer = zod.string().regex(/^\d+$/);
+const header = zod.object({ revision: integer.optional() });
+const keyValue = zod.object({
+    key: zod.string().optional(),
+    value: zod.string().optional(),
+    mod_revision: integer.optional(),
+});
+const keyValues = zod.array(keyValue).optional();
+const answer = zod.object({ response_range: zod.object({ kvs: keyValues }).optional() });
+const watchEvent = zod.object({ type: zod.string().optional(), kv: keyValue.optional() });
 
-export interface EtcdRangeResponse {
-    readonly kvs?: readonly EtcdKeyValue[];
-}
+export const RangeResponse = zod.object({ header, kvs: keyValues });
+export const TransactionResponse = zod.object({
+    header,
+    succeeded: zod.boolean().optional(),
+    responses: zod.array(answer).optional(),
+});
+export const GrantResponse = zod.object({ header, ID: integer });
+export const KeepAliveResponse = zod.object({ result: zod.object({ header, TTL: integer.optional() }) });
+export const RevokeResponse = zod.object({ header });
+export const WatchResponse = zod.object({
+    result: zod.object({
+        header,
+        canceled: zod.boolean().optional(),
+        compact_revision: integer.optional(),
+        events: zod.array(watchEvent).optional(),
+    }),
+});
 
-export interface EtcdTransactionResponse {
-    readonly header?: { readonly revision?: string };
-    readonly succeeded?: boolean;
-    readonly responses?: readonly { readonly response_range?: EtcdRangeResponse }[];
-}
-
-export interface EtcdWatchResponse {
-    readonly header?: { readonly revision?: string };
-    readonly canceled?: boolean;
-    readonly compact_revision?: string;
-    readonly events?: readonly { readonly type?: string; readonly kv?: EtcdKeyValue }[];
-}
+/** One line of a watch. */
+export type WatchResult = zod.infer<typeof WatchResponse>["result"];
 
 export function encodeText(text: string): string {
     return Buffer.from(text).toString("base64");
 }
 
-export function parseEntry(keyValue: EtcdKeyValue): types.Entry {
+export function parseEntry(found: zod.infer<typeof keyValue>): types.Entry {
     return {
-        key: Buffer.from(keyValue.key ?? "", "base64").toString(),
-        value: Buffer.from(keyValue.value ?? "", "base64"),
-        revision: Number(keyValue.mod_revision ?? 0),
+        key: Buffer.from(found.key ?? "", "base64").toString(),
+        value: Buffer.from(found.value ?? "", "base64"),
+        revision: Number(found.mod_revision ?? 0),
     };
 }
 
+export function parseEntries(response: zod.infer<typeof RangeResponse>): readonly types.Entry[] {
+    return (response.kvs ?? []).map(parseEntry);
+}
+
 /** The range of all keys with `prefix`: from it to the first key behind them; NUL stands for "to the end". */
 export function createPrefixRange(prefix: string): { readonly key: string; readonly range_end: string } {
     if (prefix === "") {
@@ -75,16 +90,16 @@
     };
 }
 
-export function parseTransaction(response: EtcdTransactionResponse): types.SwapOutcome {
+export function parseTransaction(response: zod.infer<typeof TransactionResponse>): types.SwapOutcome {
     if (response.succeeded === true) {
-        return { swapped: true, revision: Number(response.header?.revision ?? 0) };
+        return { swapped: true, revision: Number(response.header.revision ?? 0) };
     }
     const current = response.responses?.[0]?.response_range?.kvs?.[0];
     return { swapped: false, current: current === undefined ? undefined : parseEntry(current) };
 }
 
 /** The events of one line of a watch, in order. */
-export function parseWatchEvents(response: EtcdWatchResponse): readonly types.WatchEvent[] {
+export function parseWatchEvents(response: WatchResult): readonly types.WatchEvent[] {
     return (response.events ?? []).map(event => {
         const entry = parseEntry(event.kv ?? {});
         return event.type === "DELETE"
--- a/packages/platform/src/httpInstanceList.ts
+++ b/packages/platform/src/httpInstanceList.ts
@@ -1,5 +1,6 @@
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import * as undici from "undici";
+import * as zod from "zod";
 import * as httpCall from "./httpCall.js";
 import * as services from "./services.js";
 
@@ -12,6 +13,16 @@
 
 const DefaultTimeoutMilliseconds = 1_000;
 
+const listShape = zod.object({ instances: zod.array(zod.unknown()) });
+const instanceShape = zod.object({
+    id: zod.string().min(1),
+    dataCentre: zod.string(),
+    state: zod.enum(core.LifeState),
+    callerUrl: zod.string(),
+    peerUrl: zod.string(),
+    operatorUrl: zod.string(),
+});
+
 /** The platform's instance list over HTTP. */
 export class HttpInstanceList extends services.InstanceList implements AsyncDisposable {
     private readonly dispatcher = new undici.Agent();
@@ -29,12 +40,17 @@
         if (outcome.kind !== httpCall.CallOutcomeKind.Answered || outcome.status !== 200) {
             return undefined;
         }
-        const parsed = httpCall.tryParseJson(outcome.body) as
-            { readonly instances?: readonly core.InstanceDescription[] } | undefined;
-        return Array.isArray(parsed?.instances) ? parsed.instances : undefined;
+        const parsed = listShape.safeParse(httpCall.tryParseJson(outcome.body));
+        return parsed.success ? parsed.data.instances.flatMap(parseInstance) : undefined;
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
         await this.dispatcher.destroy();
     }
 }
+
+/** One line that can't be read must not hide the others, so it is left out. */
+function parseInstance(line: unknown): readonly core.InstanceDescription[] {
+    const parsed = instanceShape.safeParse(line);
+    return parsed.success ? [parsed.data] : [];
+}
--- a/packages/platform/src/httpKeyValueService.ts
+++ b/packages/platform/src/httpKeyValueService.ts
@@ -1,5 +1,6 @@
 import * as core from "@boragedale/core";
 import * as undici from "undici";
+import type * as zod from "zod";
 import * as etcdFormat from "./etcdFormat.js";
 import * as httpCall from "./httpCall.js";
 import * as services from "./services.js";
@@ -42,37 +43,39 @@
 
     override async get(key: string): Promise<types.KeyValueResult<types.Entry | undefined>> {
         const body = { key: etcdFormat.encodeText(key) };
-        return this.post("/v3/kv/range", body, false, response => parseEntries(response)[0]);
+        const result = await this.post("/v3/kv/range", body, etcdFormat.RangeResponse, false);
+        return mapResult(result, response => etcdFormat.parseEntries(response)[0]);
     }
 
     override async list(request: types.ListRequest): Promise<types.KeyValueResult<readonly types.Entry[]>> {
         const range = etcdFormat.createPrefixRange(request.prefix);
         // The key right behind another one in byte order is that key with NUL added.
         const key = request.after === undefined ? range.key : etcdFormat.encodeText(`${request.after}\0`);
-        return this.post("/v3/kv/range", { ...range, key, limit: String(request.limit) }, false, parseEntries);
+        const body = { ...range, key, limit: String(request.limit) };
+        const result = await this.post("/v3/kv/range", body, etcdFormat.RangeResponse, false);
+        return mapResult(result, etcdFormat.parseEntries);
     }
 
     override async compareAndSwap(request: types.SwapRequest): Promise<types.KeyValueResult<types.SwapOutcome>> {
-        const parse = (response: unknown): types.SwapOutcome =>
-            etcdFormat.parseTransaction(response as etcdFormat.EtcdTransactionResponse);
-        return this.post("/v3/kv/txn", etcdFormat.createTransaction(request), true, parse);
+        const body = etcdFormat.createTransaction(request);
+        const result = await this.post("/v3/kv/txn", body, etcdFormat.TransactionResponse, true);
+        return mapResult(result, etcdFormat.parseTransaction);
     }
 
     override async grantLease(milliseconds: number): Promise<types.KeyValueResult<types.LeaseId>> {
         const body = { TTL: String(Math.ceil(milliseconds / 1_000)) };
-        return this.post("/v3/lease/grant", body, true, response => (response as { ID: string }).ID);
+        const result = await this.post("/v3/lease/grant", body, etcdFormat.GrantResponse, true);
+        return mapResult(result, response => response.ID);
     }
 
     override async keepLeaseAlive(lease: types.LeaseId): Promise<types.KeyValueResult<boolean>> {
-        return this.post("/v3/lease/keepalive", { ID: lease }, false, response => {
-            const { result } = response as { readonly result?: { readonly TTL?: string } };
-            return Number(result?.TTL ?? 0) > 0;
-        });
+        const result = await this.post("/v3/lease/keepalive", { ID: lease }, etcdFormat.KeepAliveResponse, false);
+        return mapResult(result, response => Number(response.result.TTL ?? 0) > 0);
     }
 
     override async revokeLease(lease: types.LeaseId): Promise<types.KeyValueResult<void>> {
-        const result = await this.post("/v3/lease/revoke", { ID: lease }, true, () => undefined);
-        return result;
+        const result = await this.post("/v3/lease/revoke", { ID: lease }, etcdFormat.RevokeResponse, true);
+        return mapResult(result, () => undefined);
     }
 
     override async *watch(request: types.WatchRequest): AsyncIterable<types.WatchEvent> {
@@ -87,7 +90,7 @@
                 wait = this.options.watchRetryMilliseconds ?? DefaultWatchRetryMilliseconds;
                 if (response.canceled === true) {
                     // Changes behind `compact_revision` are forgotten, so the reader can't have seen all of them.
-                    afterRevision = Number(response.header?.revision ?? response.compact_revision ?? 0);
+                    afterRevision = Number(response.header.revision ?? response.compact_revision ?? 0);
                     yield { kind: types.WatchEventKind.Gap, revision: afterRevision };
                     break;
                 }
@@ -106,7 +109,7 @@
     }
 
     /** One connection of a watch; ends when it breaks, goes silent, or is aborted. */
-    private async *openWatch(request: types.WatchRequest): AsyncIterable<etcdFormat.EtcdWatchResponse> {
+    private async *openWatch(request: types.WatchRequest): AsyncIterable<etcdFormat.WatchResult> {
         const silence = new SilenceGuard(
             this.clock,
             this.options.watchSilenceMilliseconds ?? DefaultWatchSilenceMilliseconds,
@@ -124,10 +127,11 @@
                 return;
             }
             for await (const line of readLines(opened.body, () => silence.restart())) {
-                const { result } = (httpCall.tryParseJson(line) ?? {}) as { result?: etcdFormat.EtcdWatchResponse };
-                if (result !== undefined) {
-                    yield result;
+                const parsed = etcdFormat.WatchResponse.safeParse(httpCall.tryParseJson(line));
+                if (!parsed.success) {
+                    return;
                 }
+                yield parsed.data.result;
             }
         }
         finally {
@@ -139,8 +143,8 @@
     private async post<T>(
         path: string,
         body: unknown,
+        shape: zod.ZodType<T>,
         isWrite: boolean,
-        parse: (response: unknown) => T,
     ): Promise<types.KeyValueResult<T>> {
         const outcome = await httpCall.call(this.dispatcher, {
             method: "POST",
@@ -149,9 +153,9 @@
             timeoutMilliseconds: this.timeoutMilliseconds,
         });
         if (outcome.kind === httpCall.CallOutcomeKind.Answered && outcome.status === 200) {
-            const response = httpCall.tryParseJson(outcome.body);
-            if (response !== undefined) {
-                return { ok: true, value: parse(response) };
+            const parsed = shape.safeParse(httpCall.tryParseJson(outcome.body));
+            if (parsed.success) {
+                return { ok: true, value: parsed.data };
             }
         }
         return { ok: false, failure: createFailure(outcome, isWrite) };
@@ -225,14 +229,15 @@
         const retryAfterMilliseconds = Number(retryAfter ?? 1) * 1_000 || 1_000;
         return { kind: types.KeyValueFailureKind.Throttled, text, retryAfterMilliseconds };
     }
-    // A 4xx was refused as it stands. etcd gives "request timed out" as a 503 for writes that it applies later.
-    const isRefused = (status >= 400 && status < 500) || RefusedBeforeWrite.test(text);
-    const kind = isRefused ? types.KeyValueFailureKind.Unavailable : uncertain;
-    return { kind, text, isAnswer: status < 500 };
+    // A 4xx was refused as it stands, but for 408, which a balancer gives for a request that it has passed on. etcd
+    // itself gives "request timed out" as a 503 for writes that it applies later.
+    const isAnswer = status >= 400 && status < 500 && status !== 408;
+    const isRefused = isAnswer || RefusedBeforeWrite.test(text);
+    return { kind: isRefused ? types.KeyValueFailureKind.Unavailable : uncertain, text, isAnswer };
 }
 
-function parseEntries(response: unknown): readonly types.Entry[] {
-    return ((response as etcdFormat.EtcdRangeResponse).kvs ?? []).map(etcdFormat.parseEntry);
+function mapResult<T, U>(result: types.KeyValueResult<T>, map: (value: T) => U): types.KeyValueResult<U> {
+    return result.ok ? { ok: true, value: map(result.value) } : result;
 }
 
 function getRevision(event: types.WatchEvent): types.Revision {
--- a/packages/platform/src/watchWithRecovery.ts
+++ b/packages/platform/src/watchWithRecovery.ts
@@ -29,7 +29,7 @@
     const known = new Map<string, types.Revision>();
     yield* applyList(known, await listAll(options));
     while (!options.signal.aborted) {
-        const afterRevision = Math.max(0, ...known.values());
+        const afterRevision = getNewest(known.values());
         const { prefix, signal } = options;
         for await (const event of options.service.watch({ prefix, afterRevision, signal })) {
             if (event.kind === types.WatchEventKind.Gap) {
@@ -72,7 +72,7 @@
         return;
     }
     const listed = new Set(entries.map(entry => entry.key));
-    const newest = entries.reduce((revision, entry) => Math.max(revision, entry.revision), 0);
+    const newest = getNewest(entries.map(entry => entry.revision));
     for (const [key, revision] of [...known]) {
         if (!listed.has(key)) {
             known.delete(key);
@@ -101,3 +101,12 @@
     const isNews = revision !== undefined && event.revision > revision;
     return isNews && known.delete(event.key);
 }
+
+/** A prefix may hold more entries than a call may have arguments, so `Math.max` can't take them all. */
+function getNewest(revisions: Iterable<types.Revision>): types.Revision {
+    let newest = 0;
+    for (const revision of revisions) {
+        newest = Math.max(newest, revision);
+    }
+    return newest;
+}
