--- a/packages/work/src/jobSelection.ts
+++ b/packages/work/src/jobSelection.ts
@@ -31,15 +31,6 @@
         return chosen;
     }
 
-    /** Drops the turns of callers that have no work any more. */
-    retain(callers: ReadonlySet<core.CallerId>): void {
-        for (const caller of this.lastTurns.keys()) {
-            if (!callers.has(caller)) {
-                this.lastTurns.delete(caller);
-            }
-        }
-    }
-
     private chooseByTurn<T extends JobCandidate>(candidates: readonly T[]): T | undefined {
         return getFirst(candidates, (left, right) => {
             const leftTurn = this.lastTurns.get(left.caller) ?? 0;
