--- a/packages/work/test/jobFailures.test.ts
+++ b/packages/work/test/jobFailures.test.ts
@@ -270,13 +270,15 @@
 });
 
 suite("a checkpoint of which nobody can say whether it was written lists its results once", async () => {
-    // The write took effect, the reply was lost, and the read that would have told so failed: the service went down in
-    // that moment. The checkpoint is tried again later and must be recognised on the board.
+    // The write took effect, the reply was lost, and the service went down in that moment, so that nothing could be
+    // read back. The checkpoint is tried again later and must be recognised on the board.
     const target = createFaultyFleet({ execute: executeSlowly });
     target.instances[0]!.start();
     const job = await jobFixtures.submitLines(target, jobFixtures.createLines(100));
     await target.clock.advance(2_000);
     target.wraps.get("instance-0")!.breakAfterNextWrite("boards/");
+    await target.clock.advance(10_000);
+    target.wraps.get("instance-0")!.resume();
     const ended = await jobFixtures.waitForEnd(target, job);
     assert.equal(ended.counts, { total: 100, succeeded: 100, failed: 0 });
     assert.equal(await readOutput(target, job), createNames(100));
