--- a/packages/entry/src/dispatch/upstreamDirectory.ts
+++ b/packages/entry/src/dispatch/upstreamDirectory.ts
@@ -39,8 +39,9 @@
         this.stopListening = options.notes.onNote(note => this.retireAbsent(note.fleet));
     }
 
+    /** The fleet to route by; an upstream that a rollout is changing counts as leaving. */
     tryGetFleet(): core.FleetDescription | undefined {
-        return this.options.notes.tryGetNote()?.fleet;
+        return this.options.notes.tryGetUsableFleet();
     }
 
     useEngine(upstream: core.UpstreamDescription, requestClass: core.RequestClass): ClientUse<upstreams.EngineClient> {
--- a/packages/release/test/rollout.test.ts
+++ b/packages/release/test/rollout.test.ts
@@ -58,10 +58,15 @@
     const changing = [...fleet.get(0).keeper.getChangingUpstreams()];
     assert.is(changing.length, 1);
     assert.equal([...fleet.get(2).keeper.getChangingUpstreams()], changing);
+    const usable = fleet.get(1).keeper.tryGetUsableFleet();
+    const leaving = usable?.upstreams.filter(upstream => upstream.isLeaving).map(upstream => upstream.id);
+    assert.equal(leaving, changing);
+    assert.is(fleet.get(1).keeper.tryGetUsableFleet(), usable, "routing compares by identity");
     fleet.engines.forEach(engine => (engine.running = 0));
     await fleet.advance(60_000);
     assert.equal(fleet.getVersions(), ["2", "2", "2"]);
     assert.equal([...fleet.get(0).keeper.getChangingUpstreams()], []);
+    assert.is(fleet.get(1).keeper.tryGetUsableFleet(), fleet.get(1).keeper.tryGetNote()?.fleet);
 });
 
 // A second note comes while the first one's rollout is halfway. Engines that hold version 2 already, those that load
