--- a/packages/tools/src/demo/notes.ts
+++ b/packages/tools/src/demo/notes.ts
@@ -2,7 +2,7 @@
 
 /** The release notes that the demo publishes, for the addresses that its processes got. */
 
-export function createFirstNote(running: fleet.Fleet): string {
+export function createFirstNote(running: Pick<fleet.Fleet, "engineUrls" | "bookingUrl">): string {
     const engines = running.engineUrls.map((url, index) => createEngine(url, index)).join("\n");
     return `weightStore:
     concurrentLoads: 2
--- a/packages/tools/src/demo/scenario.ts
+++ b/packages/tools/src/demo/scenario.ts
@@ -121,7 +121,7 @@
     batch: callers.Batch,
     report: reports.Report,
 ): Promise<void> {
-    const before = await callers.readBatch(url, batch.id);
+    const before = await waitForProgress(url, batch);
     const killed = fleet.instances[KilledInstance];
     if (killed === undefined) {
         return;
@@ -138,6 +138,18 @@
     );
 }
 
+/** Counts become visible with the holders' checkpoints, some seconds after the items end. */
+async function waitForProgress(url: string, batch: callers.Batch): Promise<callers.Batch> {
+    const end = performance.now() + SettleTimeoutMilliseconds;
+    for (;;) {
+        const state = await callers.readBatch(url, batch.id);
+        if (state.request_counts.completed > 0 || performance.now() > end) {
+            return state;
+        }
+        await timers.setTimeout(PollMilliseconds);
+    }
+}
+
 async function showDrain(fleet: fleetModule.Fleet, url: string, report: reports.Report): Promise<void> {
     const drained = fleet.instances[DrainedInstance];
     if (drained === undefined) {
