--- a/packages/platform/test/keyValueRecovery.test.ts
+++ b/packages/platform/test/keyValueRecovery.test.ts
@@ -151,6 +151,21 @@
     await close(clock, keeper);
 });
 
+// Somebody ends the lease at the service while the holder is well. The next keep-alive says so; the holder is told at
+// once and takes a new lease, where it would else go on under one that others no longer see.
+suite("a lease that the service ended is given up at the next keep-alive", async () => {
+    const { clock, memory } = createFixture();
+    const keeper = new platform.LeaseKeeper({ service: memory, clock, milliseconds: 10_000 });
+    await clock.advance(1_000);
+    const lease = core.Debug.checkDefined(keeper.tryGetLease(), "the lease");
+    await memory.revokeLease(lease.id);
+    await clock.advance(2_500);
+    assert.ok(lease.lapsed.aborted);
+    const renewed = core.Debug.checkDefined(keeper.tryGetLease(), "a new lease");
+    assert.ok(memory.hasLease(renewed.id));
+    await close(clock, keeper);
+});
+
 suite("closing a keeper tells the holder and ends the lease at the service", async () => {
     const { clock, memory } = createFixture();
     const keeper = new platform.LeaseKeeper({ service: memory, clock, milliseconds: 10_000 });
