--- a/packages/work/src/activeJob.ts
+++ b/packages/work/src/activeJob.ts
@@ -15,6 +15,19 @@
     /** Since when something waits to be recorded; also moved by a failed try. */
     checkpointedAt: core.MonotonicMilliseconds;
     isCheckpointing: boolean;
+    /** Time from a checkpoint that was not recorded to its next try. */
+    retryMilliseconds: number;
+}
+
+export const FirstRetryMilliseconds = 200;
+/** In an outage the whole fleet tries; a service that comes back must not find all of it at its door at once. */
+const LongestRetryMilliseconds = 5_000;
+
+/** Sets how long the next try waits, after one that was recorded or was not. */
+export function noteCheckpoint(job: ActiveJob, isRecorded: boolean): void {
+    job.retryMilliseconds = isRecorded
+        ? FirstRetryMilliseconds
+        : Math.min(LongestRetryMilliseconds, 2 * job.retryMilliseconds);
 }
 
 /** Whether what has ended fills a checkpoint already, so that it need not wait for its time. */
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -134,6 +134,7 @@
             isExhausted: false,
             checkpointedAt: this.options.clock.now(),
             isCheckpointing: false,
+            retryMilliseconds: activeJob.FirstRetryMilliseconds,
         });
     }
 
@@ -275,7 +276,7 @@
         const chunks = [...job.held.values()];
         const passed = clock.now() - job.checkpointedAt;
         if (job.checkpoints.hasPending()) {
-            return passed >= TickMilliseconds;
+            return passed >= job.retryMilliseconds;
         }
         if (!chunks.some(chunk => chunk.hasEndedItems())) {
             return chunks.length > 0 && passed >= RenewMilliseconds;
@@ -294,6 +295,7 @@
         const outcome = await job.checkpoints.record([...job.held.values()], releases);
         job.isCheckpointing = false;
         job.checkpointedAt = this.options.clock.now();
+        activeJob.noteCheckpoint(job, outcome.kind !== checkpointer.CheckpointKind.Delayed);
         outcome.lost.forEach(chunk => this.loseChunk(job, chunk));
         for (const chunk of [...job.held.keys()]) {
             if (outcome.board?.chunks[chunk]?.hasEnded === true) {
--- a/packages/work/test/jobFailures.test.ts
+++ b/packages/work/test/jobFailures.test.ts
@@ -295,6 +295,9 @@
     const before = target.instances[0]!.executor.started.length;
     await target.clock.advance(600_000);
     assert.ok(target.instances[0]!.executor.started.length > before + 50);
+    // One try each five seconds, not each tick: otherwise a fleet of 400 would keep a returning service down.
+    const tries = target.keyValue.calls.get(platform.CallPurpose.Checkpoint) ?? 0;
+    assert.ok(tries < 200, `${tries} calls`);
     target.keyValue.faults.isDown = false;
     const ended = await jobFixtures.waitForEnd(target, job);
     assert.is(ended.counts.succeeded, 150);
--- a/packages/work/test/ledgerFailures.test.ts
+++ b/packages/work/test/ledgerFailures.test.ts
@@ -112,6 +112,22 @@
     },
 );
 
+suite(
+    "when the service fails after the finish, a resend gets the result or a refusal, never a second run",
+    async () => {
+        // The booking is done and recorded when the service goes down. The shard's holder still knows the result; another
+        // holder knows nothing, and must not take that for a new booking.
+        const { ledgers, clock, keyValue, memberships } = fixtures.createLedgerFleet({ instances: 2, shards: 1 });
+        memberships[0]!.believesToHoldAll = true;
+        const begun = await fixtures.runWithin(clock, ledgers[0]!.begin(call));
+        await fixtures.runWithin(clock, ledgers[0]!.finish(getRecord(begun), fixtures.createResult("cot 7"), 1_000));
+        keyValue.faults.isDown = true;
+        assert.is((await fixtures.runWithin(clock, ledgers[0]!.begin(call))).kind, work.BeginKind.Finished);
+        memberships[1]!.believesToHoldAll = true;
+        assert.is((await fixtures.runWithin(clock, ledgers[1]!.begin(call))).kind, work.BeginKind.Unavailable);
+    },
+);
+
 suite("a result that waits for the service survives the process that ran the call", async () => {
     // The booking has run and is answered while the key-value service is down. Then the process dies. When it starts
     // again on the same disk and the service is back, a resend must read the result, not an unknown outcome.
