--- a/packages/work/src/ledgerShard.ts
+++ b/packages/work/src/ledgerShard.ts
@@ -91,10 +91,8 @@
         const { clock } = this.options;
         this.isWorking = true;
         while (this.queue.length > 0 || this.removeBefore !== undefined) {
-            const wait = this.pacer.getWait(clock.now());
-            if (wait > 0) {
-                await clock.sleep(wait);
-            }
+            // Also a wait of nothing lets the requests of the same moment join: the first would be committed alone.
+            await clock.sleep(this.pacer.getWait(clock.now()));
             const batch = this.takeBatch();
             this.pacer.noteCommit(clock.now(), batch.length);
             await this.runBatch(batch);
