--- a/packages/release/src/rolloutPlan.ts
+++ b/packages/release/src/rolloutPlan.ts
@@ -59,7 +59,8 @@
     readonly state: upstreams.UpstreamState | undefined;
     readonly load: upstreams.LoadReport | undefined;
     readonly checksFencing: boolean;
-    readonly isNoteConfirmed: boolean;
+    /** The note wants it to take no new work. */
+    readonly isLeaving: boolean;
     readonly homeSince: core.MonotonicMilliseconds;
     readonly unreachableSince: core.MonotonicMilliseconds | undefined;
     readonly loadingSince: core.MonotonicMilliseconds | undefined;
@@ -173,12 +174,12 @@
 }
 
 function decideOrder(view: UpstreamView, state: upstreams.UpstreamState): Step {
+    if (view.isLeaving || state.isLeaving) {
+        return decideLeaving(view);
+    }
     if (!view.checksFencing && view.now - view.homeSince < view.limits.longestOrderMilliseconds) {
         return createObserve(types.UpstreamPhase.Waiting, "waits out the orders of an earlier home");
     }
-    if (!view.isNoteConfirmed) {
-        return createObserve(types.UpstreamPhase.Waiting, "neither platform nor peers confirm the note");
-    }
     if (view.claimedSince === undefined) {
         return { kind: StepKind.Claim, needsLoad: noteDifferences.needsLoad(state.models, view.target.models) };
     }
@@ -188,6 +189,15 @@
     return { kind: StepKind.Order };
 }
 
+/** Weights for an upstream that goes would cost the others their place at the weight store. */
+function decideLeaving(view: UpstreamView): Step {
+    const phase = types.UpstreamPhase.Waiting;
+    const reason = "is leaving and takes no orders";
+    return view.claimedSince === undefined
+        ? { kind: StepKind.Observe, phase, reason }
+        : { kind: StepKind.GiveUp, phase, reason };
+}
+
 /** An order may end what the engine runs, so it waits until nothing runs; the claim keeps new work away. */
 function isDrained(view: UpstreamView, state: upstreams.UpstreamState): boolean {
     if (state.models.length === 0 || view.claimedSince === undefined) {
@@ -233,7 +243,9 @@
         return loadObstacle;
     }
     const changing = new Set(getEarlierClaims(view.fleet, view.claim, view.claims).map(other => other.upstream));
-    const serving = view.others.filter(report => !changing.has(report.upstream));
+    // An upstream that the note wants to leave takes no new work, whatever it still reports.
+    const leaving = new Set(view.fleet.upstreams.filter(upstream => upstream.isLeaving).map(upstream => upstream.id));
+    const serving = view.others.filter(report => !changing.has(report.upstream) && !leaving.has(report.upstream));
     for (const model of view.fleet.models) {
         const obstacle =
             tryGetFloorObstacle(view, serving, model, core.RequestClass.Online, model.onlineFloor) ??
--- a/packages/release/src/upstreamRollout.ts
+++ b/packages/release/src/upstreamRollout.ts
@@ -252,7 +252,7 @@
             state,
             load,
             checksFencing: upstream.checksFencing,
-            isNoteConfirmed: this.options.keeper.isConfirmed(),
+            isLeaving: upstream.isLeaving,
             limits: this.limits,
         };
     }
