--- a/packages/release/test/rolloutFailures.test.ts
+++ b/packages/release/test/rolloutFailures.test.ts
@@ -326,6 +326,16 @@
     assert.equal(fleet.getVersions(), ["1", "1", "1"]);
 });
 
+// A load takes longer than a lease. The claim must last as long as the load: it is what keeps new requests away from
+// the engine and what the next home goes by.
+suite("a claim lasts as long as its load", async () => {
+    await using fleet = await createSettledFleet({ loadMilliseconds: 120_000 });
+    await fleet.publish(fixtures.createUpgradeNote("2"), 1);
+    const index = await advanceToOrder(fleet, "2");
+    await fleet.advance(100_000);
+    assert.equal([...fleet.get(0).keeper.getChangingUpstreams()], [fleet.getEngine(index).id]);
+});
+
 // An outage of the service outlasts every lease while an engine loads. When the service is back the claim is gone, but
 // the load goes on: the other homes must not begin a second one.
 suite("a load that outlasts its lease in an outage still counts", async () => {
