--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -144,14 +144,18 @@
         now: core.MonotonicMilliseconds,
     ): number {
         const request = { model, requestClass, prefixHash: "" };
-        return candidates
+        const available = candidates
             .filter(candidate => isEligible(candidate, request))
-            .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now))
-            .filter(candidate => this.health.getState(candidate.id) !== upstreamHealth.SpeedState.Slow)
-            .reduce((sum, candidate) => {
-                const room = Math.max(0, this.getRoom(candidate, now));
-                return sum + this.getOnlineInFlight(candidate.id) + room;
-            }, 0);
+            .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now));
+        const quick = available.filter(
+            candidate => this.health.getState(candidate.id) !== upstreamHealth.SpeedState.Slow,
+        );
+        // Where all are slow they are what there is, as in `choose`. A capacity of 0 would let nothing in, and without
+        // requests none of them could ever show that it is quick again.
+        return (quick.length > 0 ? quick : available).reduce((sum, candidate) => {
+            const room = Math.max(0, this.getRoom(candidate, now));
+            return sum + this.getOnlineInFlight(candidate.id) + room;
+        }, 0);
     }
 
     /**
--- a/packages/entry/src/callerFace/eventStream.ts
+++ b/packages/entry/src/callerFace/eventStream.ts
@@ -3,6 +3,8 @@
 /** Server-sent events to one caller, with back-pressure: a slow caller holds up its own stream and buffers little. */
 export class EventStream {
     private readonly response: fastify.FastifyReply["raw"];
+    private pending = "";
+    private isFull = false;
 
     constructor(reply: fastify.FastifyReply) {
         reply.hijack();
@@ -22,14 +24,32 @@
         if (this.response.destroyed) {
             return;
         }
-        if (!this.response.write(`data: ${text}\n\n`)) {
+        if (this.pending === "") {
+            // Runs once all that can be written now has been: a system call for each token was a third of the cost.
+            process.nextTick(() => this.flush());
+        }
+        this.pending += `data: ${text}\n\n`;
+        if (this.isFull) {
             await waitForDrain(this.response);
         }
     }
 
     end(): void {
+        this.flush();
         this.response.end();
     }
+
+    private flush(): void {
+        if (this.pending === "" || this.response.destroyed) {
+            return;
+        }
+        const text = this.pending;
+        this.pending = "";
+        this.isFull = !this.response.write(text);
+        if (this.isFull) {
+            this.response.once("drain", () => (this.isFull = false));
+        }
+    }
 }
 
 /** Aborted when the caller's connection ends before the answer does: the work is cancelled at the engine. */
--- a/packages/entry/src/dispatch/attempts.ts
+++ b/packages/entry/src/dispatch/attempts.ts
@@ -22,7 +22,7 @@
     readonly id: string;
     /** Aborted when a batch stream must give way. */
     readonly givesWay: AbortSignal | undefined;
-    onToken(): void;
+    onTokens(count: number): void;
     onFinished(): void;
     /** Resolves when it is known whether the upstream died of it. */
     onFailed(failure: upstreams.EngineFailure): Promise<void>;
@@ -56,6 +56,7 @@
 
 class TrackedAttempt implements Attempt {
     private tokens = 0;
+    private reportedTokens = 0;
     private progressAt = 0;
     private hasEnded = false;
 
@@ -70,19 +71,16 @@
         return this.stream?.signal;
     }
 
-    onToken(): void {
-        this.tokens++;
-        if (this.tokens === 1) {
+    onTokens(count: number): void {
+        this.tokens += count;
+        if (this.tokens === count) {
             this.progressAt = this.options.clock.now();
             this.options.placement.onFirstToken(this.id, this.progressAt);
             this.stream?.onFirstToken();
+            this.reportedTokens = count;
         }
-        else if (this.tokens % ProgressInterval === 1) {
-            const now = this.options.clock.now();
-            const milliseconds = now - this.progressAt;
-            this.progressAt = now;
-            this.options.placement.onProgress(this.id, ProgressInterval, milliseconds, now);
-            this.stream?.onProgress(ProgressInterval, milliseconds);
+        else if (this.tokens >= this.reportedTokens + ProgressInterval) {
+            this.reportProgress();
         }
     }
 
@@ -114,6 +112,16 @@
         }
     }
 
+    private reportProgress(): void {
+        const now = this.options.clock.now();
+        const tokens = this.tokens - this.reportedTokens;
+        const milliseconds = now - this.progressAt;
+        this.reportedTokens = this.tokens;
+        this.progressAt = now;
+        this.options.placement.onProgress(this.id, tokens, milliseconds, now);
+        this.stream?.onProgress(tokens, milliseconds);
+    }
+
     private end(): boolean {
         if (this.hasEnded) {
             return false;
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -243,7 +243,7 @@
                     progress.mayHaveRun = true;
                     break;
                 case upstreams.EngineEventKind.Token:
-                    attempt.onToken();
+                    attempt.onTokens(event.tokens);
                     progress.mayHaveRun = true;
                     progress.text += event.text;
                     progress.tokens += event.tokens;
--- a/packages/tools/src/overhead/load.ts
+++ b/packages/tools/src/overhead/load.ts
@@ -22,7 +22,9 @@
 /** Part of the time after which counting begins: compilers and connections are warm by then. */
 const WarmUpShare = 0.3;
 const ContentMark = Buffer.from('"content":"');
-const TimeLength = 18;
+/** A token is the time at which it was sent, 17 characters and a space; an instance may send several as one text. */
+const TokenLength = 18;
+const Quote = 0x22;
 
 const [url = "", token = "", model = "", ...numbers] = process.argv.slice(2);
 const [tasks = 1, tokens = 1, gap = -1, seconds = 1] = numbers.map(Number);
@@ -106,11 +108,11 @@
     let count = 0;
     for (let at = piece.indexOf(ContentMark); at >= 0; at = piece.indexOf(ContentMark, at + 1)) {
         const start = at + ContentMark.length;
-        const isEmpty = piece[start] === 0x22;
-        count += isEmpty ? 0 : 1;
-        if (!isEmpty && count === 1 && now >= countsFrom) {
-            tokenTimes.push(now - Number.parseFloat(piece.toString("latin1", start, start + TimeLength)));
+        const held = Math.round((piece.indexOf(Quote, start) - start) / TokenLength);
+        if (held > 0 && count === 0 && now >= countsFrom) {
+            tokenTimes.push(now - Number.parseFloat(piece.toString("latin1", start, start + TokenLength)));
         }
+        count += Math.max(0, held);
     }
     tokenCount += now >= countsFrom ? count : 0;
     return count;
--- a/packages/upstreams/src/eventChannel.ts
+++ b/packages/upstreams/src/eventChannel.ts
@@ -1,10 +1,10 @@
 /**
  * A queue between the task that reads a socket and the one that consumes what was read. It is bounded by its owner:
- * `onHigh` is called when `limit` values wait and `onLow` once half of them are taken, so that a caller who reads
- * slowly stops the socket instead of filling memory.
+ * `onHigh` is called when values of `limit` in all wait and `onLow` once half of it is taken, so that a caller who
+ * reads slowly stops the socket instead of filling memory.
  */
 export interface EventChannelOptions {
-    /** Values that may wait before `onHigh` is called. */
+    /** Sum of the sizes that may wait before `onHigh` is called. */
     readonly limit: number;
     readonly onHigh: () => void;
     readonly onLow: () => void;
@@ -12,17 +12,23 @@
     readonly onAbandoned: () => void;
 }
 
+interface Waiting<T> {
+    readonly value: T;
+    readonly size: number;
+}
+
 export class EventChannel<T> implements AsyncIterableIterator<T> {
-    private readonly waiting: T[] = [];
+    private readonly waiting: Waiting<T>[] = [];
     private head = 0;
+    private waitingSize = 0;
     private consumer: ((result: IteratorResult<T>) => void) | undefined;
     private isHigh = false;
     private hasEnded = false;
 
     constructor(private readonly options: EventChannelOptions) {}
 
-    /** Adds a value; after `end` it is dropped. */
-    push(value: T): void {
+    /** Adds a value of a size in whatever unit the limit has; after `end` it is dropped. */
+    push(value: T, size: number): void {
         if (this.hasEnded) {
             return;
         }
@@ -30,8 +36,9 @@
             this.resolveConsumer({ done: false, value });
             return;
         }
-        this.waiting.push(value);
-        if (!this.isHigh && this.getWaitingCount() >= this.options.limit) {
+        this.waiting.push({ value, size });
+        this.waitingSize += size;
+        if (!this.isHigh && this.waitingSize >= this.options.limit) {
             this.isHigh = true;
             this.options.onHigh();
         }
@@ -48,10 +55,6 @@
         }
     }
 
-    getWaitingCount(): number {
-        return this.waiting.length - this.head;
-    }
-
     [Symbol.asyncIterator](): this {
         return this;
     }
@@ -85,12 +88,13 @@
     }
 
     private takeWaiting(): T {
-        const value = this.waiting[this.head++] as T;
+        const { value, size } = this.waiting[this.head++] as Waiting<T>;
+        this.waitingSize -= size;
         if (this.head === this.waiting.length) {
             this.waiting.length = 0;
             this.head = 0;
         }
-        if (this.isHigh && this.getWaitingCount() * 2 <= this.options.limit) {
+        if (this.isHigh && this.waitingSize * 2 <= this.options.limit) {
             this.isHigh = false;
             this.options.onLow();
         }
--- a/packages/upstreams/src/httpEngineClient.ts
+++ b/packages/upstreams/src/httpEngineClient.ts
@@ -19,8 +19,8 @@
     readonly limits?: Partial<connections.ConnectionLimits>;
 }
 
-/** Tokens that wait for a slow caller before its stream is held back at the engine. */
-const MaximumWaitingEvents = 64;
+/** Characters that wait for a slow caller before its stream is held back at the engine. */
+const MaximumWaitingCharacters = 4_096;
 /** An error's body is for people; a longer one is cut. */
 const MaximumErrorBytes = 4_096;
 
@@ -125,6 +125,8 @@
     private readonly errorPieces: Buffer[] = [];
     private errorBytes = 0;
     private status = 0;
+    private text = "";
+    private tokens = 0;
     private stopListening: () => void = () => undefined;
 
     constructor(
@@ -140,7 +142,7 @@
         this.exchange = new exchange.Exchange(options.clock, silence, this);
         this.stream = new completionStream.CompletionStream(requestId, this);
         this.events = new channel.EventChannel({
-            limit: MaximumWaitingEvents,
+            limit: MaximumWaitingCharacters,
             onHigh: () => this.exchange.pause(),
             onLow: () => this.exchange.resume(),
             onAbandoned: () => this.exchange.cancel(),
@@ -157,13 +159,14 @@
     onHeaders(status: number): void {
         this.status = status;
         if (status === 200) {
-            this.events.push({ kind: types.EngineEventKind.Accepted });
+            this.events.push({ kind: types.EngineEventKind.Accepted }, 0);
         }
     }
 
     onData(chunk: Buffer): void {
         if (this.status === 200) {
             this.stream.feed(chunk);
+            this.pushTokens();
             if (this.stream.hasEnded()) {
                 this.finish();
             }
@@ -191,10 +194,12 @@
     }
 
     onToken(text: string): void {
-        this.events.push({ kind: types.EngineEventKind.Token, text, tokens: 1 });
+        this.text += text;
+        this.tokens++;
     }
 
     onError(text: string): void {
+        this.pushTokens();
         this.close(createFailure(types.EngineFailureKind.Broken, text));
         this.exchange.cancel();
     }
@@ -203,6 +208,19 @@
         this.options.telemetry.metrics.count("boragedale_foreign_lines_total", { upstream: this.options.upstream });
     }
 
+    /**
+     * Hands on what one piece from the network held, as one event. Tokens that came together gain nothing from going on
+     * one by one, and under load, when pieces hold many, an event for each was most of the cost.
+     */
+    private pushTokens(): void {
+        if (this.tokens > 0) {
+            const { text, tokens } = this;
+            this.text = "";
+            this.tokens = 0;
+            this.events.push({ kind: types.EngineEventKind.Token, text, tokens }, text.length);
+        }
+    }
+
     private finish(): void {
         const text = "the stream ended before its answer did";
         this.close(this.stream.tryGetFinish() ?? createFailure(types.EngineFailureKind.Broken, text));
@@ -210,7 +228,7 @@
 
     private close(event: types.EngineEvent): void {
         this.stopListening();
-        this.events.push(event);
+        this.events.push(event, 0);
         this.events.end();
     }
 
--- a/packages/upstreams/src/types.ts
+++ b/packages/upstreams/src/types.ts
@@ -54,6 +54,7 @@
 
 export type EngineEvent =
     | { readonly kind: EngineEventKind.Accepted }
+    /** Text of one or, where they came together, several tokens. */
     | { readonly kind: EngineEventKind.Token; readonly text: string; readonly tokens: number }
     | { readonly kind: EngineEventKind.Finished; readonly reason: string; readonly usage: Usage }
     | { readonly kind: EngineEventKind.Failed; readonly failure: EngineFailure };
