--- a/packages/bench/src/oracle.ts
+++ b/packages/bench/src/oracle.ts
@@ -28,10 +28,11 @@
     return sum / Math.max(1, withoutBatch.onlineSamples.length);
 }
 
-/** Online tokens a second that the engines can serve, with every place always in use. */
-export function getOnlineCapacity(scenario: scenarios.Scenario): number {
+/** Online tokens a second that the engines can serve with every place in use, for answers as long as those served. */
+export function getOnlineCapacity(scenario: scenarios.Scenario, result: measures.RunResult): number {
     const model = engine.UsualEngine;
-    const output = workload.getMeanTokens(scenario.online.outputs);
+    const seconds = (scenario.milliseconds - run.WarmUp) / 1_000;
+    const output = (result.goodput * seconds) / Math.max(1, result.online.finished - result.online.deadlineMissed);
     const read = (workload.getMeanOnlinePromptTokens() / output) * model.perPromptToken;
     const step = model.stepBase + (model.stepPerStream + read) * model.places;
     return (scenario.upstreams * 1_000 * model.places) / step;
