--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -1,3 +1,4 @@
+import * as path from "node:path";
 import * as awilix from "awilix";
 import * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
@@ -16,7 +17,9 @@
     readonly description: core.InstanceDescription;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: platform.PacedKeyValueService;
+    /** Results that wait for the key-value service; undefined on an instance without a disk. */
+    readonly spool: platform.Spool | undefined;
     readonly instanceList: platform.InstanceList;
     readonly membership: membership.FleetMembership;
     readonly network: protocol.WebSocketPeerNetwork;
@@ -76,6 +79,8 @@
     late.membership = owned.use(fleet);
     container.register({ membership: awilix.asValue(fleet) });
     fleet.attach(network);
+    owned.use(parts.keyValue);
+    container.register({ spool: awilix.asValue(await openSpool(parts.settings, owned)) });
     const keeper = owned.use(await startKeeper(parts));
     late.keeper = keeper;
     container.register({ keeper: awilix.asValue(keeper) });
@@ -132,6 +137,20 @@
     });
 }
 
+/** Bytes of results that may wait on the small disk; more than an hour of bookings at the sizes of today. */
+const SpoolBytes = 256 * 1_024 * 1_024;
+
+async function openSpool(
+    given: settings.EntrySettings,
+    owned: core.DisposalStack,
+): Promise<platform.Spool | undefined> {
+    if (given.dataFolder === undefined) {
+        return undefined;
+    }
+    const folder = path.join(given.dataFolder, "results");
+    return owned.use(await platform.Spool.open({ folder, maximumBytes: SpoolBytes }));
+}
+
 async function startKeeper(parts: Parts): Promise<release.KeyValueNoteKeeper> {
     return release.KeyValueNoteKeeper.start({
         keyValue: parts.keyValue,
@@ -149,8 +168,17 @@
     return new telemetry.Telemetry({ instance, logLevel }, parts.clock);
 }
 
-function createKeyValue(parts: Parts): platform.KeyValueService {
-    return new platform.HttpKeyValueService({ url: parts.settings.keyValueUrl }, parts.clock);
+function createKeyValue(parts: Parts): platform.PacedKeyValueService {
+    const { settings: given, clock, telemetry: events } = parts;
+    const service = new platform.HttpKeyValueService({ url: given.keyValueUrl }, clock);
+    return new platform.PacedKeyValueService(service, {
+        clock,
+        telemetry: events,
+        // The list may be read after the first calls; until then this instance counts itself alone.
+        getFleetSize: () => Math.max(1, parts.membership.getLiveInstances().length),
+        random: Math.random,
+        budget: { writesPerSecond: given.keyValueWritesPerSecond, readsPerSecond: given.keyValueReadsPerSecond },
+    });
 }
 
 function createInstanceList(parts: Parts): platform.InstanceList {
@@ -166,7 +194,7 @@
 }
 
 function createLedger(parts: Parts): work.CallLedger {
-    return work.createShardedCallLedger({ ...pickWork(parts), membership: parts.membership });
+    return work.createShardedCallLedger({ ...pickWork(parts), membership: parts.membership, spool: parts.spool });
 }
 
 function createJobs(parts: Parts): work.JobStore {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -79,7 +79,7 @@
         "keyValueWritesPerSecond",
         "key-value-writes",
         "calls/s",
-        "400",
+        "300",
         "writes that the whole fleet may send to the key-value service",
         positive,
     ),
