--- a/packages/release/src/keyValueNotePublisher.ts
+++ b/packages/release/src/keyValueNotePublisher.ts
@@ -86,7 +86,9 @@
             entries.push(...page.value.flatMap(entry => createHistoryEntry(entry)));
             after = page.value.at(-1)?.key;
             if (page.value.length < HistoryPageSize) {
-                return core.createSuccess(addMissingCurrent(entries, current.value.note));
+                const inForce = current.value.note?.generation ?? 0;
+                const complete = addMissingCurrent(entries, current.value.note);
+                return core.createSuccess(complete.map(entry => addOutcome(entry, inForce)));
             }
         }
     }
@@ -227,8 +229,13 @@
     if (record === undefined) {
         return [];
     }
-    const { generation, author, publishedAt, differences } = record;
-    return [{ generation, author, publishedAt, differences }];
+    const { generation, author, publishedAt, differences, reachedAt } = record;
+    return [{ generation, author, publishedAt, differences, reachedAt }];
+}
+
+function addOutcome(entry: types.HistoryEntry, inForce: core.Generation): types.HistoryEntry {
+    const unreached = entry.generation < inForce ? types.NoteOutcome.Replaced : types.NoteOutcome.InProgress;
+    return { ...entry, outcome: entry.reachedAt === undefined ? unreached : types.NoteOutcome.Reached };
 }
 
 function addMissingCurrent(
--- a/packages/release/src/noteStore.ts
+++ b/packages/release/src/noteStore.ts
@@ -74,6 +74,7 @@
     author: zod.string(),
     publishedAt: zod.number(),
     differences: zod.array(zod.string()),
+    reachedAt: zod.number().optional(),
     source: zod.string(),
     nonce: zod.string(),
 });
--- /dev/null
+++ b/packages/release/src/rolloutAudit.ts
@@ -0,0 +1,95 @@
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import type * as protocol from "@boragedale/protocol";
+import type * as upstreams from "@boragedale/upstreams";
+import * as noteStore from "./noteStore.js";
+import * as rolloutPlan from "./rolloutPlan.js";
+import type * as services from "./services.js";
+
+export interface AuditOptions {
+    readonly membership: protocol.Membership;
+    readonly keeper: services.NoteKeeper;
+    readonly getEngine: (upstream: core.UpstreamDescription) => upstreams.EngineClient;
+    readonly keyValue: platform.KeyValueService;
+    readonly clock: core.Clock;
+}
+
+const AuditMilliseconds = 5_000;
+const AuditDuty = "rollout/outcome";
+
+/**
+ * Writes into the history when the whole fleet had reached a note. One instance at a time does so; that two may do it
+ * for a while is harmless, since the first to write wins. It stops at the first engine that is not there yet and begins
+ * with it the next time, so a long rollout costs one small read each 5 s and not one an engine.
+ */
+export class RolloutAudit implements AsyncDisposable {
+    private readonly stopper = new AbortController();
+    private readonly task: Promise<void>;
+    private recorded: core.Generation = 0;
+    private late: core.UpstreamId | undefined;
+
+    constructor(private readonly options: AuditOptions) {
+        this.task = this.run();
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopper.abort();
+        await this.task;
+    }
+
+    private async run(): Promise<void> {
+        const { clock, keeper, membership } = this.options;
+        const signal = this.stopper.signal;
+        while (!signal.aborted) {
+            await clock.sleep(AuditMilliseconds, signal);
+            const note = keeper.tryGetNote();
+            const isHolder = membership.tryGetHolder(AuditDuty) === membership.getSelf();
+            if (note !== undefined && isHolder && note.generation > this.recorded && !signal.aborted) {
+                await this.audit(note);
+            }
+        }
+    }
+
+    private async audit(note: core.NoteInForce): Promise<void> {
+        const engines = note.fleet.upstreams.filter(
+            upstream => upstream.kind === core.UpstreamKind.Engine && !upstream.isLeaving,
+        );
+        const late = engines.find(engine => engine.id === this.late);
+        for (const engine of late === undefined ? engines : [late, ...engines]) {
+            if (!(await this.isReached(note, engine))) {
+                this.late = engine.id;
+                return;
+            }
+        }
+        await this.record(note);
+    }
+
+    private async isReached(note: core.NoteInForce, engine: core.UpstreamDescription): Promise<boolean> {
+        const state = await this.options.getEngine(engine).tryReadState();
+        const target = rolloutPlan.getTarget(note.fleet, engine);
+        return state !== undefined && !state.isLoading && rolloutPlan.reachesTarget(state, target);
+    }
+
+    private async record(note: core.NoteInForce): Promise<void> {
+        const key = noteStore.getHistoryKey(note.generation);
+        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Note);
+        const record =
+            entry.ok && entry.value !== undefined ? noteStore.tryDecodeHistory(entry.value.value) : undefined;
+        if (!entry.ok || entry.value === undefined || record === undefined) {
+            // The publisher has not written its record yet, or the service is down: the next round tries again.
+            return;
+        }
+        if (record.reachedAt === undefined) {
+            const result = await this.options.keyValue.compareAndSwap({
+                key,
+                expectedRevision: entry.value.revision,
+                value: noteStore.encodeHistory({ ...record, reachedAt: this.options.clock.wallNow() }),
+                purpose: platform.CallPurpose.Note,
+            });
+            if (!result.ok) {
+                return;
+            }
+        }
+        this.recorded = note.generation;
+    }
+}
--- a/packages/release/src/types.ts
+++ b/packages/release/src/types.ts
@@ -40,11 +40,24 @@
     | { readonly kind: PublishKind.Invalid; readonly findings: readonly core.Finding[] }
     | { readonly kind: PublishKind.Unavailable; readonly text: string };
 
+/** What became of a note. */
+export enum NoteOutcome {
+    /** In force; not every upstream is there yet. */
+    InProgress = "InProgress",
+    /** Every upstream reached it. */
+    Reached = "Reached",
+    /** Another note replaced it before every upstream had reached it. */
+    Replaced = "Replaced",
+}
+
 export interface HistoryEntry {
     readonly generation: core.Generation;
     readonly author: string;
     readonly publishedAt: core.WallMilliseconds;
     readonly differences: readonly string[];
+    readonly outcome?: NoteOutcome;
+    /** When every upstream had reached it. */
+    readonly reachedAt?: core.WallMilliseconds;
 }
 
 export enum UpstreamPhase {
--- a/packages/release/src/upstreamRollout.ts
+++ b/packages/release/src/upstreamRollout.ts
@@ -3,6 +3,7 @@
 import type * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as upstreams from "@boragedale/upstreams";
+import * as rolloutAudit from "./rolloutAudit.js";
 import * as rolloutClaims from "./rolloutClaims.js";
 import * as rolloutPlan from "./rolloutPlan.js";
 import * as services from "./services.js";
@@ -47,6 +48,7 @@
     private readonly progress = new Map<core.UpstreamId, types.UpstreamProgress>();
     private readonly tasks = new Set<Promise<void>>();
     private readonly claims: rolloutClaims.ClaimStore;
+    private readonly audit: rolloutAudit.RolloutAudit;
     private readonly limits: rolloutPlan.RolloutLimits;
     private readonly stops: readonly (() => void)[];
     private wake = new AbortController();
@@ -56,6 +58,7 @@
         const { keyValue, clock, membership, keeper } = options;
         this.limits = { ...rolloutPlan.DefaultLimits, ...options.limits };
         this.claims = new rolloutClaims.ClaimStore(keyValue, clock, membership.getSelf());
+        this.audit = new rolloutAudit.RolloutAudit(options);
         const refresh = (): void => this.refreshTenures();
         this.stops = [membership.onChange(refresh), keeper.onNote(refresh)];
         refresh();
@@ -71,6 +74,7 @@
             tenure.stopper.abort();
         }
         await Promise.all([...this.tasks]);
+        await this.audit[Symbol.asyncDispose]();
         await this.claims[Symbol.asyncDispose]();
     }
 
--- a/packages/release/test/rollout.test.ts
+++ b/packages/release/test/rollout.test.ts
@@ -121,6 +121,23 @@
     assert.is(fleet.mostLoads, 2);
 });
 
+// An operator reads the history while a rollout goes on, when it is done, and after a note that was replaced halfway.
+suite("the history tells which notes the fleet reached", async () => {
+    await using fleet = await createSettledFleet();
+    const readOutcomes = async (): Promise<readonly (release.NoteOutcome | undefined)[]> => {
+        const history = await fleet.wait(fleet.get(0).publisher.readHistory());
+        core.Debug.assert(history.ok, "the service answers");
+        return history.value.map(entry => entry.outcome);
+    };
+    await fleet.publish(fixtures.createUpgradeNote("2"), 1);
+    await fleet.advance(10_000);
+    assert.equal(await readOutcomes(), [release.NoteOutcome.Reached, release.NoteOutcome.InProgress]);
+    await fleet.publish(fixtures.createUpgradeNote("3"), 2);
+    await fleet.advance(120_000);
+    const { Reached: reached, Replaced: replaced } = release.NoteOutcome;
+    assert.equal(await readOutcomes(), [reached, replaced, reached]);
+});
+
 suite("an upstream without news is left alone", async () => {
     await using fleet = await createSettledFleet();
     const orders = fleet.engines.map(engine => engine.orders.length);
