--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -54,6 +54,11 @@
     readonly safety: types.CallSafety;
     /** Path that tells the outcome of a key (`{key}` is replaced); given for askable routes. */
     readonly askPath?: string;
+    /**
+     * Longest time after which a call that reached the service can still begin to run there, in milliseconds. Only where
+     * it is given is an askable call, that the service has denied for that long, sent again.
+     */
+    readonly settleMilliseconds?: number;
 }
 
 export interface CallerDescription {
--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -137,6 +137,7 @@
     });
 }
 
+const LongestRetentionMilliseconds = 30 * 24 * 3_600_000;
 /** Bytes of results that may wait on the small disk; more than an hour of bookings at the sizes of today. */
 const SpoolBytes = 256 * 1_024 * 1_024;
 
@@ -194,7 +195,12 @@
 }
 
 function createLedger(parts: Parts): work.CallLedger {
-    return work.createShardedCallLedger({ ...pickWork(parts), membership: parts.membership, spool: parts.spool });
+    return work.createShardedCallLedger({
+        ...pickWork(parts),
+        membership: parts.membership,
+        spool: parts.spool,
+        getRetentionMilliseconds: () => getRetention(parts),
+    });
 }
 
 function createJobs(parts: Parts): work.JobStore {
@@ -206,10 +212,16 @@
         ...pickWork(parts),
         membership: parts.membership,
         executor: parts.executor,
+        getRetentionMilliseconds: () => getRetention(parts),
         getItemAttempts: () => parts.keeper.tryGetNote()?.fleet.policy.itemAttempts ?? 1,
     });
 }
 
+/** Before the first note nothing can have been accepted, and nothing may be removed on its account. */
+function getRetention(parts: Parts): number {
+    return parts.keeper.tryGetNote()?.fleet.policy.retentionMilliseconds ?? LongestRetentionMilliseconds;
+}
+
 function pickWork(parts: Parts): Omit<work.KeyValueJobStoreOptions, "createId"> {
     return {
         keyValue: parts.keyValue,
--- a/packages/entry/src/dispatch/callRecovery.ts
+++ b/packages/entry/src/dispatch/callRecovery.ts
@@ -4,15 +4,21 @@
 
 /** Pauses between two tries to learn an outcome, in milliseconds; after the last the outcome is unknown for good. */
 const SettlePauses = [250, 500, 1_000, 2_000, 4_000, 8_000, 15_000, 30_000, 60_000];
-/**
- * A call whose connection broke may still wait inside the service. "Did not run" is believed once the service has said
- * so on this many tries in a row, which with the pauses above spans more than a second and a half.
- */
-const DenialsNeeded = 4;
+
+export enum SettledKind {
+    Answered = "Answered",
+    /** The service denies the key, and by the release note nothing of the call can begin there any more. */
+    DidNotRun = "DidNotRun",
+    Unknown = "Unknown",
+}
+
+export type Settled =
+    | { readonly kind: SettledKind.Answered; readonly response: upstreams.ServiceResponse }
+    | { readonly kind: SettledKind.DidNotRun }
+    | { readonly kind: SettledKind.Unknown };
 
 /**
- * Learns the outcome of a call that may have run. Returns its answer, or undefined where it must be given up: the
- * route can't be asked, or nothing was learned in all the tries.
+ * Learns the outcome of a call that may have run.
  *
  * `upstream` is the server that it was sent to; undefined where an instance that is gone had chosen it.
  */
@@ -21,17 +27,17 @@
     upstream: core.UpstreamId | undefined,
     sender: callSender.CallSender,
     clock: core.Clock,
-): Promise<upstreams.ServiceResponse | undefined> {
+): Promise<Settled> {
     switch (target.route.safety) {
         case core.CallSafety.Idempotent:
         case core.CallSafety.Deduplicated:
             return resend(target, sender, clock);
         case core.CallSafety.Askable:
             return target.route.askPath === undefined
-                ? undefined
+                ? { kind: SettledKind.Unknown }
                 : ask(target, target.route.askPath, upstream, sender, clock);
         case core.CallSafety.AtMostOnce:
-            return undefined;
+            return { kind: SettledKind.Unknown };
     }
 }
 
@@ -39,40 +45,49 @@
     target: callSender.CallTarget,
     sender: callSender.CallSender,
     clock: core.Clock,
-): Promise<upstreams.ServiceResponse | undefined> {
+): Promise<Settled> {
     for (const pause of SettlePauses) {
         const place = sender.takePlace(target.service, new Set());
         const outcome = place === undefined ? undefined : await sender.sendOnceTo(place, target.call);
         if (outcome?.ok === true) {
-            return outcome.response;
+            return { kind: SettledKind.Answered, response: outcome.response };
         }
         await clock.sleep(pause);
     }
-    return undefined;
+    return { kind: SettledKind.Unknown };
 }
 
+/**
+ * "Did not run" is the service's word for now only: a call whose connection broke may still lie unread in its socket,
+ * and would run after the denial. So it is believed only once the service has denied the key for as long as the release
+ * note says that such a call can still begin; without that word the outcome stays unknown, and nothing is sent twice.
+ */
+
 async function ask(
     target: callSender.CallTarget,
     askPath: string,
     upstream: core.UpstreamId | undefined,
     sender: callSender.CallSender,
     clock: core.Clock,
-): Promise<upstreams.ServiceResponse | undefined> {
+): Promise<Settled> {
     const path = askPath.replace("{key}", encodeURIComponent(target.call.key));
-    let denials = 0;
+    const { settleMilliseconds } = target.route;
+    let deniedSince: core.MonotonicMilliseconds | undefined;
     for (const pause of SettlePauses) {
+        const askedAt = clock.now();
         const answer = await askServers(target, path, upstream, sender);
         if (answer.kind === upstreams.AskOutcomeKind.Ran) {
-            return answer.response;
+            return { kind: SettledKind.Answered, response: answer.response };
         }
-        denials = answer.kind === upstreams.AskOutcomeKind.DidNotRun ? denials + 1 : 0;
-        if (denials >= DenialsNeeded) {
-            const sent = await sender.sendOnce(target);
-            return sent.kind === "Answered" ? sent.response : undefined;
+        const isDenied = answer.kind === upstreams.AskOutcomeKind.DidNotRun;
+        deniedSince = isDenied ? (deniedSince ?? askedAt) : undefined;
+        const isSettled = settleMilliseconds !== undefined && askedAt - (deniedSince ?? askedAt) >= settleMilliseconds;
+        if (isDenied && isSettled) {
+            return { kind: SettledKind.DidNotRun };
         }
         await clock.sleep(pause);
     }
-    return undefined;
+    return { kind: SettledKind.Unknown };
 }
 
 /**
--- a/packages/entry/src/dispatch/callSender.ts
+++ b/packages/entry/src/dispatch/callSender.ts
@@ -88,12 +88,16 @@
         );
     }
 
-    /** Sends a call that may run once: to another server only while no byte of it has left. */
-    async sendOnce(target: CallTarget): Promise<Sent> {
+    /**
+     * Sends a call that may run once: to another server only while no byte of it has left. `isAllowed` is asked right
+     * before each sending: a process that was paused since the start was recorded may have lost it to another instance.
+     */
+    async sendOnce(target: CallTarget, isAllowed: () => boolean): Promise<Sent> {
         const excluded = new Set<core.UpstreamId>();
         for (;;) {
             const place = this.takePlace(target.service, excluded);
-            if (place === undefined) {
+            if (place === undefined || !isAllowed()) {
+                place?.release(decisions.CallSignal.Neutral);
                 return { kind: SentKind.NotSent, refusal: refusals.createOverloaded(core.RunCertainty.NotRun) };
             }
             excluded.add(place.server.id);
--- a/packages/entry/src/dispatch/serviceCaller.ts
+++ b/packages/entry/src/dispatch/serviceCaller.ts
@@ -1,7 +1,7 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
 import type * as decisions from "@boragedale/decisions";
-import * as telemetry from "@boragedale/telemetry";
+import type * as telemetry from "@boragedale/telemetry";
 import type * as upstreams from "@boragedale/upstreams";
 import * as work from "@boragedale/work";
 import type * as admissionDesk from "./admissionDesk.js";
@@ -26,6 +26,9 @@
 
 type CallOutcome = core.Outcome<upstreams.ServiceResponse>;
 
+/** Starts of one call, the first included, before a service that denies it each time is no longer believed. */
+const MaximumAttempts = 4;
+
 /** Longest that an answer waits for its outcome to be recorded, in milliseconds. */
 const RecordingBound = 500;
 
@@ -97,12 +100,11 @@
         const begun = await this.options.ledger.begin(request);
         switch (begun.kind) {
             case work.BeginKind.Started:
-                this.options.telemetry.record(telemetry.events.CallStarted, createSubject(call));
                 return this.sendStarted(target, begun.record);
             case work.BeginKind.Finished:
                 return core.createSuccess(begun.result);
             case work.BeginKind.InFlight:
-                return this.waitForOther(call);
+                return this.waitForOther(target);
             case work.BeginKind.Orphaned:
                 return this.recover(target, begun.record);
             case work.BeginKind.KeyReused:
@@ -115,7 +117,8 @@
     }
 
     private async sendStarted(target: callSender.CallTarget, record: work.CallRecord): Promise<CallOutcome> {
-        const sent = await this.options.sender.sendOnce(target);
+        const isAllowed = (): boolean => this.options.ledger.isSendAllowed(record);
+        const sent = await this.options.sender.sendOnce(target, isAllowed);
         switch (sent.kind) {
             case callSender.SentKind.Answered:
                 return this.finish(target.call, record, sent.response);
@@ -131,7 +134,7 @@
     /** The sender of the recorded attempt is gone. Which upstream it had chosen is not known. */
     private async recover(target: callSender.CallTarget, orphan: work.CallRecord): Promise<CallOutcome> {
         const record = await this.options.ledger.takeOver(orphan);
-        return record === undefined ? this.waitForOther(target.call) : this.settle(target, record, undefined);
+        return record === undefined ? this.waitForOther(target) : this.settle(target, record, undefined);
     }
 
     /** The call may have run: find out, or send it again where that is harmless, or give it up for good. */
@@ -141,10 +144,14 @@
         upstream: core.UpstreamId | undefined,
     ): Promise<CallOutcome> {
         const settled = await callRecovery.settle(target, upstream, this.options.sender, this.options.clock);
-        if (settled !== undefined) {
-            return this.finish(target.call, record, settled);
+        if (settled.kind === callRecovery.SettledKind.Answered) {
+            return this.finish(target.call, record, settled.response);
+        }
+        if (settled.kind === callRecovery.SettledKind.DidNotRun && record.attempt < MaximumAttempts) {
+            // A new start of the same call: of two instances that both heard the denial, the ledger lets one have it.
+            const fresh = await this.options.ledger.takeOver(record);
+            return fresh === undefined ? this.waitForOther(target) : this.sendStarted(target, fresh);
         }
-        this.options.telemetry.record(telemetry.events.CallOutcomeUnknown, createSubject(target.call));
         await this.options.ledger.markOutcomeUnknown(record);
         return core.createFailure(refusals.createOutcomeUnknown());
     }
@@ -155,11 +162,11 @@
         response: upstreams.ServiceResponse,
     ): Promise<CallOutcome> {
         await this.options.ledger.finish(record, response, RecordingBound);
-        this.options.telemetry.record(telemetry.events.CallFinished, createSubject(call));
         return core.createSuccess(response);
     }
 
-    private async waitForOther(call: types.ServiceCall): Promise<CallOutcome> {
+    private async waitForOther(target: callSender.CallTarget): Promise<CallOutcome> {
+        const { call } = target;
         const controller = new AbortController();
         const rest = Math.max(0, call.deadlineAt - this.options.clock.now());
         const stop = this.options.clock.schedule(rest, () => controller.abort());
@@ -168,6 +175,10 @@
             if (record?.result !== undefined) {
                 return core.createSuccess(record.result);
             }
+            if (record?.state === work.CallState.Started && !controller.signal.aborted) {
+                // Its instance is gone: whoever begins it now is told that it is orphaned, and settles it.
+                return await this.runOnce(target);
+            }
             return core.createFailure(
                 record?.state === work.CallState.OutcomeUnknown
                     ? refusals.createOutcomeUnknown()
@@ -205,7 +216,3 @@
     hash.update(call.body ?? "");
     return hash.digest("hex");
 }
-
-function createSubject(call: types.ServiceCall): telemetry.EventSubject {
-    return { request: call.id, caller: call.caller, text: `${call.service} ${call.key}` };
-}
--- a/packages/entry/src/operatorFace/server.ts
+++ b/packages/entry/src/operatorFace/server.ts
@@ -72,6 +72,7 @@
         return reply.code(400).send({ error: { code: "body_invalid", message: text } });
     });
     registerReading(server, options);
+    registerOrphaned(server, options);
     registerPublishing(server, options);
     server.post("/operator/drain", async () => {
         options.drain();
@@ -101,6 +102,15 @@
     );
 }
 
+/** Calls whose instance is gone and which nobody has asked for since; the next request with the key settles them. */
+function registerOrphaned(server: fastify.FastifyInstance, options: OperatorFaceOptions): void {
+    server.get("/operator/calls-orphaned", async (request, reply) =>
+        answers.sendOutcome(reply, await options.ledger.listOrphaned(), calls => ({
+            calls: calls.map(call => ({ ...call, result: undefined })),
+        })),
+    );
+}
+
 function registerPublishing(server: fastify.FastifyInstance, options: OperatorFaceOptions): void {
     server.post("/operator/check", async request => {
         const body = CheckBody.parse(request.body);
--- a/packages/entry/test/serviceCalls.test.ts
+++ b/packages/entry/test/serviceCalls.test.ts
@@ -101,6 +101,62 @@
     assert.ok(record.ok && record.value?.state === work.CallState.OutcomeUnknown);
 });
 
+suite("never sends again a denied booking whose release note gives no settle time", async () => {
+    // The connection breaks while the booking lies unread in the server's socket. Asked, the server truthfully says that
+    // it did not run, and runs it a little later. A second sending after the denials would book twice.
+    const scripts = [async () => mayHaveRun, async () => ran];
+    const server = new fixtures.ScriptedService(() => core.Debug.checkDefined(scripts.shift(), "script")());
+    server.askOutcome = { kind: upstreams.AskOutcomeKind.DidNotRun };
+    const fleet = fixtures.createFleet({ servers: ["server-1"], safety: core.CallSafety.Askable });
+    await using fixture = fixtures.createDispatcherFixture({ services: { "server-1": server }, fleet });
+    const calling = fixture.dispatcher.callService(fixtures.createCall(), fixtures.neverAborted);
+    await fixture.clock.advance(200_000);
+    const outcome = await calling;
+    assert.ok(!outcome.ok && outcome.refusal.certainty === core.RunCertainty.MayHaveRun);
+    assert.equal(server.requests.length, 1);
+    const record = await fixture.ledger.read(fixtures.createCall());
+    assert.ok(record.ok && record.value?.state === work.CallState.OutcomeUnknown);
+});
+
+suite("sends a denied booking again only once nothing of the first can begin any more", async () => {
+    // The same broken connection, and a note that says that a call begins within 5 s or never. One server runs the
+    // booking after 3 s: it must not get a second. The other never does: its caller gets the booking by a second sending.
+    const fleet = fixtures.createFleet({
+        servers: ["server-1"],
+        safety: core.CallSafety.Askable,
+        settleMilliseconds: 5_000,
+    });
+    for (const runsLate of [true, false]) {
+        const scripts: (() => Promise<upstreams.ServiceOutcome>)[] = [async () => mayHaveRun, async () => ran];
+        const server: fixtures.ScriptedService = new fixtures.ScriptedService(() =>
+            core.Debug.checkDefined(scripts.shift(), "script")(),
+        );
+        server.askOutcome = { kind: upstreams.AskOutcomeKind.DidNotRun };
+        await using fixture = fixtures.createDispatcherFixture({ services: { "server-1": server }, fleet });
+        const calling = fixture.dispatcher.callService(fixtures.createCall(), fixtures.neverAborted);
+        await fixture.clock.advance(3_000);
+        assert.equal(server.requests.length, 1);
+        if (runsLate) {
+            server.askOutcome = { kind: upstreams.AskOutcomeKind.Ran, response: booked };
+        }
+        await fixture.clock.advance(25_000);
+        const outcome = await calling;
+        assert.ok(outcome.ok);
+        assert.equal(server.requests.length, runsLate ? 1 : 2);
+    }
+});
+
+suite("sends nothing for a start that another instance may have taken over", async () => {
+    // The instance records the start and is paused before the first byte. Meanwhile it counts as gone and its call is
+    // taken over. When it wakes its start is too old: the caller hears `not run`, and nothing is sent.
+    const server = new fixtures.ScriptedService(async () => ran);
+    await using fixture = fixtures.createDispatcherFixture({ services: { "server-1": server } });
+    fixture.ledger.isSendAllowed = () => false;
+    const outcome = await fixture.dispatcher.callService(fixtures.createCall(), fixtures.neverAborted);
+    assert.ok(!outcome.ok && outcome.refusal.certainty === core.RunCertainty.NotRun);
+    assert.equal(server.requests.length, 0);
+});
+
 suite("sends again what the service drops duplicates of", async () => {
     const scripts = [async () => mayHaveRun, async () => ran];
     const server = new fixtures.ScriptedService(() => core.Debug.checkDefined(scripts.shift(), "script")());
--- a/packages/release/src/noteSchema.ts
+++ b/packages/release/src/noteSchema.ts
@@ -38,6 +38,15 @@
     path: zod.string().startsWith("/"),
     safety: zod.enum(core.CallSafety),
     askPath: zod.string().startsWith("/").optional().describe("Path that tells a key's outcome; '{key}' is replaced."),
+    settleMilliseconds: zod
+        .number()
+        .int()
+        .min(0)
+        .max(60_000)
+        .optional()
+        .describe(
+            "Longest time after which a call that arrived can still begin to run; allows a denied one to be resent.",
+        ),
 });
 
 const service = zod.strictObject({ id: name, upstreams: zod.array(name).min(1), routes: zod.array(route).min(1) });
--- a/packages/release/src/noteStore.ts
+++ b/packages/release/src/noteStore.ts
@@ -45,6 +45,7 @@
                     path: zod.string(),
                     safety: zod.enum(core.CallSafety),
                     askPath: zod.string().optional(),
+                    settleMilliseconds: zod.number().optional(),
                 }),
             ),
         }),
