--- a/packages/release/test/rollout.test.ts
+++ b/packages/release/test/rollout.test.ts
@@ -58,10 +58,15 @@
     const changing = [...fleet.get(0).keeper.getChangingUpstreams()];
     assert.is(changing.length, 1);
     assert.equal([...fleet.get(2).keeper.getChangingUpstreams()], changing);
+    const usable = fleet.get(1).keeper.tryGetUsableFleet();
+    const leaving = usable?.upstreams.filter(upstream => upstream.isLeaving).map(upstream => upstream.id);
+    assert.equal(leaving, changing);
+    assert.is(fleet.get(1).keeper.tryGetUsableFleet(), usable, "routing compares by identity");
     fleet.engines.forEach(engine => (engine.running = 0));
     await fleet.advance(60_000);
     assert.equal(fleet.getVersions(), ["2", "2", "2"]);
     assert.equal([...fleet.get(0).keeper.getChangingUpstreams()], []);
+    assert.is(fleet.get(1).keeper.tryGetUsableFleet(), fleet.get(1).keeper.tryGetNote()?.fleet);
 });
 
 // A second note comes while the first one's rollout is halfway. Engines that hold version 2 already, those that load
@@ -95,6 +100,44 @@
     assert.is(fleet.mostLoads, 0);
 });
 
+// Three instances bring six engines to version 2, two loads at once, a minute each. The bound that the weight store's
+// rate sets is three rounds; claims, draining, reading back and moving on may add a fifth to it.
+suite("an upgrade takes at most 1.2 times what the weight store's rate allows", async () => {
+    const note = { engines: 6, concurrentLoads: 2 };
+    const loadMilliseconds = 60_000;
+    await using fleet = await testFleet.TestFleet.start({ instances: 3, engines: 6, loadMilliseconds });
+    await fleet.publish(fixtures.createFirstNote(note), 0);
+    await fleet.advance(300_000);
+    const checked = release.checkNote(fixtures.createUpgradeNote("2"), "note.yaml", fixtures.createFleet(note));
+    core.Debug.assert(checked.ok, "the upgrade is in order");
+    const bound = checked.value.rounds * loadMilliseconds;
+    await fleet.publish(fixtures.createUpgradeNote("2"), 1);
+    const startedAt = fleet.clock.now();
+    while (fleet.getVersions().some(version => version !== "2") && fleet.clock.now() - startedAt < 2 * bound) {
+        await fleet.advance(500);
+    }
+    const took = fleet.clock.now() - startedAt;
+    assert.ok(took <= 1.2 * bound, `${took} ms, bound ${bound} ms`);
+    assert.is(fleet.mostLoads, 2);
+});
+
+// An operator reads the history while a rollout goes on, when it is done, and after a note that was replaced halfway.
+suite("the history tells which notes the fleet reached", async () => {
+    await using fleet = await createSettledFleet();
+    const readOutcomes = async (): Promise<readonly (release.NoteOutcome | undefined)[]> => {
+        const history = await fleet.wait(fleet.get(0).publisher.readHistory());
+        core.Debug.assert(history.ok, "the service answers");
+        return history.value.map(entry => entry.outcome);
+    };
+    await fleet.publish(fixtures.createUpgradeNote("2"), 1);
+    await fleet.advance(10_000);
+    assert.equal(await readOutcomes(), [release.NoteOutcome.Reached, release.NoteOutcome.InProgress]);
+    await fleet.publish(fixtures.createUpgradeNote("3"), 2);
+    await fleet.advance(120_000);
+    const { Reached: reached, Replaced: replaced } = release.NoteOutcome;
+    assert.equal(await readOutcomes(), [reached, replaced, reached]);
+});
+
 suite("an upstream without news is left alone", async () => {
     await using fleet = await createSettledFleet();
     const orders = fleet.engines.map(engine => engine.orders.length);
--- a/packages/tools/src/demo/scenario.ts
+++ b/packages/tools/src/demo/scenario.ts
@@ -27,8 +27,8 @@
     await showBooking(fleet, first, second, report);
     const batch = await showSubmission(first, second, report);
     await showCancel(second, report);
-    await publishNote(fleet, report, notes.createSecondNote(), 1);
     await showKill(fleet, second, batch, report);
+    await publishNote(fleet, report, notes.createSecondNote(), 1);
     await showDrain(fleet, third, report);
     await showBatchResult(second, batch, report);
     const call = await callers.readCall(second, "booking-1");
@@ -121,7 +121,7 @@
     batch: callers.Batch,
     report: reports.Report,
 ): Promise<void> {
-    const before = await callers.readBatch(url, batch.id);
+    const before = await waitForProgress(url, batch);
     const killed = fleet.instances[KilledInstance];
     if (killed === undefined) {
         return;
@@ -130,7 +130,7 @@
     await timers.setTimeout(1_000);
     await removeFromList(fleet, killed);
     const done = before.request_counts.completed + before.request_counts.failed;
-    const held = done < BatchItems;
+    const held = done > 0 && done < BatchItems;
     report.add(
         `${killed.process.name} is killed in the middle of the batch`,
         held,
@@ -138,6 +138,18 @@
     );
 }
 
+/** Counts become visible with the holders' checkpoints, some seconds after the items end. */
+async function waitForProgress(url: string, batch: callers.Batch): Promise<callers.Batch> {
+    const end = performance.now() + SettleTimeoutMilliseconds;
+    for (;;) {
+        const state = await callers.readBatch(url, batch.id);
+        if (state.request_counts.completed > 0 || performance.now() > end) {
+            return state;
+        }
+        await timers.setTimeout(PollMilliseconds);
+    }
+}
+
 async function showDrain(fleet: fleetModule.Fleet, url: string, report: reports.Report): Promise<void> {
     const drained = fleet.instances[DrainedInstance];
     if (drained === undefined) {
@@ -189,6 +201,7 @@
             url: "/v1/chat/completions",
             body: {
                 model: isImpossible ? "no-such-model" : "kestrel",
+                min_tokens: 60,
                 max_tokens: 60,
                 messages: [{ role: "user", content: `Draft the waitlist notice for family ${index}.` }],
             },
--- a/packages/work/src/itemRunner.ts
+++ b/packages/work/src/itemRunner.ts
@@ -1,5 +1,6 @@
 import type * as core from "@boragedale/core";
 import * as telemetry from "@boragedale/telemetry";
+import * as claimPlan from "./claimPlan.js";
 import type * as heldChunk from "./heldChunk.js";
 import * as jobInput from "./jobInput.js";
 import * as jobSelection from "./jobSelection.js";
@@ -16,15 +17,37 @@
     readonly signal: AbortSignal;
 }
 
+const RateMilliseconds = 1_000;
+const RateWeight = 0.3;
+
 /** Runs the items of the held chunks, as many at once as the executor has room for. */
 export class ItemRunner {
     private readonly turns = new jobSelection.JobSelection();
+    private ended = 0;
+    private rate = 0;
+    private ratedAt: core.MonotonicMilliseconds;
 
-    constructor(private readonly options: ItemRunnerOptions) {}
+    constructor(private readonly options: ItemRunnerOptions) {
+        this.ratedAt = options.clock.now();
+    }
+
+    /** Items that ended here in a millisecond, as lately seen. */
+    getRate(): number {
+        const passed = this.options.clock.now() - this.ratedAt;
+        if (passed >= RateMilliseconds) {
+            this.rate += RateWeight * (this.ended / passed - this.rate);
+            this.ended = 0;
+            this.ratedAt += passed;
+        }
+        return this.rate;
+    }
 
     startItems(): void {
         const { executor, clock, getChunks, signal } = this.options;
         for (let free = executor.getFreeSlots(); free > 0 && !signal.aborted; free--) {
+            if (!claimPlan.hasRoomForResults(getChunks())) {
+                return;
+            }
             const ready = getChunks().filter(chunk => chunk.hasReadyItem(clock.now()));
             const candidates = ready.map(chunk => ({ ...jobSelection.toCandidate(chunk.job), chunk }));
             const chosen = this.turns.choose(candidates, clock.wallNow());
@@ -47,6 +70,7 @@
             return;
         }
         const outcome = await this.execute(chunk, waiting.position, item);
+        this.ended++;
         if (chunk.isDropped) {
             return;
         }
--- a/packages/work/test/jobFailures.test.ts
+++ b/packages/work/test/jobFailures.test.ts
@@ -98,6 +98,24 @@
     assert.is(jobFixtures.getValue(job).state, work.JobState.Running);
 });
 
+suite("a cancel stops running streams within a second, even where the notice can't get through", async () => {
+    // The link to the instance that runs the items is cut. It must learn of the cancel from the job's record.
+    const target = createFaultyFleet({
+        instances: 2,
+        execute: (item, signal) =>
+            new Promise(resolve => signal.addEventListener("abort", () => resolve(jobFixtures.succeed(item)))),
+    });
+    target.instances[0]!.start();
+    const job = await jobFixtures.submitLines(target, jobFixtures.createLines(10));
+    await target.clock.advance(1_000);
+    assert.is(target.instances[0]!.executor.running, 4);
+    target.hub.cutOff.add("instance-0");
+    const cancelled = target.instances[1]!.store.cancel(job.caller, job.id);
+    await target.clock.advance(1_000);
+    assert.is(target.instances[0]!.executor.running, 0);
+    assert.ok((await cancelled).ok);
+});
+
 suite("a cancel before the last checkpoint's write keeps its results out", async () => {
     // The teacher cancels the class batch while its last results are on their way to the board. The cancel is
     // acknowledged first; the checkpoint's write arrives after it and must change nothing.
@@ -252,13 +270,15 @@
 });
 
 suite("a checkpoint of which nobody can say whether it was written lists its results once", async () => {
-    // The write took effect, the reply was lost, and the read that would have told so failed: the service went down in
-    // that moment. The checkpoint is tried again later and must be recognised on the board.
+    // The write took effect, the reply was lost, and the service went down in that moment, so that nothing could be
+    // read back. The checkpoint is tried again later and must be recognised on the board.
     const target = createFaultyFleet({ execute: executeSlowly });
     target.instances[0]!.start();
     const job = await jobFixtures.submitLines(target, jobFixtures.createLines(100));
     await target.clock.advance(2_000);
     target.wraps.get("instance-0")!.breakAfterNextWrite("boards/");
+    await target.clock.advance(10_000);
+    target.wraps.get("instance-0")!.resume();
     const ended = await jobFixtures.waitForEnd(target, job);
     assert.equal(ended.counts, { total: 100, succeeded: 100, failed: 0 });
     assert.equal(await readOutput(target, job), createNames(100));
@@ -275,6 +295,9 @@
     const before = target.instances[0]!.executor.started.length;
     await target.clock.advance(600_000);
     assert.ok(target.instances[0]!.executor.started.length > before + 50);
+    // One try each five seconds, not each tick: otherwise a fleet of 400 would keep a returning service down.
+    const tries = target.keyValue.calls.get(platform.CallPurpose.Checkpoint) ?? 0;
+    assert.ok(tries < 200, `${tries} calls`);
     target.keyValue.faults.isDown = false;
     const ended = await jobFixtures.waitForEnd(target, job);
     assert.is(ended.counts.succeeded, 150);
