--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -41,6 +41,9 @@
     };
 }
 
+/** Below this many tokens a second the bound is chance: no place was free. */
+const LeastBound = 100;
+
 const Columns = [
     "scenario",
     "policy",
@@ -95,7 +98,7 @@
         (policy === run.PolicyKind.Policy ? report.goodputPart : NaN).toFixed(2).replace("NaN", "-"),
         result.onlineFairness.toFixed(2),
         result.batchTokensPerSecond.toFixed(0),
-        (result.batchTokensPerSecond / report.batchBound).toFixed(2),
+        report.batchBound < LeastBound ? "-" : (result.batchTokensPerSecond / report.batchBound).toFixed(2),
         result.batchFairness.toFixed(2),
         String(result.wastedTokens),
         String(result.cancelledStreams),
--- a/packages/decisions/src/estimates.ts
+++ b/packages/decisions/src/estimates.ts
@@ -110,3 +110,22 @@
     const sorted = [...values].sort((left, right) => left - right);
     return sorted[Math.floor((sorted.length - 1) / 2)];
 }
+
+/** The mean, or 0 without values. */
+export function getMean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+/** The item with the lowest value, the first of equal ones; undefined without items. */
+export function getLeast<T>(items: readonly T[], getValue: (item: T) => number): T | undefined {
+    let least: T | undefined;
+    let leastValue = Infinity;
+    for (const item of items) {
+        const value = getValue(item);
+        if (value < leastValue) {
+            least = item;
+            leastValue = value;
+        }
+    }
+    return least;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./hashing.js";
 export * from "./linearFit.js";
 export * from "./placement.js";
+export * from "./placementTypes.js";
 export * from "./priorityQueue.js";
 export * from "./retryBudget.js";
 export * from "./serviceTime.js";
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -1,56 +1,12 @@
 import * as core from "@boragedale/core";
 import type * as batchGate from "./batchGate.js";
 import * as breaker from "./breaker.js";
+import * as estimates from "./estimates.js";
 import * as prefixShares from "./prefixShares.js";
 import * as rankCache from "./rankCache.js";
+import * as types from "./placementTypes.js";
 import * as upstreamHealth from "./upstreamHealth.js";
 
-/** What placement needs to know of an upstream; a `core.UpstreamDescription` fits. */
-export interface PlacementCandidate {
-    readonly id: core.UpstreamId;
-    readonly dataCentre: core.DataCentre;
-    readonly role: core.UpstreamRole;
-    readonly models: readonly core.ModelId[];
-    /** Requests that it may run at once. */
-    readonly concurrency: number;
-    readonly isLeaving: boolean;
-}
-
-export interface PlacementRequest {
-    readonly model: core.ModelId;
-    /** Hash of the beginning of the prompt; equal for prompts that share a cached prefix. */
-    readonly prefixHash: string;
-    readonly requestClass: core.RequestClass;
-    /** Upstreams that this request has tried. */
-    readonly exclude?: ReadonlySet<core.UpstreamId>;
-}
-
-export enum PlacementKind {
-    Placed = "Placed",
-    None = "None",
-}
-
-export type PlacementDecision =
-    | { readonly kind: PlacementKind.Placed; readonly upstream: core.UpstreamId }
-    | { readonly kind: PlacementKind.None; readonly retryAfterMilliseconds: number };
-
-/** How a request that was sent came to its end without an answer. */
-export enum SendFailure {
-    /** The upstream died or its connection broke. */
-    Died = "Died",
-    /** It answered with an error of its own, or was silent. */
-    Failed = "Failed",
-    /** It said that it is full or not ready. */
-    Busy = "Busy",
-    /** Ended by us or by the caller; tells nothing of the upstream. */
-    Abandoned = "Abandoned",
-}
-
-export interface PlacementSettings {
-    /** From 0 up to 1. */
-    readonly random: () => number;
-}
-
 /** An upstream may be this far above the mean load before a prefix's request goes elsewhere. */
 const BoundFactor = 1.25;
 /**
@@ -112,7 +68,7 @@
     private requestsSinceProbe = 0;
     private sharing = 1;
 
-    constructor(private readonly settings: PlacementSettings) {}
+    constructor(private readonly settings: types.PlacementSettings) {}
 
     /** How many instances send to each upstream: the fleet's size times the part of the upstreams that each uses. */
     setSharing(instances: number): void {
@@ -120,33 +76,33 @@
     }
 
     choose(
-        request: PlacementRequest,
-        candidates: readonly PlacementCandidate[],
+        request: types.PlacementRequest,
+        candidates: readonly types.PlacementCandidate[],
         now: core.MonotonicMilliseconds,
-    ): PlacementDecision {
-        const eligible = candidates.filter(candidate => isEligible(candidate, request));
+    ): types.PlacementDecision {
+        const eligible = candidates.filter(candidate => types.isEligible(candidate, request));
         const usable = eligible.filter(candidate => this.isUsable(candidate, request, now));
         const quick = usable.filter(candidate => this.isQuick(candidate, now));
         const probe = this.tryChooseProbe(usable, quick);
         if (probe !== undefined) {
-            return { kind: PlacementKind.Placed, upstream: probe.id };
+            return { kind: types.PlacementKind.Placed, upstream: probe.id };
         }
         const chosen = this.tryChooseByPrefix(request, candidates, quick.length > 0 ? quick : usable, now);
         return chosen === undefined
-            ? { kind: PlacementKind.None, retryAfterMilliseconds: this.getRetryAfter(eligible, now) }
-            : { kind: PlacementKind.Placed, upstream: chosen.id };
+            ? { kind: types.PlacementKind.None, retryAfterMilliseconds: this.getRetryAfter(eligible, now) }
+            : { kind: types.PlacementKind.Placed, upstream: chosen.id };
     }
 
     /** Online requests that this instance may have in flight for a model: the limit of its admission queue. */
     getCapacity(
         model: core.ModelId,
         requestClass: core.RequestClass,
-        candidates: readonly PlacementCandidate[],
+        candidates: readonly types.PlacementCandidate[],
         now: core.MonotonicMilliseconds,
     ): number {
         const request = { model, requestClass, prefixHash: "" };
         const available = candidates
-            .filter(candidate => isEligible(candidate, request))
+            .filter(candidate => types.isEligible(candidate, request))
             .filter(candidate => this.getRecord(candidate.id).breaker.isAvailable(now));
         const quick = available.filter(
             candidate => this.health.getState(candidate.id) !== upstreamHealth.SpeedState.Slow,
@@ -164,8 +120,8 @@
      * wait: see `AdmissionQueue.take`.
      */
     isLocal(
-        request: PlacementRequest,
-        candidates: readonly PlacementCandidate[],
+        request: types.PlacementRequest,
+        candidates: readonly types.PlacementCandidate[],
         now: core.MonotonicMilliseconds,
     ): boolean {
         const ranked = this.ranks.get(`${request.model}/${request.prefixHash}`, candidates);
@@ -174,7 +130,7 @@
         return candidates.some(
             candidate =>
                 preferred.has(candidate.id) &&
-                isEligible(candidate, request) &&
+                types.isEligible(candidate, request) &&
                 this.isUsable(candidate, request, now) &&
                 this.health.getShare(candidate.id, now) > 0,
         );
@@ -220,21 +176,21 @@
         }
     }
 
-    onFailed(id: string, failure: SendFailure, now: core.MonotonicMilliseconds): void {
+    onFailed(id: string, failure: types.SendFailure, now: core.MonotonicMilliseconds): void {
         const sent = this.forgetSent(id);
         if (sent === undefined) {
             return;
         }
         const upstreamBreaker = this.getRecord(sent.upstream).breaker;
         switch (failure) {
-            case SendFailure.Died:
+            case types.SendFailure.Died:
                 upstreamBreaker.onDeath(now);
                 break;
-            case SendFailure.Failed:
-            case SendFailure.Busy:
+            case types.SendFailure.Failed:
+            case types.SendFailure.Busy:
                 upstreamBreaker.onFailure(now);
                 break;
-            case SendFailure.Abandoned:
+            case types.SendFailure.Abandoned:
                 upstreamBreaker.onAbandoned();
                 break;
         }
@@ -303,11 +259,11 @@
     }
 
     private tryChooseByPrefix(
-        request: PlacementRequest,
-        candidates: readonly PlacementCandidate[],
-        usable: readonly PlacementCandidate[],
+        request: types.PlacementRequest,
+        candidates: readonly types.PlacementCandidate[],
+        usable: readonly types.PlacementCandidate[],
         now: core.MonotonicMilliseconds,
-    ): PlacementCandidate | undefined {
+    ): types.PlacementCandidate | undefined {
         const byId = new Map(usable.map(candidate => [candidate.id, candidate]));
         const loads = this.getLoads(usable, now);
         const share = this.shares.add(request.prefixHash, now);
@@ -317,15 +273,15 @@
             .map(id => byId.get(id))
             .filter(candidate => candidate !== undefined);
         const replicas = getReplicaCount(share, candidates.length);
-        const mean = getMean(loads);
-        const loadOf = (candidate: PlacementCandidate): number => loads.get(candidate.id) ?? 0;
-        const isWithinBound = (candidate: PlacementCandidate): boolean =>
+        const mean = estimates.getMean([...loads.values()]);
+        const loadOf = (candidate: types.PlacementCandidate): number => loads.get(candidate.id) ?? 0;
+        const isWithinBound = (candidate: types.PlacementCandidate): boolean =>
             loadOf(candidate) <= BoundFactor * mean + Math.max(2, BoundSlack * candidate.concurrency);
-        const preferred = getLeast(ranked.slice(0, replicas), loadOf);
+        const preferred = estimates.getLeast(ranked.slice(0, replicas), loadOf);
         if (preferred !== undefined && isWithinBound(preferred)) {
             return preferred;
         }
-        return ranked.slice(replicas).find(isWithinBound) ?? getLeast(ranked, loadOf);
+        return ranked.slice(replicas).find(isWithinBound) ?? estimates.getLeast(ranked, loadOf);
     }
 
     /**
@@ -333,7 +289,7 @@
      * known the mean of the others stands in: zero would make the least known upstream look the idlest.
      */
     private getLoads(
-        usable: readonly PlacementCandidate[],
+        usable: readonly types.PlacementCandidate[],
         now: core.MonotonicMilliseconds,
     ): ReadonlyMap<core.UpstreamId, number> {
         const known = usable.filter(candidate => this.isHintFresh(candidate, now));
@@ -348,13 +304,13 @@
         );
     }
 
-    private isHintFresh(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+    private isHintFresh(candidate: types.PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
         return now - this.getRecord(candidate.id).hintedAt <= HintLife;
     }
 
     private isUsable(
-        candidate: PlacementCandidate,
-        request: PlacementRequest,
+        candidate: types.PlacementCandidate,
+        request: types.PlacementRequest,
         now: core.MonotonicMilliseconds,
     ): boolean {
         if (!this.getRecord(candidate.id).breaker.isAvailable(now)) {
@@ -364,7 +320,7 @@
         return request.requestClass === core.RequestClass.Batch || this.hasRoom(candidate, now);
     }
 
-    private hasRoom(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+    private hasRoom(candidate: types.PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
         return this.getRoom(candidate, now) > 0;
     }
 
@@ -374,7 +330,7 @@
      * and its square root, by which the instances' numbers differ by chance: less leaves places empty while requests
      * queue here, more lets a queue build up in the engine, where it is first come first served.
      */
-    private getRoom(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): number {
+    private getRoom(candidate: types.PlacementCandidate, now: core.MonotonicMilliseconds): number {
         const record = this.getRecord(candidate.id);
         const evenPart = this.getEvenPart(candidate);
         const ownRoom = evenPart - record.online;
@@ -388,19 +344,19 @@
         return Math.min(candidate.concurrency, evenPart + Math.ceil(Math.sqrt(evenPart))) - record.online;
     }
 
-    private getEvenPart(candidate: PlacementCandidate): number {
+    private getEvenPart(candidate: types.PlacementCandidate): number {
         return Math.max(1, Math.round(candidate.concurrency / this.sharing));
     }
 
-    private isQuick(candidate: PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
+    private isQuick(candidate: types.PlacementCandidate, now: core.MonotonicMilliseconds): boolean {
         const share = this.health.getShare(candidate.id, now);
         return share >= 1 || (share > 0 && this.settings.random() < share);
     }
 
     private tryChooseProbe(
-        usable: readonly PlacementCandidate[],
-        quick: readonly PlacementCandidate[],
-    ): PlacementCandidate | undefined {
+        usable: readonly types.PlacementCandidate[],
+        quick: readonly types.PlacementCandidate[],
+    ): types.PlacementCandidate | undefined {
         this.requestsSinceProbe++;
         if (quick.length === usable.length || this.requestsSinceProbe < RequestsPerProbe) {
             return undefined;
@@ -414,7 +370,7 @@
         return probe;
     }
 
-    private getRetryAfter(eligible: readonly PlacementCandidate[], now: core.MonotonicMilliseconds): number {
+    private getRetryAfter(eligible: readonly types.PlacementCandidate[], now: core.MonotonicMilliseconds): number {
         const rests = eligible
             .map(candidate => this.getRecord(candidate.id).breaker.getRemainingRest(now))
             .filter(rest => rest > 0);
@@ -449,47 +405,6 @@
     }
 }
 
-function isEligible(candidate: PlacementCandidate, request: PlacementRequest): boolean {
-    return (
-        !candidate.isLeaving &&
-        candidate.models.includes(request.model) &&
-        servesClass(candidate.role, request.requestClass) &&
-        request.exclude?.has(candidate.id) !== true
-    );
-}
-
-function servesClass(role: core.UpstreamRole, requestClass: core.RequestClass): boolean {
-    switch (role) {
-        case core.UpstreamRole.Mixed:
-            return true;
-        case core.UpstreamRole.Online:
-            return requestClass === core.RequestClass.Online;
-        case core.UpstreamRole.Batch:
-            return requestClass === core.RequestClass.Batch;
-    }
-}
-
 function getReplicaCount(share: number, candidates: number): number {
     return Math.max(1, Math.ceil(share * candidates * ReplicaFactor));
 }
-
-function getMean(loads: ReadonlyMap<core.UpstreamId, number>): number {
-    let sum = 0;
-    for (const load of loads.values()) {
-        sum += load;
-    }
-    return sum / Math.max(1, loads.size);
-}
-
-function getLeast<T>(items: readonly T[], getValue: (item: T) => number): T | undefined {
-    let least: T | undefined;
-    let leastValue = Infinity;
-    for (const item of items) {
-        const value = getValue(item);
-        if (value < leastValue) {
-            least = item;
-            leastValue = value;
-        }
-    }
-    return least;
-}
