--- a/packages/tools/src/measuredFleet.ts
+++ b/packages/tools/src/measuredFleet.ts
@@ -12,7 +12,7 @@
 
 export class MeasuredFleet {
     readonly clock = new core.VirtualClock();
-    readonly keyValue = new standins.MemoryKeyValueService(this.clock);
+    readonly keyValue = new CountingKeyValueService(this.clock);
     readonly hub = new standins.MemoryPeerHub();
     readonly names: core.InstanceId[];
     readonly gone = new Set<core.InstanceId>();
@@ -60,6 +60,32 @@
     }
 }
 
+/** Counts reads and the bytes of written values beside the writes that the stand-in counts. */
+export class CountingKeyValueService extends standins.MemoryKeyValueService {
+    reads = 0;
+    writtenBytes = 0;
+
+    override async get(
+        key: string,
+        purpose: platform.CallPurpose,
+    ): Promise<platform.KeyValueResult<platform.Entry | undefined>> {
+        this.reads++;
+        return super.get(key, purpose);
+    }
+
+    override async list(request: platform.ListRequest): Promise<platform.KeyValueResult<readonly platform.Entry[]>> {
+        this.reads++;
+        return super.list(request);
+    }
+
+    override async compareAndSwap(
+        request: platform.SwapRequest,
+    ): Promise<platform.KeyValueResult<platform.SwapOutcome>> {
+        this.writtenBytes += request.value?.byteLength ?? 0;
+        return super.compareAndSwap(request);
+    }
+}
+
 export interface InstanceParts {
     readonly keyValue: platform.KeyValueService;
     readonly peers: protocol.PeerNetwork;
--- /dev/null
+++ b/packages/tools/src/slopes/linkSlopes.ts
@@ -0,0 +1,65 @@
+import * as core from "@boragedale/core";
+import * as platform from "@boragedale/platform";
+import * as standins from "@boragedale/standins";
+import * as telemetry from "@boragedale/telemetry";
+import * as linkedFleet from "../linkedFleet.js";
+import * as cost from "./cost.js";
+import type * as table from "./table.js";
+
+/** What peer links cost an instance by their number, and what the paced client adds to a key-value call. */
+
+const FleetSizes = [3, 6, 12, 24];
+/** Four neighbours of one's own choice, and as many that chose this instance; see `FleetMembership`. */
+const TargetLinks = 8;
+const MeasuredMilliseconds = 5_000;
+const CallCounts = [5_000, 10_000, 20_000];
+
+export async function measureLinks(): Promise<table.SlopeTable> {
+    const measured: linkedFleet.IdleCost[] = [];
+    for (const size of FleetSizes) {
+        measured.push(await linkedFleet.measureIdle(size, MeasuredMilliseconds));
+    }
+    const pick = (value: (idle: linkedFleet.IdleCost) => number): readonly table.Point[] =>
+        measured.map(idle => ({ x: idle.links, y: value(idle) }));
+    return {
+        name: "links",
+        slopes: [
+            {
+                cost: "bytes a second sent",
+                load: "links",
+                points: pick(idle => idle.bytesPerSecond),
+                target: TargetLinks,
+            },
+            { cost: "% of a core", load: "links", points: pick(idle => idle.corePercent), target: TargetLinks },
+        ],
+    };
+}
+
+export async function measureClient(): Promise<table.SlopeTable> {
+    const points: table.Point[] = [];
+    await callPaced(Math.max(...CallCounts));
+    for (const x of CallCounts) {
+        const rounds = [await callPaced(x), await callPaced(x), await callPaced(x)];
+        points.push({ x, y: Math.min(...rounds) });
+    }
+    const slope = { cost: "µs of CPU of reads through the paced client", load: "calls", points, target: 10_000 };
+    return { name: "client", slopes: [slope] };
+}
+
+/** Processor time of `calls` reads, ten at once, through a client that has budget enough. */
+async function callPaced(calls: number): Promise<number> {
+    const clock = new core.SystemClock();
+    await using client = new platform.PacedKeyValueService(new standins.MemoryKeyValueService(clock), {
+        clock,
+        telemetry: new telemetry.Telemetry({ instance: "entry-1", logLevel: "silent" }, clock),
+        getFleetSize: () => 1,
+        random: () => 0.5,
+        budget: { writesPerSecond: 1e6, readsPerSecond: 1e6 },
+    });
+    const before = process.cpuUsage();
+    for (let call = 0; call < calls; call += 10) {
+        const keys = Array.from({ length: 10 }, (...[, index]: [unknown, number]) => `key-${call + index}`);
+        await Promise.all(keys.map(key => client.get(key, platform.CallPurpose.Read)));
+    }
+    return cost.getMicroseconds(before);
+}
