--- a/packages/tools/src/slopes.ts
+++ b/packages/tools/src/slopes.ts
@@ -24,6 +24,7 @@
     timeline: noteSlopes.measureTimeLine,
     client: linkSlopes.measureClient,
     rollout: rolloutSlopes.measureRollout,
+    pressure: linkSlopes.measurePressure,
     links: linkSlopes.measureLinks,
     ledger: workSlopes.measureLedger,
     jobs: workSlopes.measureJobs,
--- a/packages/tools/src/slopes/linkSlopes.ts
+++ b/packages/tools/src/slopes/linkSlopes.ts
@@ -1,5 +1,6 @@
 import * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
+import * as protocol from "@boragedale/protocol";
 import * as standins from "@boragedale/standins";
 import * as telemetry from "@boragedale/telemetry";
 import * as linkedFleet from "../linkedFleet.js";
@@ -12,6 +13,8 @@
 /** Four neighbours of one's own choice, and as many that chose this instance; see `FleetMembership`. */
 const TargetLinks = 8;
 const MeasuredMilliseconds = 5_000;
+/** Upstreams on which an instance has online work at one moment. */
+const BusyCounts = [10, 50, 150];
 const CallCounts = [5_000, 10_000, 20_000];
 
 export async function measureLinks(): Promise<table.SlopeTable> {
@@ -35,6 +38,32 @@
     };
 }
 
+export function measurePressure(): table.SlopeTable {
+    const points = BusyCounts.map(x => ({ x, y: countNoticeBytes(x) }));
+    const load = "upstreams told of once";
+    return {
+        name: "pressure",
+        slopes: [{ cost: "bytes of notices to homes and their answers, without headers", load, points, target: 132 }],
+    };
+}
+
+function countNoticeBytes(upstreamCount: number): number {
+    let bytes = 0;
+    for (let index = 0; index < upstreamCount; index++) {
+        const upstream = `engine-${index}`;
+        const inFlight = index % 4;
+        bytes += encode({ kind: protocol.MessageKind.OnlinePressure, upstream, inFlight, queued: 0 });
+        bytes += encode({ kind: protocol.MessageKind.OnlineTotal, upstream, inFlight, isLeaving: false });
+    }
+    return bytes;
+}
+
+function encode(message: protocol.Message): number {
+    const encoded = protocol.encodeFrame({ message }, protocol.Lane.Control);
+    core.Debug.assert(encoded.ok, "a notice fits its lane");
+    return encoded.bytes.byteLength;
+}
+
 export async function measureClient(): Promise<table.SlopeTable> {
     const points: table.Point[] = [];
     await callPaced(Math.max(...CallCounts));
--- a/packages/tools/src/slopes/table.ts
+++ b/packages/tools/src/slopes/table.ts
@@ -31,11 +31,21 @@
     readonly largestResidual: number;
 }
 
-const Head = "| cost | grows with | points (load: cost) | base + slope | r² | largest residual | at the target |";
-const Rule = "| --- | --- | --- | --- | --- | --- | --- |";
+const Head = ["cost", "grows with", "points (load: cost)", "base + slope", "r²", "largest residual", "at the target"];
 
+/** A table in Markdown, its columns padded as the formatter pads them: the page must pass the check as it is written. */
 export function formatTable(table: SlopeTable): string {
-    return [Head, Rule, ...table.slopes.map(formatRow)].join("\n");
+    const rows = [Head, ...table.slopes.map(createCells)];
+    const widths = Head.map((...[, column]: [unknown, number]) =>
+        Math.max(...rows.map(row => row[column]?.length ?? 0)),
+    );
+    const rule = `| ${widths.map(width => "-".repeat(width)).join(" | ")} |`;
+    const [head, ...body] = rows.map(row => formatRow(row, widths));
+    return [head, rule, ...body].join("\n");
+}
+
+function formatRow(cells: readonly string[], widths: readonly number[]): string {
+    return `| ${cells.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join(" | ")} |`;
 }
 
 /** Fits a straight line by least squares; needs three points of different loads to tell its own error. */
@@ -55,10 +65,10 @@
     };
 }
 
-function formatRow(slope: Slope): string {
+function createCells(slope: Slope): readonly string[] {
     const { line, explained, largestResidual } = fitSlope(slope.points);
     const points = slope.points.map(point => `${formatNumber(point.x)}: ${formatNumber(point.y)}`).join("; ");
-    const cells = [
+    return [
         slope.cost,
         slope.load,
         points,
@@ -67,7 +77,6 @@
         `${(largestResidual * 100).toFixed(1)}%`,
         `${formatNumber(getValueAt(line, slope.target))} at ${formatNumber(slope.target)}`,
     ];
-    return `| ${cells.join(" | ")} |`;
 }
 
 function getValueAt(line: decisions.Line, x: number): number {
@@ -79,5 +88,8 @@
 }
 
 function formatNumber(value: number): string {
-    return Number(value.toPrecision(4)).toLocaleString("en-GB", { maximumSignificantDigits: 4 });
+    // What the fit leaves of an exact zero would read as a figure.
+    return Math.abs(value) < 1e-9
+        ? "0"
+        : Number(value.toPrecision(4)).toLocaleString("en-GB", { maximumSignificantDigits: 4 });
 }
