--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -23,8 +23,18 @@
     readonly deathsByUpstream: Readonly<Record<core.UpstreamId, number>>;
 }
 
+interface SentRequest {
+    readonly fingerprint: string;
+    readonly sentAt: core.MonotonicMilliseconds;
+}
+
+interface SeenDeaths {
+    count: number;
+    lastAt: core.MonotonicMilliseconds;
+}
+
 interface Suspect {
-    readonly deaths: Map<core.UpstreamId, number>;
+    readonly deaths: Map<core.UpstreamId, SeenDeaths>;
     lastDeathAt: core.MonotonicMilliseconds;
 }
 
@@ -45,8 +55,8 @@
  */
 export class SuspectRegistry {
     private readonly suspects = new Map<string, Suspect>();
-    /** Requests in flight on each upstream: request id to fingerprint. */
-    private readonly inFlight = new Map<core.UpstreamId, Map<string, string>>();
+    /** Requests in flight on each upstream, by request id. */
+    private readonly inFlight = new Map<core.UpstreamId, Map<string, SentRequest>>();
     /** Suspects that run: fingerprint to upstream. */
     private readonly runningAlone = new Map<string, core.UpstreamId>();
 
@@ -85,7 +95,7 @@
             requests = new Map();
             this.inFlight.set(upstream, requests);
         }
-        requests.set(id, fingerprint);
+        requests.set(id, { fingerprint, sentAt: now });
         if (this.judge(fingerprint, now).verdict !== SuspectVerdict.Usual) {
             this.runningAlone.set(fingerprint, upstream);
         }
@@ -111,22 +121,22 @@
             return [];
         }
         this.inFlight.delete(upstream);
-        const all = new Set(requests.values());
+        const sentAt = new Map([...requests.values()].map(request => [request.fingerprint, request.sentAt]));
         // A suspect that ran alone explains the death: the others beside it would be blamed without cause.
-        const alone = [...all].filter(fingerprint => this.runningAlone.get(fingerprint) === upstream);
-        const blamed = alone.length > 0 ? alone : [...all];
+        const alone = [...sentAt.keys()].filter(fingerprint => this.runningAlone.get(fingerprint) === upstream);
+        const blamed = alone.length > 0 ? alone : [...sentAt.keys()];
         for (const fingerprint of alone) {
             this.runningAlone.delete(fingerprint);
         }
-        return blamed.map(fingerprint => this.blame(fingerprint, upstream, now));
+        return blamed.map(fingerprint => this.blame(fingerprint, upstream, sentAt.get(fingerprint) ?? now, now));
     }
 
     /** Takes in what a peer told. */
     merge(report: SuspectReport, now: core.MonotonicMilliseconds): void {
         const suspect = this.getSuspect(report.fingerprint, now);
         for (const [upstream, deaths] of Object.entries(report.deathsByUpstream)) {
-            if (deaths > (suspect.deaths.get(upstream) ?? 0)) {
-                suspect.deaths.set(upstream, deaths);
+            if (deaths > (suspect.deaths.get(upstream)?.count ?? 0)) {
+                suspect.deaths.set(upstream, { count: deaths, lastAt: now });
                 suspect.lastDeathAt = now;
             }
         }
@@ -139,11 +149,24 @@
         }
     }
 
-    private blame(fingerprint: string, upstream: core.UpstreamId, now: core.MonotonicMilliseconds): SuspectReport {
+    /**
+     * A death that a peer told of after the request was sent is the one that ended the request here. Counted twice, a
+     * single crash would quarantine every prompt that ran from two instances, innocent ones too.
+     */
+    private blame(
+        fingerprint: string,
+        upstream: core.UpstreamId,
+        sentAt: core.MonotonicMilliseconds,
+        now: core.MonotonicMilliseconds,
+    ): SuspectReport {
         const suspect = this.getSuspect(fingerprint, now);
-        suspect.deaths.set(upstream, (suspect.deaths.get(upstream) ?? 0) + 1);
-        suspect.lastDeathAt = now;
-        return { fingerprint, deathsByUpstream: Object.fromEntries(suspect.deaths) };
+        const seen = suspect.deaths.get(upstream);
+        if (seen === undefined || seen.lastAt < sentAt) {
+            suspect.deaths.set(upstream, { count: (seen?.count ?? 0) + 1, lastAt: now });
+            suspect.lastDeathAt = now;
+        }
+        const counts = [...suspect.deaths].map(([id, deaths]) => [id, deaths.count] as const);
+        return { fingerprint, deathsByUpstream: Object.fromEntries(counts) };
     }
 
     private hasSuspect(upstream: core.UpstreamId): boolean {
@@ -152,7 +175,7 @@
 
     private forgetInFlight(id: string, upstream: core.UpstreamId): string | undefined {
         const requests = this.inFlight.get(upstream);
-        const fingerprint = requests?.get(id);
+        const fingerprint = requests?.get(id)?.fingerprint;
         requests?.delete(id);
         if (fingerprint !== undefined && this.runningAlone.get(fingerprint) === upstream) {
             this.runningAlone.delete(fingerprint);
@@ -186,7 +209,7 @@
 function countDeaths(suspect: Suspect): number {
     let sum = 0;
     for (const deaths of suspect.deaths.values()) {
-        sum += deaths;
+        sum += deaths.count;
     }
     return sum;
 }
--- a/packages/decisions/test/suspects.test.ts
+++ b/packages/decisions/test/suspects.test.ts
@@ -96,6 +96,23 @@
     );
 });
 
+// A common prompt runs from two instances on one engine when that engine dies once. Each instance sees its own connection
+// break and hears of the death from the other, in either order. Taken for two deaths, the prompt would be refused to
+// every caller for a quarter of an hour.
+suite("one death that two instances saw counts once", () => {
+    const [first, second] = [new decisions.SuspectRegistry(), new decisions.SuspectRegistry()];
+    first.onSent("from-first", "common", "engine-0", 0);
+    second.onSent("from-second", "common", "engine-0", 0);
+    first.onUpstreamDied("engine-0", 100).forEach(report => second.merge(report, 150));
+    second.onUpstreamDied("engine-0", 900).forEach(report => first.merge(report, 950));
+    for (const registry of [first, second]) {
+        assert.is(registry.judge("common", 1_000).verdict, decisions.SuspectVerdict.Alone);
+    }
+    second.onSent("alone", "common", "engine-0", 60_000);
+    second.onUpstreamDied("engine-0", 60_100).forEach(report => first.merge(report, 60_150));
+    assert.is(first.judge("common", 60_200).verdict, decisions.SuspectVerdict.Quarantined);
+});
+
 suite("a quarantine and a suspicion end", () => {
     const registry = new decisions.SuspectRegistry();
     registry.merge({ fingerprint: "bad", deathsByUpstream: { "engine-0": 1, "engine-1": 1 } }, 0);
