--- a/packages/tools/src/slopes/linkSlopes.ts
+++ b/packages/tools/src/slopes/linkSlopes.ts
@@ -13,11 +13,14 @@
 /** Four neighbours of one's own choice, and as many that chose this instance; see `FleetMembership`. */
 const TargetLinks = 8;
 const MeasuredMilliseconds = 5_000;
+const WarmUpMilliseconds = 1_000;
 /** Upstreams on which an instance has online work at one moment. */
 const BusyCounts = [10, 50, 150];
 const CallCounts = [5_000, 10_000, 20_000];
 
 export async function measureLinks(): Promise<table.SlopeTable> {
+    // Without it the compiling of the code counts as the cost of the smallest fleet, and the slope comes out negative.
+    await linkedFleet.measureIdle(Math.max(...FleetSizes), WarmUpMilliseconds);
     const measured: linkedFleet.IdleCost[] = [];
     for (const size of FleetSizes) {
         measured.push(await linkedFleet.measureIdle(size, MeasuredMilliseconds));
