--- a/packages/entry/src/dispatch/batchLanes.ts
+++ b/packages/entry/src/dispatch/batchLanes.ts
@@ -2,6 +2,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as telemetry from "@boragedale/telemetry";
 import type * as protocol from "@boragedale/protocol";
+import type * as upstreams from "@boragedale/upstreams";
 import type * as engineTable from "./engineTable.js";
 import type * as directory from "./upstreamDirectory.js";
 
@@ -87,6 +88,17 @@
         return gate.getOnline(this.options.clock.now());
     }
 
+    /** Shortest time between two tokens that anybody saw on an engine of ours in the last second, in milliseconds. */
+    tryGetFastestGap(upstream: core.UpstreamId): number | undefined {
+        return this.lanes.get(upstream)?.gate.getFastestGap(this.options.clock.now());
+    }
+
+    /** What an engine of ours says of its memory: batch must give it back before online requests find none. */
+    onLoadReport(engine: core.UpstreamDescription, load: upstreams.LoadReport): void {
+        this.getLane(engine).gate.onLoadReport(load, this.options.clock.now());
+        this.refresh(engine);
+    }
+
     getStreamCount(upstream: core.UpstreamId): number {
         return this.lanes.get(upstream)?.streams.size ?? 0;
     }
--- a/packages/entry/src/dispatch/fleetDispatcher.ts
+++ b/packages/entry/src/dispatch/fleetDispatcher.ts
@@ -64,7 +64,7 @@
         this.lanes = new batchLanes.BatchLanes({ ...shared, membership, table: this.table });
         this.pressure = new pressureNotifier.PressureNotifier({
             clock,
-            read: upstream => ({ inFlight: this.placement.getOnlineInFlight(upstream), queued: 0 }),
+            read: upstream => this.placement.createPressure(membership.getSelf(), upstream, clock.now()),
             send: (upstream, pressure) => this.sendPressure(upstream, pressure),
         });
         this.completionAdmission = new admissionDesk.AdmissionDesk({
@@ -85,6 +85,7 @@
             ...shared,
             table: this.table,
             placement: this.placement,
+            lanes: this.lanes,
             membership,
             peers,
         });
@@ -173,16 +174,19 @@
         }
         if (home === membership.getSelf()) {
             const total = this.lanes.onPressure(upstream, { ...pressure, instance: home });
-            this.placement.onOnlineTotal(upstream, total ?? pressure.inFlight, this.options.clock.now());
+            const gap = this.lanes.tryGetFastestGap(upstream);
+            this.placement.onOnlineTotal(upstream, total ?? pressure.inFlight, this.options.clock.now(), gap);
             return;
         }
-        const message: protocol.OnlinePressure = { kind: protocol.MessageKind.OnlinePressure, upstream, ...pressure };
+        const { inFlight, queued, fastestGap } = pressure;
+        const kind = protocol.MessageKind.OnlinePressure as const;
+        const message: protocol.OnlinePressure = { kind, upstream, inFlight, queued, fastestGap };
         peers.notify(home, message, protocol.Lane.Control);
     }
 
     private async onPressure(message: protocol.OnlinePressure, from: core.InstanceId): Promise<undefined> {
-        const { upstream, inFlight, queued } = message;
-        const total = this.lanes.onPressure(upstream, { instance: from, inFlight, queued });
+        const { upstream, inFlight, queued, fastestGap } = message;
+        const total = this.lanes.onPressure(upstream, { instance: from, inFlight, queued, fastestGap });
         const isLeaving = this.table.isLeaving(upstream);
         if (total !== undefined || isLeaving) {
             const reply = {
@@ -190,6 +194,7 @@
                 upstream,
                 inFlight: total ?? 0,
                 isLeaving,
+                fastestGap: this.lanes.tryGetFastestGap(upstream),
             };
             this.options.peers.notify(from, reply, protocol.Lane.Control);
         }
@@ -200,7 +205,7 @@
         const now = this.options.clock.now();
         this.table.setLeaving(message.upstream, message.isLeaving, now + upstreamPoller.LeavingLife);
         if (!message.isLeaving) {
-            this.placement.onOnlineTotal(message.upstream, message.inFlight, now);
+            this.placement.onOnlineTotal(message.upstream, message.inFlight, now, message.fastestGap);
         }
         return undefined;
     }
--- a/packages/entry/src/dispatch/pressureNotifier.ts
+++ b/packages/entry/src/dispatch/pressureNotifier.ts
@@ -3,6 +3,8 @@
 export interface Pressure {
     readonly inFlight: number;
     readonly queued: number;
+    /** Shortest time between two tokens seen there in the last second, in milliseconds. */
+    readonly fastestGap?: number;
 }
 
 export interface PressureNotifierOptions {
--- a/packages/entry/src/dispatch/upstreamPoller.ts
+++ b/packages/entry/src/dispatch/upstreamPoller.ts
@@ -1,6 +1,7 @@
 import * as core from "@boragedale/core";
 import type * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import type * as batchLanes from "./batchLanes.js";
 import type * as engineTable from "./engineTable.js";
 import type * as directory from "./upstreamDirectory.js";
 
@@ -9,6 +10,7 @@
     readonly directory: directory.UpstreamDirectory;
     readonly table: engineTable.EngineTable;
     readonly placement: decisions.Placement;
+    readonly lanes: batchLanes.BatchLanes;
     readonly membership: protocol.Membership;
     readonly peers: protocol.PeerNetwork;
 }
@@ -57,6 +59,7 @@
         }
         if (load !== undefined) {
             this.options.placement.onLoadReport(engine.id, load, this.options.clock.now());
+            this.options.lanes.onLoadReport(engine, load);
         }
         if (state !== undefined) {
             this.noteLeaving(engine.id, state.isLeaving);
--- a/packages/entry/test/batchLanes.test.ts
+++ b/packages/entry/test/batchLanes.test.ts
@@ -128,6 +128,18 @@
     await Promise.all(both.map(fixture => fixture[Symbol.asyncDispose]()));
 });
 
+suite("starts no batch on an engine whose memory is nearly full, though places are free", async () => {
+    // Long answers have filled the engine's memory. With places free, more batch would leave none for the next online
+    // request, which would then wait inside the engine, where nobody can let it overtake.
+    const engine = new fixtures.ScriptedEngine(fixtures.answerWhole);
+    await using fixture = fixtures.createDispatcherFixture({ engines: { "engine-1": engine } });
+    await fixture.clock.advance(10_000);
+    assert.ok(fixture.dispatcher.getFreeBatchSlots() > 0);
+    engine.load = { running: 3, waiting: 0, cacheUsage: 0.99, ageMilliseconds: 0 };
+    await fixture.clock.advance(2_000);
+    assert.equal(fixture.dispatcher.getFreeBatchSlots(), 0);
+});
+
 suite("gives no new work to an engine that says that it is leaving, on any instance", async () => {
     // The engine's own answer says that it is leaving while the release note still lists it. Its home finds out and tells
     // the others; a few seconds later nobody sends it anything, batch or online.
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -44,6 +44,7 @@
 const payload = zod.instanceof(Uint8Array);
 const shard = zod.int().min(0);
 const count = zod.number().min(0);
+const gap = zod.number().min(0);
 
 const MessageSchema = zod.discriminatedUnion("kind", [
     zod.object({ kind: zod.literal(types.MessageKind.Challenge), challenge: name }),
@@ -77,12 +78,14 @@
         upstream: name,
         inFlight: count,
         queued: count,
+        fastestGap: gap.optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.OnlineTotal),
         upstream: name,
         inFlight: count,
         isLeaving: zod.boolean(),
+        fastestGap: gap.optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.SuspectReport),
