--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -177,11 +177,27 @@
         telemetry: events,
         // The list may be read after the first calls; until then this instance counts itself alone.
         getFleetSize: () => Math.max(1, parts.membership.getLiveInstances().length),
+        getLedgerPart: createLedgerPart(parts.membership),
         random: Math.random,
         budget: { writesPerSecond: given.keyValueWritesPerSecond, readsPerSecond: given.keyValueReadsPerSecond },
     });
 }
 
+/** Looked up when instances come or go, not at each call: it takes a ranking of all instances for each shard. */
+function createLedgerPart(fleet: membership.FleetMembership): () => number {
+    let part: number | undefined;
+    fleet.onChange(() => (part = undefined));
+    return () => {
+        part ??= countHeldShards(fleet) / work.DefaultLedgerShards;
+        return part;
+    };
+}
+
+function countHeldShards(fleet: membership.FleetMembership): number {
+    const shards = Array.from({ length: work.DefaultLedgerShards }, (unused, shard) => shard);
+    return shards.filter(shard => fleet.tryGetHolder(work.getLedgerDuty(shard)) === fleet.getSelf()).length;
+}
+
 function createInstanceList(parts: Parts): platform.InstanceList {
     return new platform.HttpInstanceList({ url: parts.settings.instanceListUrl });
 }
--- a/packages/platform/src/pacedKeyValueService.ts
+++ b/packages/platform/src/pacedKeyValueService.ts
@@ -20,6 +20,8 @@
     readonly telemetry: telemetry.Telemetry;
     /** Number of live instances, this one among them; a lagging figure will do. */
     readonly getFleetSize: () => number;
+    /** Part of the ledger's shards that this instance holds, 0 to 1; without it all share alike. */
+    readonly getLedgerPart?: () => number;
     /** Gives numbers from 0 up to 1. */
     readonly random: () => number;
     readonly budget?: CallBudget;
@@ -28,6 +30,13 @@
     readonly timeoutMilliseconds?: number;
 }
 
+/**
+ * Part of the fleet's writes that goes to the holders of the ledger's shards. With equal shares 400 instances have 0.75
+ * writes a second each, and the few that hold shards would make a booking wait seconds for its commit while the budget of
+ * all others lies idle. Two holders of one shard, for seconds while a duty moves, exceed the budget by that shard's share.
+ */
+const LedgerPartOfWrites = 0.5;
+
 const DefaultTimeoutMilliseconds = 3_000;
 const ReadAttempts = 3;
 const ReadRetryMilliseconds = 50;
@@ -311,8 +320,11 @@
     private getShare(): CallBudget {
         const budget = this.options.budget ?? DefaultCallBudget;
         const fleetSize = Math.max(1, this.options.getFleetSize());
+        const ledgerPart = this.options.getLedgerPart?.();
+        const ledgerWrites = ledgerPart === undefined ? 0 : budget.writesPerSecond * LedgerPartOfWrites;
+        const commonWrites = budget.writesPerSecond - ledgerWrites;
         return {
-            writesPerSecond: budget.writesPerSecond / fleetSize,
+            writesPerSecond: commonWrites / fleetSize + ledgerWrites * (ledgerPart ?? 0),
             readsPerSecond: budget.readsPerSecond / fleetSize,
         };
     }
--- a/packages/platform/test/pacedKeyValueService.test.ts
+++ b/packages/platform/test/pacedKeyValueService.test.ts
@@ -68,6 +68,29 @@
     assert.equal(getEventNames(telemetry), ["KeyValueDown", "KeyValueRestored"]);
 });
 
+// In a fleet of 400 each booking waits for the commit of its shard's holder. With equal shares a holder has less than one
+// write a second, and its callers are refused while the other instances' shares lie idle. The holder's share lets it
+// commit; an instance that holds nothing keeps to its part of the rest; all together stay within the budget.
+suite("the holder of a ledger shard commits in a large fleet, and the fleet keeps to its budget", async () => {
+    const seconds = 20;
+    const countWrites = async (ledgerPart: number): Promise<number> => {
+        const budget = { writesPerSecond: 300, readsPerSecond: 1_600 };
+        const options = { budget, getFleetSize: () => 400, getLedgerPart: () => ledgerPart };
+        const { clock, memory, service } = createFixture(options);
+        for (let tick = 0; tick < seconds * 50; tick++) {
+            void service.compareAndSwap(createSwap(`key${tick}`));
+            await clock.advance(20);
+        }
+        return memory.writes.get(platform.CallPurpose.Ledger) ?? 0;
+    };
+    const holder = await countWrites(1 / 4);
+    const other = await countWrites(0);
+    assert.ok(holder >= seconds * 30, `the holder made ${holder} writes`);
+    // A share under ten calls a second may be exceeded by less than two calls in a second; the average may not.
+    assert.ok(other <= seconds * 0.375 + 2, `another instance made ${other} writes`);
+    assert.ok(4 * holder + 396 * (seconds * 0.375) <= 300 * (seconds + 1), "the fleet is over its budget");
+});
+
 // The service accepts calls and never answers. A write that has left ends as ReplyLost after the timeout; one that
 // waits in the queue when the outage is noticed ends as not written, at once.
 suite("a silent service gives ReplyLost for what left and Unavailable for what waits", async () => {
--- a/packages/work/src/ledgerRouter.ts
+++ b/packages/work/src/ledgerRouter.ts
@@ -65,13 +65,13 @@
     }
 
     holdsShard(shard: number): boolean {
-        return this.options.membership.tryGetHolder(getDuty(shard)) === this.options.instance;
+        return this.options.membership.tryGetHolder(getLedgerDuty(shard)) === this.options.instance;
     }
 
     private getHolders(shard: number): ReadonlySet<core.InstanceId> {
-        const duties = [getDuty(shard)];
+        const duties = [getLedgerDuty(shard)];
         for (let standby = 1; standby <= StandbyHolders; standby++) {
-            duties.push(`${getDuty(shard)}/standby/${standby}`);
+            duties.push(`${getLedgerDuty(shard)}/standby/${standby}`);
         }
         const holders = duties.map(duty => this.options.membership.tryGetHolder(duty));
         return new Set(holders.filter(holder => holder !== undefined));
@@ -122,7 +122,8 @@
     }
 }
 
-function getDuty(shard: number): string {
+/** Name of the duty to hold a shard, for `Membership.tryGetHolder`. */
+export function getLedgerDuty(shard: number): string {
     return `ledger/${shard}`;
 }
 
