--- a/packages/tools/src/demo/scenario.ts
+++ b/packages/tools/src/demo/scenario.ts
@@ -35,7 +35,8 @@
     report.add("a booking stays readable after its instance is gone", call.state === "Finished", String(call.state));
 }
 
-async function publishNote(
+/** Publishes through the command line and waits until `status` says that the note is in force and reached. */
+export async function publishNote(
     fleet: fleetModule.Fleet,
     report: reports.Report,
     source: string,
@@ -192,7 +193,8 @@
     report.add("every item ends exactly once; the impossible ones fail alone", held, seen);
 }
 
-function createItems(count: number, impossible: number): string {
+/** Lines of a job's input; `impossible` of them name a model that doesn't exist. */
+export function createItems(count: number, impossible: number): string {
     const lines = Array.from({ length: count }, (unused, index) => {
         const isImpossible = index >= 10 && index < 10 + impossible;
         return JSON.stringify({
