--- a/packages/entry/src/dispatch/batchLanes.ts
+++ b/packages/entry/src/dispatch/batchLanes.ts
@@ -160,7 +160,7 @@
             if (engine !== undefined) {
                 this.refresh(engine);
             }
-            else {
+            else if (!this.isHomeStill(upstream)) {
                 this.retire(upstream, lane);
             }
         }
@@ -184,6 +184,16 @@
         }
     }
 
+    /**
+     * An engine that takes no new work while it changes its version keeps its home. Taken as lost, its lane would begin
+     * anew after each change: half of the places for the hand-over that never was, and nothing learned.
+     */
+    private isHomeStill(upstream: core.UpstreamId): boolean {
+        const fleet = this.options.directory.tryGetFleet();
+        const engine = fleet?.upstreams.find(candidate => candidate.id === upstream);
+        return engine !== undefined && this.options.table.tryGetHome(engine) === this.options.membership.getSelf();
+    }
+
     /** False for an engine that is leaving or withdrawn: its streams run to their end. */
     private hasOtherHome(upstream: core.UpstreamId): boolean {
         const fleet = this.options.directory.tryGetFleet();
--- a/packages/entry/test/batchLanes.test.ts
+++ b/packages/entry/test/batchLanes.test.ts
@@ -128,6 +128,45 @@
     await Promise.all(both.map(fixture => fixture[Symbol.asyncDispose]()));
 });
 
+suite("gives an engine that has changed its version its batch places back at once", async () => {
+    // A rollout takes the engine out for some seconds; its home stays the same. When it is back, batch finds only half of
+    // its places, as if two homes shared them: over a whole rollout that is half a minute of idle engines.
+    let finishStreams: () => void = () => undefined;
+    const areFinished = new Promise<void>(resolve => (finishStreams = resolve));
+    const engine = new fixtures.ScriptedEngine(async function* (request) {
+        yield { kind: upstreams.EngineEventKind.Accepted };
+        yield { kind: upstreams.EngineEventKind.Token, text: fixtures.wholeAnswer[0] ?? "", tokens: 1 };
+        await areFinished;
+        yield* fixtures.answerWhole({ ...request, resumeAfter: { text: fixtures.wholeAnswer[0] ?? "", tokens: 1 } });
+    });
+    await using fixture = fixtures.createDispatcherFixture({ engines: { "engine-1": engine } });
+    const executor = new dispatch.DispatchingItemExecutor(fixture);
+    const context = createContext(fixture.clock);
+    const running: Promise<unknown>[] = [];
+    const startItems = async (): Promise<number> => {
+        const before = engine.requests.length;
+        for (let index = 0; index < 20; index++) {
+            running.push(executor.execute(createItem(running.length), context, fixtures.neverAborted));
+            await fixture.clock.advance(20);
+        }
+        return engine.requests.length - before;
+    };
+    assert.ok(fixture.dispatcher.getFreeBatchSlots() > 0);
+    await fixture.clock.advance(10_000);
+    running.push(executor.execute(createItem(running.length), context, fixtures.neverAborted));
+    engine.isLeaving = true;
+    await fixture.clock.advance(2_000);
+    engine.isLeaving = false;
+    await fixture.clock.advance(1_000);
+    const returned = 1 + (await startItems());
+    await fixture.clock.advance(10_000);
+    const later = returned + (await startItems());
+    finishStreams();
+    await Promise.all(running);
+    assert.ok(later > 2, "the engine has places for batch");
+    assert.equal(returned, later);
+});
+
 suite("starts no batch on an engine whose memory is nearly full, though places are free", async () => {
     // Long answers have filled the engine's memory. With places free, more batch would leave none for the next online
     // request, which would then wait inside the engine, where nobody can let it overtake.
