--- /dev/null
+++ b/deploy/instance.tpl
@@ -0,0 +1,12 @@
+{
+    "instance": {{Node|json}},
+    "dataCentre": {{Zone|json}},
+    "storeAddress": {{Platform.Addr|json}},
+    "callerAddress": "{{Listen.Front}}",
+    "readinessAddress": "{{Listen.Ready}}",
+    "peerAddress": "{{Listen.Control}}",
+    "peerSeeds": [{{#Seeds}}{{.|json}}{{,}}{{/Seeds}}],
+    "peerKey": "replace-this-key-before-opening-the-network",
+    "graceMilliseconds": {{Bounds.GraceS}}000,
+    "retentionMilliseconds": {{Bounds.StatusS}}000
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,17 @@
 
 /** The TypeScript team's guidelines as far as a linter can hold them; docs/HOUSE-STYLE.md has the rest. */
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "eslint.config.js"] },
+    {
+        ignores: [
+            "**/dist/**",
+            "target/**",
+            "journal/**",
+            "deploy/bundle.mjs",
+            "**/node_modules/**",
+            "out/**",
+            "eslint.config.js",
+        ],
+    },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -1,6 +1,7 @@
 /**
  * The catalogue of every message that a caller or an operator can read, numbered once and for all. Placeholders are
- * `{0}`, `{1}`, … Ranges: 1000 settings, 2000 release notes, 3000 requests, 4000 jobs, 5000 commands.
+ * `{0}`, `{1}`, … Ranges: 1000 settings, 2000 release notes, 3000 requests, 4000 jobs, 5000 commands,
+ * 6000 registries.
  */
 
 export type Value = string | number | boolean;
@@ -77,3 +78,5 @@
         return value === undefined ? placeholder : String(value);
     });
 }
+
+export const RegistryEntryUnusable = createMessage(6001, "the entry is not usable: {0}");
--- /dev/null
+++ b/packages/daemon/src/eventLog.ts
@@ -0,0 +1,184 @@
+import type * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as telemetry from "@boragedale/telemetry";
+import bunyan from "bunyan";
+import * as sonicBoom from "sonic-boom";
+
+/** Lines that wait for a reader of standard output that has stopped reading; beyond it they are dropped and counted. */
+const LargestBacklogBytes = 1_048_576;
+/** Lines are written together up to this many bytes: a system call each would cost more than the lines. */
+const WriteBytes = 8_192;
+const FlushMilliseconds = 250;
+/** Lines of one event a second; a burst beyond it is counted and told in one line. */
+const LinesPerSecond = 200;
+
+const GatewayEvents: Readonly<Record<gateway.GatewayEvent, telemetry.events.EventDefinition>> = {
+    [gateway.GatewayEvent.StoreLost]: telemetry.events.StoreLost,
+    [gateway.GatewayEvent.StoreRegained]: telemetry.events.StoreRegained,
+    [gateway.GatewayEvent.ConfigurationTaken]: telemetry.events.ConfigurationTaken,
+    [gateway.GatewayEvent.UpstreamChanged]: telemetry.events.UpstreamChanged,
+    [gateway.GatewayEvent.EntryUnusable]: telemetry.events.RegistryEntryUnusable,
+    [gateway.GatewayEvent.MemberRegistered]: telemetry.events.MemberRegistered,
+    [gateway.GatewayEvent.MembersChanged]: telemetry.events.MembersChanged,
+    [gateway.GatewayEvent.SubmissionAccepted]: telemetry.events.SubmissionAccepted,
+    [gateway.GatewayEvent.SubmissionRefused]: telemetry.events.SubmissionRefused,
+    [gateway.GatewayEvent.SubmissionTakenOver]: telemetry.events.SubmissionTakenOver,
+    [gateway.GatewayEvent.SubmissionLost]: telemetry.events.SubmissionLost,
+    [gateway.GatewayEvent.SubmissionEnded]: telemetry.events.SubmissionEnded,
+    [gateway.GatewayEvent.ResultsListed]: telemetry.events.ResultsListed,
+    [gateway.GatewayEvent.ItemRetried]: telemetry.events.ItemRetried,
+    [gateway.GatewayEvent.ItemGivenUp]: telemetry.events.ItemGivenUp,
+    [gateway.GatewayEvent.ItemYielded]: telemetry.events.ItemYielded,
+    [gateway.GatewayEvent.RequestUnroutable]: telemetry.events.GatewayUnroutable,
+    [gateway.GatewayEvent.Defect]: telemetry.events.InternalDefect,
+};
+
+interface Quota {
+    second: number;
+    written: number;
+    suppressed: number;
+}
+
+/** Numbered, structured lines on standard output, off the event loop and bounded, and the counters that go with them. */
+export class EventLog extends gateway.GatewayLog implements AsyncDisposable {
+    readonly metrics = new telemetry.Metrics();
+    private readonly destination: sonicBoom.SonicBoom;
+    private readonly logger: bunyan | undefined;
+    private readonly quotas = new Map<string, Quota>();
+    private readonly flushTimer: NodeJS.Timeout;
+    private dropped = 0;
+
+    constructor(
+        private readonly clock: core.Clock,
+        instance: core.InstanceId,
+        level: "debug" | "info" | "warn" | "error" | "silent",
+    ) {
+        super();
+        this.destination = new sonicBoom.SonicBoom({
+            fd: 1,
+            sync: false,
+            minLength: WriteBytes,
+            maxLength: LargestBacklogBytes,
+        });
+        this.destination.on("drop", () => this.dropped++);
+        this.destination.on("error", () => this.dropped++);
+        this.flushTimer = setInterval(() => this.destination.flush(), FlushMilliseconds);
+        this.flushTimer.unref();
+        this.logger =
+            level === "silent"
+                ? undefined
+                : bunyan.createLogger({
+                      name: "boragedale",
+                      instance,
+                      level,
+                      stream: this.destination as unknown as NodeJS.WritableStream,
+                  });
+    }
+
+    record(definition: telemetry.events.EventDefinition, fields: gateway.LogFields): void {
+        this.metrics.count("boragedale_events_total", { event: definition.name });
+        if (this.takeQuota(definition)) {
+            this.logger?.[definition.level]({ event: definition.number, ...fields }, definition.name);
+        }
+    }
+
+    override finished(
+        request: gateway.LoggedRequest,
+        text: string,
+        upstream: core.UpstreamId,
+        progress: gateway.LoggedProgress,
+    ): void {
+        const now = this.clock.now();
+        const firstAt = progress.delivery.firstByteAt;
+        const labels = { route: request.route.name };
+        this.metrics.count("boragedale_requests_total", { ...labels, outcome: text });
+        this.metrics.recordDuration("boragedale_request_seconds", labels, now - request.arrivedAt);
+        if (firstAt !== undefined) {
+            this.metrics.recordDuration("boragedale_first_byte_seconds", labels, firstAt - request.arrivedAt);
+        }
+        this.record(telemetry.events.GatewayAnswered, {
+            request: request.head.attemptId,
+            route: request.route.name,
+            upstream,
+            text,
+            milliseconds: Math.round(now - request.arrivedAt),
+            firstMilliseconds: firstAt === undefined ? undefined : Math.round(firstAt - request.arrivedAt),
+            sends: progress.sends,
+        });
+    }
+
+    override refused(
+        request: gateway.LoggedRequest,
+        reason: gateway.RefusalReason,
+        detail: string,
+        progress: gateway.LoggedProgress,
+    ): void {
+        this.metrics.count("boragedale_requests_total", { route: request.route.name, outcome: reason });
+        this.record(telemetry.events.GatewayRefused, {
+            request: request.head.attemptId,
+            route: request.route.name,
+            reason,
+            detail,
+            milliseconds: Math.round(this.clock.now() - request.arrivedAt),
+            sends: progress.sends,
+            runs: progress.runs,
+            hasBegun: progress.delivery.firstByteAt !== undefined,
+        });
+    }
+
+    override attemptEnded(
+        request: gateway.LoggedRequest,
+        upstream: core.UpstreamId,
+        outcome: string,
+        text: string,
+        isRepeated: boolean,
+    ): void {
+        this.metrics.count("boragedale_attempts_failed_total", { route: request.route.name, outcome });
+        this.record(telemetry.events.GatewayAttemptFailed, {
+            request: request.head.attemptId,
+            upstream,
+            outcome,
+            text,
+            isRepeated,
+        });
+    }
+
+    override note(event: gateway.GatewayEvent, fields: gateway.LogFields): void {
+        this.record(GatewayEvents[event], fields);
+    }
+
+    /** A reload signal came; the platform also changes the file without one. */
+    noteReload(): void {
+        this.record(telemetry.events.SettingsReloaded, {});
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        clearInterval(this.flushTimer);
+        await new Promise<void>(resolve => {
+            this.destination.once("close", resolve);
+            this.destination.once("error", () => resolve());
+            this.destination.end();
+        });
+    }
+
+    private takeQuota(definition: telemetry.events.EventDefinition): boolean {
+        const second = Math.floor(this.clock.now() / 1_000);
+        const quota = this.quotas.get(definition.name) ?? { second, written: 0, suppressed: 0 };
+        this.quotas.set(definition.name, quota);
+        if (quota.second !== second) {
+            if (quota.suppressed > 0) {
+                const fields = { event: telemetry.events.LinesSuppressed.number, of: definition.number };
+                this.logger?.warn({ ...fields, count: quota.suppressed, dropped: this.dropped }, "LinesSuppressed");
+            }
+            quota.second = second;
+            quota.written = 0;
+            quota.suppressed = 0;
+        }
+        quota.written++;
+        if (quota.written > LinesPerSecond) {
+            quota.suppressed++;
+            return false;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/** The processes of the users' platform, as parts that tests start. */
+export * from "./settings.js";
+export * from "./eventLog.js";
+export * from "./peers.js";
+export * from "./gatewayProcess.js";
+export * from "./storageProcess.js";
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,45 @@
+import * as core from "@boragedale/core";
+import * as eventLog from "./eventLog.js";
+import * as gatewayProcess from "./gatewayProcess.js";
+import * as settingsReader from "./settings.js";
+import * as storageProcess from "./storageProcess.js";
+
+/** What a process does; the first word of its command line. */
+enum Role {
+    Gateway = "gateway",
+    Storage = "storage",
+}
+
+const UsageExitCode = 2;
+
+await main(process.argv[2]);
+
+async function main(role: string | undefined): Promise<void> {
+    const settings = settingsReader.readSettings(process.env);
+    if (!settings.ok) {
+        settings.findings.forEach(finding => process.stderr.write(core.formatFinding(finding) + "\n"));
+        process.exitCode = UsageExitCode;
+        return;
+    }
+    const clock = new core.SystemClock();
+    const stop = new Promise<void>(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
+    await using log = new eventLog.EventLog(clock, settings.value.instance, settings.value.logLevel);
+    process.on("SIGHUP", () => log.noteReload());
+    switch (role) {
+        case Role.Gateway:
+            await gatewayProcess.GatewayProcess.run(settings.value, clock, log, stop);
+            break;
+        case Role.Storage:
+            await storageProcess.runStorageProcess(settings.value, clock, log, stop);
+            break;
+        default:
+            process.stderr.write(`usage: boragedale-daemon ${Object.values(Role).join(" | ")}\n`);
+            process.exitCode = UsageExitCode;
+            return;
+    }
+    // Timers of abandoned waits would keep the process; everything that has to end has ended.
+    setImmediate(() => process.exit(0));
+}
--- /dev/null
+++ b/packages/daemon/src/storageProcess.ts
@@ -0,0 +1,69 @@
+import * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as platform from "@boragedale/platform";
+import * as telemetry from "@boragedale/telemetry";
+import type * as eventLog from "./eventLog.js";
+import type * as settingsReader from "./settings.js";
+
+const StoreTimeoutMilliseconds = 1_000;
+const WatchMilliseconds = 10_000;
+const RetryMilliseconds = 300;
+
+/**
+ * The process on the machines with disks. What must last lies in the platform's store, so that a machine is empty at
+ * any time: the one duty is to say so when the operators want to take it away.
+ */
+export async function runStorageProcess(
+    settings: settingsReader.Settings,
+    clock: core.Clock,
+    log: eventLog.EventLog,
+    stop: Promise<void>,
+): Promise<void> {
+    await using stack = new core.DisposalStack();
+    const codec = new platform.PlatformRegistryCodec();
+    const store = stack.use(
+        new platform.PlatformStore({
+            address: settings.storeAddress,
+            callTimeoutMilliseconds: StoreTimeoutMilliseconds,
+        }),
+    );
+    const key = codec.retirementPrefix + settings.instance;
+    const tell = (entries: readonly gateway.StoreEntry[]): void => {
+        if (entries.some(entry => entry.key === key && entry.value !== undefined)) {
+            void confirmEmpty(store, codec, settings.instance, clock, log);
+        }
+    };
+    const watcher = stack.use(
+        new gateway.StoreWatcher(
+            { store, clock, log, onDoubt: () => undefined },
+            {
+                prefix: key,
+                waitMilliseconds: WatchMilliseconds,
+                applyListing: listing => tell(listing.entries),
+                applyChanges: tell,
+            },
+        ),
+    );
+    void watcher.run();
+    log.record(telemetry.events.InstanceStarted, { member: settings.instance });
+    await stop;
+    log.record(telemetry.events.InstanceStopped, {});
+}
+
+async function confirmEmpty(
+    store: gateway.MetadataStore,
+    codec: gateway.RegistryCodec,
+    machine: string,
+    clock: core.Clock,
+    log: eventLog.EventLog,
+): Promise<void> {
+    const put = codec.createRetirementDone(machine);
+    for (;;) {
+        const result = await store.transact({ preconditions: [], puts: [put], deletes: [] });
+        if (result.ok) {
+            log.record(telemetry.events.MachineEmptied, { machine });
+            return;
+        }
+        await clock.sleep(RetryMilliseconds);
+    }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -15,3 +15,6 @@
 export * from "./stepCost.js";
 export * from "./suspects.js";
 export * from "./upstreamHealth.js";
+export * from "./slotBoard.js";
+export * from "./onlineAdmission.js";
+export * from "./retryRule.js";
--- a/packages/entry/src/composition.ts
+++ b/packages/entry/src/composition.ts
@@ -1,7 +1,7 @@
 import * as path from "node:path";
 import * as awilix from "awilix";
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as release from "@boragedale/release";
 import * as telemetry from "@boragedale/telemetry";
@@ -17,10 +17,10 @@
     readonly description: core.InstanceDescription;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
-    readonly keyValue: platform.PacedKeyValueService;
+    readonly keyValue: backing.PacedKeyValueService;
     /** Results that wait for the key-value service; undefined on an instance without a disk. */
-    readonly spool: platform.Spool | undefined;
-    readonly instanceList: platform.InstanceList;
+    readonly spool: backing.Spool | undefined;
+    readonly instanceList: backing.InstanceList;
     readonly membership: membership.FleetMembership;
     readonly network: protocol.WebSocketPeerNetwork;
     readonly keeper: release.NoteKeeper;
@@ -141,15 +141,12 @@
 /** Bytes of results that may wait on the small disk; more than an hour of bookings at the sizes of today. */
 const SpoolBytes = 256 * 1_024 * 1_024;
 
-async function openSpool(
-    given: settings.EntrySettings,
-    owned: core.DisposalStack,
-): Promise<platform.Spool | undefined> {
+async function openSpool(given: settings.EntrySettings, owned: core.DisposalStack): Promise<backing.Spool | undefined> {
     if (given.dataFolder === undefined) {
         return undefined;
     }
     const folder = path.join(given.dataFolder, "results");
-    return owned.use(await platform.Spool.open({ folder, maximumBytes: SpoolBytes }));
+    return owned.use(await backing.Spool.open({ folder, maximumBytes: SpoolBytes }));
 }
 
 async function startKeeper(parts: Parts): Promise<release.KeyValueNoteKeeper> {
@@ -169,10 +166,10 @@
     return new telemetry.Telemetry({ instance, logLevel }, parts.clock);
 }
 
-function createKeyValue(parts: Parts): platform.PacedKeyValueService {
+function createKeyValue(parts: Parts): backing.PacedKeyValueService {
     const { settings: given, clock, telemetry: events } = parts;
-    const service = new platform.HttpKeyValueService({ url: given.keyValueUrl }, clock);
-    return new platform.PacedKeyValueService(service, {
+    const service = new backing.HttpKeyValueService({ url: given.keyValueUrl }, clock);
+    return new backing.PacedKeyValueService(service, {
         clock,
         telemetry: events,
         // The list may be read after the first calls; until then this instance counts itself alone.
@@ -198,8 +195,8 @@
     return shards.filter(shard => fleet.tryGetHolder(work.getLedgerDuty(shard)) === fleet.getSelf()).length;
 }
 
-function createInstanceList(parts: Parts): platform.InstanceList {
-    return new platform.HttpInstanceList({ url: parts.settings.instanceListUrl });
+function createInstanceList(parts: Parts): backing.InstanceList {
+    return new backing.HttpInstanceList({ url: parts.settings.instanceListUrl });
 }
 
 function createPublisher({ keyValue, clock, telemetry: events }: Parts): release.NotePublisher {
--- a/packages/entry/src/membership/fleetMembership.ts
+++ b/packages/entry/src/membership/fleetMembership.ts
@@ -1,11 +1,11 @@
 import * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 
 export interface MembershipOptions {
     readonly self: core.InstanceDescription;
-    readonly instanceList: platform.InstanceList;
+    readonly instanceList: backing.InstanceList;
     readonly clock: core.Clock;
     readonly readMilliseconds?: number;
 }
--- /dev/null
+++ b/packages/gateway/src/callerServer.ts
@@ -0,0 +1,290 @@
+import * as http from "node:http";
+import type * as core from "@boragedale/core";
+import type * as fleetView from "./fleetView.js";
+import * as gatewayLog from "./gatewayLog.js";
+import * as requestForwarder from "./requestForwarder.js";
+import type * as submissionService from "./submissionService.js";
+import * as types from "./types.js";
+import type * as wire from "./wire.js";
+
+export interface CallerServerParts {
+    readonly wire: wire.CallerWire;
+    readonly view: fleetView.FleetView;
+    readonly forwarder: requestForwarder.RequestForwarder;
+    readonly submissions: submissionService.SubmissionService;
+    readonly clock: core.Clock;
+    readonly log: gatewayLog.GatewayLog;
+    readonly isReady: () => boolean;
+}
+
+/** Over any configured bound; the bound itself is checked for each request, since it changes with the configuration. */
+const LargestHeaderBytes = 131_072;
+/** Bodies that are being read, over all requests: a quarter of the memory of a small instance. */
+const LargestBufferedBytes = 67_108_864;
+const BufferRetryMilliseconds = 500;
+const NoConfigurationRetryMilliseconds = 500;
+/** Longest wait that a read of results may ask for. */
+const LongestReadWaitMilliseconds = 1_000;
+/** A caller that doesn't say how long it waits gets its route's time; this is for submissions without either. */
+const SubmissionTimeoutMilliseconds = 4_000;
+
+/**
+ * The face towards callers. It stands on the runtime's own HTTP server: requests are forwarded with method, target and
+ * headers exactly as they came, which a web framework's router and parsers would take apart first.
+ */
+export class CallerServer implements AsyncDisposable {
+    readonly server: http.Server;
+    private takenVersion = -1;
+    private bufferedBytes = 0;
+    private inProgress = 0;
+    private isClosing = false;
+
+    constructor(private readonly parts: CallerServerParts) {
+        this.server = http.createServer(
+            { maxHeaderSize: LargestHeaderBytes, requestTimeout: 0, noDelay: true, connectionsCheckingInterval: 500 },
+            (request, response) => void this.serve(request, response),
+        );
+        parts.view.onChange(() => this.takeConfiguration());
+    }
+
+    async listen(host: string, port: number): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host, port, backlog: 1024 }, resolve);
+        });
+    }
+
+    getInProgress(): number {
+        return this.inProgress;
+    }
+
+    /** From now on answers end their connections, so that callers go elsewhere with the next request. */
+    startClosing(): void {
+        this.isClosing = true;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    private takeConfiguration(): void {
+        const configuration = this.parts.view.getConfiguration();
+        if (configuration === undefined || configuration.version === this.takenVersion) {
+            return;
+        }
+        this.takenVersion = configuration.version;
+        this.server.headersTimeout = configuration.limits.headerTimeoutMilliseconds;
+        this.server.keepAliveTimeout = configuration.limits.idleTimeoutMilliseconds;
+        this.parts.log.note(gatewayLog.GatewayEvent.ConfigurationTaken, {
+            version: configuration.version,
+            routes: configuration.routes.length,
+        });
+    }
+
+    /** The task of one request. */
+    private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        this.inProgress++;
+        if (this.isClosing) {
+            response.shouldKeepAlive = false;
+        }
+        try {
+            await this.serveOne(request, response);
+        }
+        catch (error) {
+            this.parts.log.note(gatewayLog.GatewayEvent.Defect, { text: String(error) });
+            response.destroy();
+        }
+        finally {
+            this.inProgress--;
+        }
+    }
+
+    private async serveOne(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const arrivedAt = this.parts.clock.now();
+        const raw: types.RawRequest = {
+            method: request.method ?? "GET",
+            target: request.url ?? "/",
+            host: request.headers.host ?? "",
+            rawHeaders: request.rawHeaders,
+        };
+        response.on("error", () => undefined);
+        const call = this.parts.wire.tryReadCall(raw);
+        if (call !== undefined) {
+            request.resume();
+            await this.serveCall(call, response);
+            return;
+        }
+        const configuration = this.parts.view.getConfiguration();
+        const routes = this.parts.view.getRoutes();
+        if (configuration === undefined || routes === undefined) {
+            this.refuse(request, response, {
+                reason: types.RefusalReason.NoConfiguration,
+                retryAfterMilliseconds: NoConfigurationRetryMilliseconds,
+            });
+            return;
+        }
+        if (countBytes(raw.rawHeaders) > configuration.limits.headerBytes) {
+            this.refuse(request, response, { reason: types.RefusalReason.HeaderTooLarge });
+            return;
+        }
+        const route = routes.tryFind(raw.host, raw.target);
+        if (route === undefined) {
+            this.parts.log.note(gatewayLog.GatewayEvent.RequestUnroutable, {
+                target: raw.target,
+                version: configuration.version,
+            });
+            this.refuse(request, response, { reason: types.RefusalReason.NoRoute });
+            return;
+        }
+        const body = await this.readBody(request, response, configuration.limits.bodyBytes);
+        if (body === undefined) {
+            return;
+        }
+        const head = this.parts.wire.readRequest(raw.rawHeaders);
+        if (route.kind === types.RouteKind.Batch) {
+            await this.acceptSubmission(raw, head, body, arrivedAt, response);
+            return;
+        }
+        const timeout = Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity);
+        const deadline = arrivedAt + timeout;
+        await this.parts.forwarder.forward({ raw, head, route, body, arrivedAt, deadline }, response);
+    }
+
+    private async serveCall(call: types.GatewayCall, response: http.ServerResponse): Promise<void> {
+        switch (call.kind) {
+            case types.CallKind.Readiness:
+                sendEmpty(response, this.parts.isReady() ? 200 : 503);
+                return;
+            case types.CallKind.ReadResults: {
+                const wait = Math.min(LongestReadWaitMilliseconds, call.waitMilliseconds);
+                const page = await this.parts.submissions.read(call.submission, call.position, wait);
+                if (!page.ok) {
+                    this.refuseCall(response, page.reason);
+                    return;
+                }
+                sendBody(response, Buffer.from(this.parts.wire.encodeResultPage(page.value)), "application/json");
+                return;
+            }
+            case types.CallKind.ReadItemBody: {
+                const body = await this.parts.submissions.readBody(call.submission, call.item);
+                if (!body.ok) {
+                    this.refuseCall(response, body.reason);
+                    return;
+                }
+                sendBody(response, body.value, "application/octet-stream");
+                return;
+            }
+            case types.CallKind.EndSubmission: {
+                const ended = await this.parts.submissions.end(call.submission);
+                if (!ended.ok) {
+                    this.refuseCall(response, ended.reason);
+                    return;
+                }
+                sendEmpty(response, 200);
+                return;
+            }
+        }
+    }
+
+    private async acceptSubmission(
+        raw: types.RawRequest,
+        head: types.RequestHead,
+        body: Buffer,
+        arrivedAt: core.MonotonicMilliseconds,
+        response: http.ServerResponse,
+    ): Promise<void> {
+        const decoded = this.parts.wire.decodeSubmission(body);
+        if (!decoded.ok || head.attemptId === "") {
+            this.parts.log.note(gatewayLog.GatewayEvent.SubmissionRefused, {
+                submission: head.attemptId,
+                text: decoded.ok ? "no id" : decoded.text,
+            });
+            this.refuseCall(response, types.RefusalReason.BodyInvalid);
+            return;
+        }
+        const outcome = await this.parts.submissions.accept({
+            id: head.attemptId,
+            host: raw.host,
+            target: raw.target,
+            items: decoded.items,
+            deadline: arrivedAt + (head.timeoutMilliseconds ?? SubmissionTimeoutMilliseconds) - 200,
+        });
+        if (outcome.ok) {
+            sendEmpty(response, 202);
+            return;
+        }
+        requestForwarder.sendRefusal(this.parts.wire, response, outcome.refusal);
+    }
+
+    /** The whole body; undefined where the request was refused or the caller left. */
+    private async readBody(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        limit: number,
+    ): Promise<Buffer | undefined> {
+        const announced = Number(request.headers["content-length"] ?? 0);
+        if (announced > limit) {
+            this.refuse(request, response, { reason: types.RefusalReason.BodyTooLarge });
+            return undefined;
+        }
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        try {
+            for await (const chunk of request as AsyncIterable<Buffer>) {
+                bytes += chunk.length;
+                this.bufferedBytes += chunk.length;
+                if (bytes > limit) {
+                    this.refuse(request, response, { reason: types.RefusalReason.BodyTooLarge });
+                    return undefined;
+                }
+                if (this.bufferedBytes > LargestBufferedBytes) {
+                    const retryAfterMilliseconds = BufferRetryMilliseconds;
+                    this.refuse(request, response, { reason: types.RefusalReason.Overloaded, retryAfterMilliseconds });
+                    return undefined;
+                }
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            // The caller broke off before its request was whole: nobody waits for an answer.
+            response.destroy();
+            return undefined;
+        }
+        finally {
+            this.bufferedBytes -= bytes;
+        }
+        return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+    }
+
+    /** Refuses before the body is read whole: the connection can't be used again then. */
+    private refuse(request: http.IncomingMessage, response: http.ServerResponse, refusal: types.GatewayRefusal): void {
+        if (!request.complete) {
+            response.shouldKeepAlive = false;
+            request.resume();
+        }
+        requestForwarder.sendRefusal(this.parts.wire, response, refusal);
+    }
+
+    private refuseCall(response: http.ServerResponse, reason: types.RefusalReason): void {
+        requestForwarder.sendRefusal(this.parts.wire, response, {
+            reason,
+            retryAfterMilliseconds: NoConfigurationRetryMilliseconds,
+        });
+    }
+}
+
+function sendEmpty(response: http.ServerResponse, status: number): void {
+    response.writeHead(status, { "Content-Length": 0 });
+    response.end();
+}
+
+function sendBody(response: http.ServerResponse, body: Uint8Array, contentType: string): void {
+    response.writeHead(200, { "Content-Type": contentType, "Content-Length": body.length });
+    response.end(body);
+}
+
+function countBytes(parts: readonly string[]): number {
+    return parts.reduce((sum, part) => sum + part.length + 2, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/fleetView.ts
@@ -0,0 +1,227 @@
+import type * as core from "@boragedale/core";
+import * as routeTable from "./routeTable.js";
+import * as types from "./types.js";
+import type * as wire from "./wire.js";
+
+/** An upstream as it may be used now. */
+export interface KnownUpstream {
+    readonly entry: types.UpstreamEntry;
+    readonly revision: types.Revision;
+    /** Set where its entry vanished although it may live: until then it stays in use. */
+    readonly heldUntil: core.MonotonicMilliseconds | undefined;
+}
+
+interface KnownEntry {
+    entry: types.StoreEntry;
+    /** Decoded last; kept while the key is only held. */
+    upstream: types.UpstreamEntry | undefined;
+    heldUntil: core.MonotonicMilliseconds | undefined;
+}
+
+/**
+ * Time for which a vanished entry stays in use while the store is unreliable or has just come back. Living upstreams
+ * are listed again within two seconds of the store's return; without this, an outage in which leases run out would
+ * leave no upstream at all.
+ */
+export const LapseHoldMilliseconds = 2_500;
+/** A failed store call makes removals doubtful for this long: the platform's bound for a store to count as stable. */
+const DoubtMilliseconds = 3_000;
+/** Fraction of a service's upstreams that vanish at once beyond which it is taken as a lapse, not as departures. */
+const MassRemovalFraction = 0.4;
+const MassRemovalWindowMilliseconds = 300;
+/** Hold of a mass removal with a store that looked sound; shorter than the bound for departed upstreams (2 s). */
+const MassRemovalHoldMilliseconds = 1_500;
+
+/**
+ * What this instance believes of configuration and upstreams: a copy of the store's entries, merged by revision. The
+ * same entry may come from a listing, a watch or a peer, in any order; the highest revision of a key wins, so that
+ * nothing ever goes back. Pure: time is passed in.
+ */
+export class FleetView {
+    private readonly entries = new Map<string, KnownEntry>();
+    private configuration: types.Configuration | undefined;
+    private routes: routeTable.RouteTable | undefined;
+    private revision: types.Revision = 0;
+    private doubtUntil: core.MonotonicMilliseconds = -Infinity;
+    private readonly removals: {
+        readonly service: string;
+        readonly at: core.MonotonicMilliseconds;
+        readonly key: string;
+    }[] = [];
+    private readonly listeners = new Set<() => void>();
+
+    constructor(
+        private readonly codec: wire.RegistryCodec,
+        private readonly onFindings: (findings: readonly core.Finding[]) => void,
+    ) {}
+
+    getConfiguration(): types.Configuration | undefined {
+        return this.configuration;
+    }
+
+    getRoutes(): routeTable.RouteTable | undefined {
+        return this.routes;
+    }
+
+    /** Highest revision that this view has seen all of; peers compare it to find what the other lacks. */
+    getRevision(): types.Revision {
+        return this.revision;
+    }
+
+    onChange(listener: () => void): void {
+        this.listeners.add(listener);
+    }
+
+    /** Upstreams of a service that may be given new work. */
+    getUsable(service: string, now: core.MonotonicMilliseconds): KnownUpstream[] {
+        const usable: KnownUpstream[] = [];
+        for (const known of this.entries.values()) {
+            const upstream = known.upstream;
+            if (upstream === undefined || upstream.service !== service) {
+                continue;
+            }
+            if (upstream.state === types.UpstreamState.Ready && isPresent(known, now)) {
+                usable.push({ entry: upstream, revision: known.entry.revision, heldUntil: known.heldUntil });
+            }
+        }
+        return usable;
+    }
+
+    tryGetUpstream(id: core.UpstreamId): types.UpstreamEntry | undefined {
+        return this.entries.get(this.codec.upstreamPrefix + id)?.upstream;
+    }
+
+    /** Every entry with a value or a tombstone, for a peer that is behind. */
+    getEntriesAfter(revision: types.Revision): types.StoreEntry[] {
+        return [...this.entries.values()].map(known => known.entry).filter(entry => entry.revision > revision);
+    }
+
+    /** The store failed, or answered out of time: entries that vanish now may belong to living upstreams. */
+    noteDoubt(now: core.MonotonicMilliseconds): void {
+        this.doubtUntil = Math.max(this.doubtUntil, now + DoubtMilliseconds);
+    }
+
+    isDoubtful(now: core.MonotonicMilliseconds): boolean {
+        return now < this.doubtUntil;
+    }
+
+    /** Takes a whole listing: keys of the prefix that it lacks were removed at its revision or before. */
+    applyListing(
+        prefix: string,
+        listing: { entries: readonly types.StoreEntry[]; revision: types.Revision },
+        now: core.MonotonicMilliseconds,
+    ): types.StoreEntry[] {
+        const present = new Set(listing.entries.map(entry => entry.key));
+        const missing = [...this.entries.values()]
+            .map(known => known.entry)
+            .filter(
+                entry =>
+                    entry.key.startsWith(prefix) &&
+                    entry.value !== undefined &&
+                    !present.has(entry.key) &&
+                    entry.revision < listing.revision,
+            )
+            .map(entry => ({ key: entry.key, revision: listing.revision, value: undefined }));
+        return this.apply([...listing.entries, ...missing], now);
+    }
+
+    /** Merges entries; returns those that were news, which peers may lack too. */
+    apply(entries: readonly types.StoreEntry[], now: core.MonotonicMilliseconds): types.StoreEntry[] {
+        const news = entries.filter(entry => this.applyOne(entry, now));
+        for (const entry of entries) {
+            this.revision = Math.max(this.revision, entry.revision);
+        }
+        if (news.length > 0) {
+            this.listeners.forEach(listener => listener());
+        }
+        return news;
+    }
+
+    private applyOne(entry: types.StoreEntry, now: core.MonotonicMilliseconds): boolean {
+        const known = this.entries.get(entry.key);
+        if (known !== undefined && known.entry.revision >= entry.revision) {
+            return false;
+        }
+        if (entry.key === this.codec.configurationKey) {
+            this.entries.set(entry.key, { entry, upstream: undefined, heldUntil: undefined });
+            this.applyConfiguration(entry);
+            return true;
+        }
+        if (!entry.key.startsWith(this.codec.upstreamPrefix)) {
+            return false;
+        }
+        if (entry.value === undefined) {
+            this.applyRemoval(entry, known, now);
+            return true;
+        }
+        const decoded = this.codec.decodeUpstream(entry.key, entry.value);
+        if (!decoded.ok) {
+            this.onFindings(decoded.findings);
+        }
+        const upstream = decoded.ok ? decoded.value : undefined;
+        this.entries.set(entry.key, { entry, upstream, heldUntil: undefined });
+        return true;
+    }
+
+    /** Versions only rise: a configuration that a late peer or a restored store brings again is not taken. */
+    private applyConfiguration(entry: types.StoreEntry): void {
+        if (entry.value === undefined) {
+            return;
+        }
+        const decoded = this.codec.decodeConfiguration(entry.value);
+        if (!decoded.ok) {
+            this.onFindings(decoded.findings);
+            return;
+        }
+        if (this.configuration === undefined || decoded.value.version > this.configuration.version) {
+            this.configuration = decoded.value;
+            this.routes = new routeTable.RouteTable(decoded.value);
+        }
+    }
+
+    private applyRemoval(
+        entry: types.StoreEntry,
+        known: KnownEntry | undefined,
+        now: core.MonotonicMilliseconds,
+    ): void {
+        const upstream = known?.upstream;
+        if (upstream === undefined || upstream.state === types.UpstreamState.Draining) {
+            this.entries.set(entry.key, { entry, upstream: undefined, heldUntil: undefined });
+            return;
+        }
+        const heldUntil = this.chooseHold(upstream.service, entry.key, now);
+        this.entries.set(entry.key, { entry, upstream, heldUntil });
+    }
+
+    /**
+     * An entry that vanishes while the store is sound names an upstream that left: it gets nothing more. While the store
+     * is doubtful, or when a good part of a service vanishes at once, leases have run out instead.
+     */
+    private chooseHold(service: string, key: string, now: core.MonotonicMilliseconds): core.MonotonicMilliseconds {
+        if (this.isDoubtful(now)) {
+            return Math.max(this.doubtUntil, now) + LapseHoldMilliseconds;
+        }
+        while (this.removals.length > 0 && (this.removals[0]?.at ?? now) < now - MassRemovalWindowMilliseconds) {
+            this.removals.shift();
+        }
+        this.removals.push({ service, at: now, key });
+        const vanished = this.removals.filter(removal => removal.service === service);
+        const remaining = this.getUsable(service, now).filter(upstream => upstream.heldUntil === undefined).length - 1;
+        const isMass =
+            vanished.length >= 3 && vanished.length >= MassRemovalFraction * (vanished.length + Math.max(0, remaining));
+        if (!isMass) {
+            return now;
+        }
+        for (const removal of vanished) {
+            const known = this.entries.get(removal.key);
+            if (known !== undefined && known.entry.value === undefined) {
+                known.heldUntil = now + MassRemovalHoldMilliseconds;
+            }
+        }
+        return now + MassRemovalHoldMilliseconds;
+    }
+}
+
+function isPresent(known: KnownEntry, now: core.MonotonicMilliseconds): boolean {
+    return known.entry.value !== undefined || (known.heldUntil !== undefined && now < known.heldUntil);
+}
--- /dev/null
+++ b/packages/gateway/src/itemRun.ts
@@ -0,0 +1,139 @@
+import * as eventSource from "eventsource-parser";
+import type * as ownedSubmission from "./ownedSubmission.js";
+import * as upstreamExchange from "./upstreamExchange.js";
+import type * as wire from "./wire.js";
+
+export enum ItemOutcomeKind {
+    Completed = "Completed",
+    /** The upstream tried and failed; counts against the item. */
+    Failed = "Failed",
+    /** Can never be done. */
+    Impossible = "Impossible",
+    NotRun = "NotRun",
+    NotSent = "NotSent",
+    /** Broke off; goes on elsewhere. */
+    Lost = "Lost",
+    /** Its place was given up for online work, or it was stopped. */
+    Stopped = "Stopped",
+}
+
+export interface ItemOutcome {
+    readonly kind: ItemOutcomeKind;
+    readonly text: string;
+}
+
+/** Statuses of an upstream for an item, as the platform defines them. */
+const ServerFailedStatus = 500;
+const ImpossibleStatus = 422;
+
+/** One run of a batch item: collects the events, and finds out how it ended. */
+export class ItemRun implements upstreamExchange.ExchangeHandler {
+    readonly outcome: Promise<ItemOutcome>;
+    private resolveOutcome: (outcome: ItemOutcome) => void = () => undefined;
+    private exchange: upstreamExchange.Exchange | undefined;
+    private isSettled = false;
+    private status = 0;
+    private isNotRun = false;
+    private readonly decoder = new TextDecoder();
+    private readonly parser: eventSource.EventSourceParser;
+
+    constructor(
+        readonly owned: ownedSubmission.OwnedItem,
+        private readonly callerWire: wire.CallerWire,
+        private readonly onProgress: () => void,
+    ) {
+        this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
+        this.parser = eventSource.createParser({ onEvent: event => this.takeEvent(event) });
+    }
+
+    attach(exchange: upstreamExchange.Exchange): void {
+        this.exchange = exchange;
+        if (this.isSettled) {
+            exchange.abort();
+        }
+    }
+
+    stop(kind: ItemOutcomeKind.Stopped | ItemOutcomeKind.Lost, text: string): void {
+        this.settle({ kind, text });
+        this.exchange?.abort();
+    }
+
+    onSent(): void {}
+
+    onHeaders(status: number, rawHeaders: string[]): void {
+        if (this.isSettled) {
+            return;
+        }
+        this.status = status;
+        const head = this.callerWire.readAnswer(status, rawHeaders);
+        this.isNotRun = head.isNotRun;
+        const isForeign = head.attemptId !== undefined && head.attemptId !== this.owned.item.id;
+        const isUnproved = status === 200 && (!head.isStamped || head.isEncoded);
+        if (isForeign || isUnproved) {
+            this.stop(ItemOutcomeKind.Lost, isForeign ? "an answer to another request" : "an answer without proof");
+        }
+        this.onProgress();
+    }
+
+    onData(data: Buffer): boolean {
+        if (!this.isSettled && this.status === 200) {
+            this.onProgress();
+            this.parser.feed(this.decoder.decode(data, { stream: true }));
+        }
+        return true;
+    }
+
+    onComplete(): void {
+        if (this.isNotRun) {
+            this.settle({ kind: ItemOutcomeKind.NotRun, text: `status ${this.status}` });
+            return;
+        }
+        this.settle({ kind: toOutcomeKind(this.status), text: `status ${this.status}` });
+    }
+
+    onFailure(failure: upstreamExchange.ExchangeFailure): void {
+        const isNotSent = failure.kind === upstreamExchange.ExchangeFailureKind.NotSent;
+        if (this.status === ServerFailedStatus || this.status === ImpossibleStatus) {
+            this.onComplete();
+            return;
+        }
+        this.settle({
+            kind: isNotSent ? ItemOutcomeKind.NotSent : this.isNotRun ? ItemOutcomeKind.NotRun : ItemOutcomeKind.Lost,
+            text: failure.text,
+        });
+    }
+
+    private takeEvent(event: eventSource.EventSourceMessage): void {
+        if (this.isSettled) {
+            return;
+        }
+        const id = event.id === undefined ? undefined : Number(event.id);
+        const last = this.owned.lastEventId;
+        if (id !== undefined && last !== undefined && id !== last + 1) {
+            this.stop(ItemOutcomeKind.Lost, `event ${id} after ${last}`);
+            return;
+        }
+        this.owned.lastEventId = id ?? last;
+        this.owned.texts.push(event.data);
+    }
+
+    private settle(outcome: ItemOutcome): void {
+        if (!this.isSettled) {
+            this.isSettled = true;
+            this.resolveOutcome(outcome);
+        }
+    }
+}
+
+function toOutcomeKind(status: number): ItemOutcomeKind {
+    switch (status) {
+        case 200:
+            return ItemOutcomeKind.Completed;
+        case ServerFailedStatus:
+            return ItemOutcomeKind.Failed;
+        case ImpossibleStatus:
+            return ItemOutcomeKind.Impossible;
+        default:
+            return ItemOutcomeKind.Lost;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/itemScheduler.ts
@@ -0,0 +1,283 @@
+import type * as core from "@boragedale/core";
+import type * as channelDirectory from "./channelDirectory.js";
+import type * as fleetView from "./fleetView.js";
+import * as gatewayLog from "./gatewayLog.js";
+import * as itemRun from "./itemRun.js";
+import * as ownedSubmission from "./ownedSubmission.js";
+import * as routeTable from "./routeTable.js";
+import type * as slotSharing from "./slotSharing.js";
+import * as types from "./types.js";
+import type * as wire from "./wire.js";
+
+export interface SchedulerParts {
+    readonly wire: wire.CallerWire;
+    readonly view: fleetView.FleetView;
+    readonly channels: channelDirectory.ChannelDirectory;
+    readonly slots: slotSharing.SlotSharing;
+    readonly clock: core.Clock;
+    readonly log: gatewayLog.GatewayLog;
+    readonly dataCentre: core.DataCentre;
+}
+
+/** Places that batch work leaves free on each upstream: an online request that comes finds one without asking. */
+const ReservedSlots = 1;
+/** An engine sends an event each 30 ms; a queue before the first one lasts as long as a stream. */
+const SilentMilliseconds = 1_500;
+/** Pause of an item after an end that tells nothing of it. */
+const PauseMilliseconds = 100;
+/** An upstream that refused as full, or that could not be reached, is left out for this long. */
+const FullPenaltyMilliseconds = 80;
+const UnreachablePenaltyMilliseconds = 1_000;
+/** Items wait for room at most this long before it is looked for again, in case no notice told of it. */
+const LookMilliseconds = 60;
+/** An item that may be given up is kept this much longer, since the caller counts from its own first send. */
+const KeepSlackMilliseconds = 1_500;
+/** A submission whose route vanished is kept for this long, in case a newer configuration brings it back. */
+const RouteGoneMilliseconds = 4_000;
+
+/** Runs the items of the submissions that this member owns, in the places that online work leaves. */
+export class ItemScheduler {
+    private readonly submissions = new Set<ownedSubmission.OwnedSubmission>();
+    private readonly running = new Map<
+        ownedSubmission.OwnedItem,
+        { upstream: core.UpstreamId; run: itemRun.ItemRun }
+    >();
+    private readonly routeMissingSince = new Map<ownedSubmission.OwnedSubmission, core.MonotonicMilliseconds>();
+    private stopLook: (() => void) | undefined;
+    private isDispatching = false;
+    private isStopped = false;
+
+    constructor(private readonly parts: SchedulerParts) {}
+
+    add(submission: ownedSubmission.OwnedSubmission): void {
+        this.submissions.add(submission);
+        this.dispatch();
+    }
+
+    /** Stops the submission's items; used when it has ended or is somebody else's. */
+    remove(submission: ownedSubmission.OwnedSubmission): void {
+        this.submissions.delete(submission);
+        this.routeMissingSince.delete(submission);
+        for (const owned of submission.items) {
+            this.running.get(owned)?.run.stop(itemRun.ItemOutcomeKind.Stopped, "its submission is over here");
+        }
+    }
+
+    /** Starts no more items; those that run go on until they are removed. */
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Gives a place on the upstream up for online work: the item whose submission is due last loses least. */
+    yieldPlace(upstream: core.UpstreamId): void {
+        let chosen: { owned: ownedSubmission.OwnedItem; run: itemRun.ItemRun } | undefined;
+        for (const [owned, entry] of this.running) {
+            const isLater =
+                chosen === undefined ||
+                owned.submission.getHead().acceptedAt > chosen.owned.submission.getHead().acceptedAt;
+            if (entry.upstream === upstream && isLater) {
+                chosen = { owned, run: entry.run };
+            }
+        }
+        if (chosen !== undefined) {
+            this.parts.log.note(gatewayLog.GatewayEvent.ItemYielded, { item: chosen.owned.item.id, upstream });
+            chosen.run.stop(itemRun.ItemOutcomeKind.Stopped, "its place went to online work");
+        }
+    }
+
+    /** Starts as many items as there are places for, earliest due first. */
+    dispatch(): void {
+        if (this.isDispatching || this.isStopped) {
+            return;
+        }
+        this.isDispatching = true;
+        try {
+            this.giveUpExpired();
+            const now = this.parts.clock.now();
+            const waiting = this.getWaiting(now);
+            for (const owned of waiting) {
+                if (!this.tryStart(owned, now)) {
+                    break;
+                }
+            }
+        }
+        finally {
+            this.isDispatching = false;
+        }
+        this.scheduleLook();
+    }
+
+    private getWaiting(now: core.MonotonicMilliseconds): ownedSubmission.OwnedItem[] {
+        const waiting: ownedSubmission.OwnedItem[] = [];
+        for (const submission of this.submissions) {
+            if (submission.isActive()) {
+                waiting.push(
+                    ...submission.items.filter(
+                        owned => owned.state === ownedSubmission.ItemState.Waiting && owned.notBefore <= now,
+                    ),
+                );
+            }
+        }
+        // The item that has come furthest goes first within a submission: its place is soonest free again.
+        return waiting.sort(
+            (left, right) =>
+                left.submission.getHead().acceptedAt - right.submission.getHead().acceptedAt ||
+                right.texts.length - left.texts.length,
+        );
+    }
+
+    private tryStart(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
+        const head = owned.submission.getHead();
+        const route = this.parts.view.getRoutes()?.tryFind(head.host, head.target);
+        const service = route === undefined ? undefined : routeTable.chooseService(route, owned.item.id);
+        if (route === undefined || service === undefined) {
+            return true;
+        }
+        const candidates = this.parts.view.getUsable(service, now).map(upstream => upstream.entry);
+        const chosen = this.parts.slots.board.tryChooseBatch(candidates, ReservedSlots, this.parts.dataCentre, now);
+        const upstream = candidates.find(candidate => candidate.id === chosen);
+        if (upstream === undefined) {
+            return false;
+        }
+        void this.run(owned, upstream, route);
+        return true;
+    }
+
+    private async run(
+        owned: ownedSubmission.OwnedItem,
+        upstream: types.UpstreamEntry,
+        route: types.Route,
+    ): Promise<void> {
+        owned.state = ownedSubmission.ItemState.Running;
+        let stopSilence = (): void => undefined;
+        const watchSilence = (): void => {
+            stopSilence();
+            stopSilence = this.parts.clock.schedule(SilentMilliseconds, () =>
+                run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilentMilliseconds} ms`),
+            );
+        };
+        const run = new itemRun.ItemRun(owned, this.parts.wire, watchSilence);
+        this.running.set(owned, { upstream: upstream.id, run });
+        this.parts.slots.take(upstream.id, true);
+        const headers = this.parts.wire.createItemHeaders(owned.item, owned.submission.getHead().host, {
+            upstream: upstream.id,
+            remainingMilliseconds: undefined,
+            lastEventId: owned.lastEventId === undefined ? undefined : String(owned.lastEventId),
+        });
+        const request = {
+            method: "POST",
+            target: owned.item.target,
+            headers,
+            body: Buffer.from(owned.item.body),
+        };
+        run.attach(this.parts.channels.get(upstream).start(request, run));
+        watchSilence();
+        const outcome = await run.outcome;
+        stopSilence();
+        this.running.delete(owned);
+        this.settle(owned, upstream, route, outcome);
+        this.parts.slots.release(upstream.id, true);
+    }
+
+    private settle(
+        owned: ownedSubmission.OwnedItem,
+        upstream: types.UpstreamEntry,
+        route: types.Route,
+        outcome: itemRun.ItemOutcome,
+    ): void {
+        const now = this.parts.clock.now();
+        const kinds = itemRun.ItemOutcomeKind;
+        if (owned.state === ownedSubmission.ItemState.Finished) {
+            return;
+        }
+        owned.state = ownedSubmission.ItemState.Waiting;
+        switch (outcome.kind) {
+            case kinds.Completed:
+                owned.submission.finish(owned, types.ResultState.Completed);
+                return;
+            case kinds.Impossible:
+                this.giveUp(owned, outcome.text);
+                return;
+            case kinds.Failed:
+                owned.failures++;
+                if (owned.failures >= route.attempts) {
+                    this.giveUp(owned, `${owned.failures} failed attempts`);
+                    return;
+                }
+                break;
+            case kinds.NotRun:
+                this.parts.slots.board.penalize(upstream.id, now + FullPenaltyMilliseconds);
+                break;
+            case kinds.NotSent:
+                this.parts.slots.board.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
+                break;
+            case kinds.Lost:
+                owned.notBefore = now + PauseMilliseconds;
+                break;
+            case kinds.Stopped:
+                return;
+        }
+        this.parts.log.note(gatewayLog.GatewayEvent.ItemRetried, {
+            submission: owned.submission.getId(),
+            item: owned.item.id,
+            upstream: upstream.id,
+            outcome: outcome.kind,
+            text: outcome.text,
+            events: owned.texts.length,
+        });
+    }
+
+    private giveUp(owned: ownedSubmission.OwnedItem, reason: string): void {
+        this.parts.log.note(gatewayLog.GatewayEvent.ItemGivenUp, {
+            submission: owned.submission.getId(),
+            item: owned.item.id,
+            reason,
+        });
+        owned.submission.finish(owned, types.ResultState.GivenUp);
+    }
+
+    /** Gives up what is past its time or has no route any more. */
+    private giveUpExpired(): void {
+        const now = this.parts.clock.now();
+        const wallNow = this.parts.clock.wallNow();
+        const routes = this.parts.view.getRoutes();
+        for (const submission of this.submissions) {
+            if (!submission.isActive() || routes === undefined) {
+                continue;
+            }
+            const head = submission.getHead();
+            const route = routes.tryFind(head.host, head.target);
+            if (route === undefined) {
+                const since = this.routeMissingSince.get(submission) ?? now;
+                this.routeMissingSince.set(submission, since);
+                if (now - since > RouteGoneMilliseconds) {
+                    this.giveUpAll(submission, "its route is gone");
+                }
+                continue;
+            }
+            this.routeMissingSince.delete(submission);
+            if (wallNow - head.acceptedAt > route.keepMilliseconds + KeepSlackMilliseconds) {
+                this.giveUpAll(submission, "its time is over");
+            }
+        }
+    }
+
+    private giveUpAll(submission: ownedSubmission.OwnedSubmission, reason: string): void {
+        for (const owned of submission.items) {
+            if (owned.state !== ownedSubmission.ItemState.Finished) {
+                this.running.get(owned)?.run.stop(itemRun.ItemOutcomeKind.Stopped, reason);
+                this.giveUp(owned, reason);
+            }
+        }
+    }
+
+    private scheduleLook(): void {
+        if (this.stopLook !== undefined || this.submissions.size === 0) {
+            return;
+        }
+        this.stopLook = this.parts.clock.schedule(LookMilliseconds, () => {
+            this.stopLook = undefined;
+            this.dispatch();
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/memberDirectory.ts
@@ -0,0 +1,105 @@
+import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as msgpackr from "msgpackr";
+import * as zod from "zod";
+import type * as types from "./types.js";
+
+/** Keys of this program in the metadata store. */
+export const FleetPrefix = "boragedale/fleet/";
+export const MemberPrefix = `${FleetPrefix}member/`;
+export const EndedPrefix = `${FleetPrefix}ended/`;
+
+/** One life of an instance; a restart is another member. */
+export interface Member {
+    readonly id: core.InstanceId;
+    readonly dataCentre: core.DataCentre;
+    /** IP address and port of the peer face. */
+    readonly peerAddress: string;
+}
+
+const MemberSchema = zod.object({ id: zod.string(), dataCentre: zod.string(), peerAddress: zod.string() });
+
+export function encodeMember(member: Member): Uint8Array {
+    return msgpackr.pack(member);
+}
+
+/** The live members as the metadata store lists them: entries that vanish with their lease. Pure. */
+export class MemberDirectory {
+    private readonly members = new Map<core.InstanceId, Member>();
+    private readonly revisions = new Map<string, types.Revision>();
+    private readonly listeners = new Set<(gone: readonly core.InstanceId[]) => void>();
+
+    constructor(readonly self: Member) {}
+
+    getMembers(): readonly Member[] {
+        return [...this.members.values()];
+    }
+
+    getOthers(): readonly Member[] {
+        return this.getMembers().filter(member => member.id !== this.self.id);
+    }
+
+    tryGet(id: core.InstanceId): Member | undefined {
+        return this.members.get(id);
+    }
+
+    /** Whether this member's own entry stands; without it others may take its submissions over. */
+    isListed(): boolean {
+        return this.members.has(this.self.id);
+    }
+
+    /** The member that takes over what a gone one owned: all work the same answer out. */
+    chooseHeir(submission: string): core.InstanceId | undefined {
+        return decisions.rendezvous(
+            submission,
+            this.getMembers().map(member => member.id),
+        );
+    }
+
+    onChange(listener: (gone: readonly core.InstanceId[]) => void): void {
+        this.listeners.add(listener);
+    }
+
+    applyListing(entries: readonly types.StoreEntry[], revision: types.Revision): void {
+        const present = new Set(entries.map(entry => entry.key));
+        const missing = [...this.members.keys()]
+            .map(id => MemberPrefix + id)
+            .filter(key => !present.has(key) && (this.revisions.get(key) ?? 0) < revision)
+            .map(key => ({ key, revision, value: undefined }));
+        this.apply([...entries, ...missing]);
+    }
+
+    apply(entries: readonly types.StoreEntry[]): void {
+        const gone: core.InstanceId[] = [];
+        let hasChanged = false;
+        for (const entry of entries) {
+            if (!entry.key.startsWith(MemberPrefix) || (this.revisions.get(entry.key) ?? 0) >= entry.revision) {
+                continue;
+            }
+            this.revisions.set(entry.key, entry.revision);
+            const id = entry.key.slice(MemberPrefix.length);
+            const member = entry.value === undefined ? undefined : tryDecodeMember(entry.value);
+            hasChanged = true;
+            if (member !== undefined) {
+                this.members.set(id, member);
+            }
+            else if (this.members.delete(id)) {
+                gone.push(id);
+            }
+        }
+        if (hasChanged) {
+            this.listeners.forEach(listener => listener(gone));
+        }
+    }
+}
+
+function tryDecodeMember(value: Uint8Array): Member | undefined {
+    try {
+        const parsed = MemberSchema.safeParse(msgpackr.unpack(value));
+        return parsed.success ? parsed.data : undefined;
+    }
+    catch {
+        // Bytes of another program under our prefix name no member.
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/registration.ts
@@ -0,0 +1,81 @@
+import type * as core from "@boragedale/core";
+import * as gatewayLog from "./gatewayLog.js";
+import * as memberDirectory from "./memberDirectory.js";
+import * as metadataStore from "./metadataStore.js";
+
+/** Others take over what this member owns when its lease ends: soon enough for items that are due in seconds. */
+export const LeaseMilliseconds = 4_000;
+/** A third of the lease: two renewals may fail before it ends. */
+const RenewMilliseconds = 1_300;
+const RetryMilliseconds = 300;
+
+/** Keeps this member's entry in the metadata store, under a lease that ends with the process. */
+export class Registration implements AsyncDisposable {
+    private readonly stopper = new AbortController();
+    private lease: string | undefined;
+    private task: Promise<void> | undefined;
+
+    constructor(
+        private readonly store: metadataStore.MetadataStore,
+        private readonly self: memberDirectory.Member,
+        private readonly clock: core.Clock,
+        private readonly log: gatewayLog.GatewayLog,
+        private readonly onDoubt: () => void,
+    ) {}
+
+    start(): void {
+        this.task = this.run();
+    }
+
+    tryGetLease(): string | undefined {
+        return this.lease;
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopper.abort();
+        await this.task;
+        if (this.lease !== undefined) {
+            await this.store.endLease(this.lease);
+        }
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopper.signal.aborted) {
+            const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
+            await this.clock.sleep(isKept ? RenewMilliseconds : RetryMilliseconds, this.stopper.signal);
+        }
+    }
+
+    private async register(): Promise<boolean> {
+        const granted = await this.store.grantLease(LeaseMilliseconds);
+        if (!granted.ok) {
+            this.onDoubt();
+            return false;
+        }
+        const put = {
+            key: memberDirectory.MemberPrefix + this.self.id,
+            value: memberDirectory.encodeMember(this.self),
+            lease: granted.value,
+        };
+        const written = await this.store.transact({ preconditions: [], puts: [put], deletes: [] });
+        if (!written.ok) {
+            this.onDoubt();
+            return false;
+        }
+        this.lease = granted.value;
+        this.log.note(gatewayLog.GatewayEvent.MemberRegistered, { lease: granted.value });
+        return true;
+    }
+
+    private async renew(lease: string): Promise<boolean> {
+        const renewed = await this.store.renewLease(lease);
+        if (renewed.ok) {
+            return true;
+        }
+        this.onDoubt();
+        if (renewed.failure.kind === metadataStore.StoreFailureKind.LeaseGone) {
+            this.lease = undefined;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/requestForwarder.ts
@@ -0,0 +1,336 @@
+import * as http from "node:http";
+import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as answerRelay from "./answerRelay.js";
+import type * as channelDirectory from "./channelDirectory.js";
+import type * as fleetView from "./fleetView.js";
+import type * as gatewayLog from "./gatewayLog.js";
+import * as routeTable from "./routeTable.js";
+import type * as slotSharing from "./slotSharing.js";
+import * as types from "./types.js";
+import type * as wire from "./wire.js";
+
+export interface ForwarderParts {
+    readonly wire: wire.CallerWire;
+    readonly view: fleetView.FleetView;
+    readonly channels: channelDirectory.ChannelDirectory;
+    readonly slots: slotSharing.SlotSharing;
+    readonly clock: core.Clock;
+    readonly log: gatewayLog.GatewayLog;
+    readonly dataCentre: core.DataCentre;
+    readonly random: () => number;
+}
+
+/** A request that was read whole, with all that decides how long and how often it may be tried. */
+export interface ReadRequest {
+    readonly raw: types.RawRequest;
+    readonly head: types.RequestHead;
+    readonly route: types.Route;
+    readonly body: Buffer;
+    readonly arrivedAt: core.MonotonicMilliseconds;
+    readonly deadline: core.MonotonicMilliseconds;
+}
+
+interface Progress {
+    readonly request: ReadRequest;
+    readonly delivery: answerRelay.Delivery;
+    readonly tried: Set<core.UpstreamId>;
+    runs: number;
+    sends: number;
+    relay: answerRelay.AnswerRelay | undefined;
+    isCallerGone: boolean;
+    isTimedOut: boolean;
+}
+
+/**
+ * Silence after which a repeatable request goes elsewhere, as a share of what is left of its time: late enough that a
+ * working upstream has answered, early enough that a second one still can.
+ */
+const SilentShare = 0.4;
+/** A stream that may be resumed is taken up elsewhere after this much silence: engines send an event each 30 ms. */
+const SilentStreamMilliseconds = 800;
+/** First guesses until durations have been seen: a stream's time in a place, and time to its first event. */
+const FirstServiceMilliseconds = 800;
+const FirstAnswerMilliseconds = 70;
+/** Weight of a new duration in the running mean. */
+const MeanWeight = 0.1;
+/** An upstream that refused as full is left out for this long: about the time in which one of its places comes free. */
+const FullPenaltyMilliseconds = 60;
+/** An upstream that could not be reached is left out for this long; a crashed one is back after seconds. */
+const UnreachablePenaltyMilliseconds = 1_000;
+/** When to come back where no upstream is known or reachable. */
+const NoUpstreamRetryMilliseconds = 500;
+
+/** Forwards one request: chooses an upstream, passes the answer on, repeats where that is allowed. */
+export class RequestForwarder {
+    private readonly serviceMeans = new Map<string, number>();
+
+    constructor(private readonly parts: ForwarderParts) {}
+
+    async forward(request: ReadRequest, response: http.ServerResponse): Promise<void> {
+        const delivery = { response, isStarted: false, lastEventId: undefined, firstByteAt: undefined };
+        const progress: Progress = {
+            request,
+            delivery,
+            tried: new Set(),
+            runs: 0,
+            sends: 0,
+            relay: undefined,
+            isCallerGone: response.destroyed,
+            isTimedOut: false,
+        };
+        const onClose = (): void => {
+            if (!response.writableFinished) {
+                progress.isCallerGone = true;
+                progress.relay?.stop(answerRelay.AttemptOutcomeKind.Stopped, "the caller left");
+            }
+        };
+        response.once("close", onClose);
+        const stopTimer = this.parts.clock.schedule(request.deadline - this.parts.clock.now(), () => {
+            progress.isTimedOut = true;
+            progress.relay?.stop(answerRelay.AttemptOutcomeKind.Stopped, "the deadline passed");
+        });
+        try {
+            await this.run(progress);
+        }
+        finally {
+            stopTimer();
+            response.off("close", onClose);
+        }
+    }
+
+    private async run(progress: Progress): Promise<void> {
+        for (;;) {
+            const upstream = this.tryChoose(progress);
+            if (upstream === undefined) {
+                return;
+            }
+            const outcome = await this.attempt(progress, upstream);
+            if (this.settle(progress, upstream, outcome)) {
+                return;
+            }
+        }
+    }
+
+    /** The upstream for the next attempt; undefined when the request was refused instead. */
+    private tryChoose(progress: Progress): types.UpstreamEntry | undefined {
+        const { request } = progress;
+        const now = this.parts.clock.now();
+        const key = request.head.promptParts.at(-1) ?? request.head.attemptId;
+        const service = routeTable.chooseService(request.route, key);
+        const usable = service === undefined ? [] : this.parts.view.getUsable(service, now);
+        const fresh = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
+        const candidates = (fresh.length > 0 ? fresh : usable).map(upstream => upstream.entry);
+        const choice = this.parts.slots.board.tryChooseOnline(candidates, this.parts.dataCentre, now);
+        const chosen = candidates.find(candidate => candidate.id === choice?.id);
+        if (service === undefined || choice === undefined || chosen === undefined) {
+            this.refuse(
+                progress,
+                types.RefusalReason.NoUpstream,
+                NoUpstreamRetryMilliseconds,
+                `of ${service ?? "no service"}`,
+            );
+            return undefined;
+        }
+        const outlook = {
+            waiting: choice.waiting,
+            slots: chosen.slots,
+            serviceMilliseconds: this.serviceMeans.get(service) ?? FirstServiceMilliseconds,
+            firstAnswerMilliseconds: FirstAnswerMilliseconds,
+            latencyTargetMilliseconds: request.route.latencyTargetMilliseconds,
+            remainingMilliseconds: request.deadline - now,
+        };
+        const verdict = decisions.judgeOnline(outlook, this.parts.random);
+        if (!verdict.isAdmitted && progress.runs === 0) {
+            this.refuse(
+                progress,
+                types.RefusalReason.Overloaded,
+                verdict.retryAfterMilliseconds,
+                `${choice.waiting} wait at ${chosen.id}, ${candidates.length} candidates`,
+            );
+            return undefined;
+        }
+        if (choice.yielder !== undefined) {
+            this.parts.slots.askToYield(choice.id, choice.yielder);
+        }
+        return chosen;
+    }
+
+    private async attempt(progress: Progress, upstream: types.UpstreamEntry): Promise<answerRelay.AttemptOutcome> {
+        const { request, delivery } = progress;
+        const { clock } = this.parts;
+        const lastEventId = delivery.lastEventId === undefined ? undefined : String(delivery.lastEventId);
+        const startedAt = clock.now();
+        const runsBefore = progress.runs;
+        let stopSilence = (): void => undefined;
+        const watchSilence = (): void => {
+            stopSilence();
+            const limit = this.getSilenceLimit(progress, runsBefore);
+            if (limit !== undefined) {
+                stopSilence = clock.schedule(limit, () =>
+                    relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${Math.round(limit)} ms`),
+                );
+            }
+        };
+        const relay = new answerRelay.AnswerRelay({
+            wire: this.parts.wire,
+            delivery,
+            attemptId: request.head.attemptId,
+            isStream: request.route.kind === types.RouteKind.Stream,
+            now: () => clock.now(),
+            onSent: () => progress.runs++,
+            onProgress: watchSilence,
+        });
+        progress.relay = relay;
+        progress.sends++;
+        progress.tried.add(upstream.id);
+        this.parts.slots.take(upstream.id, false);
+        const headers = this.parts.wire.createForwardHeaders(request.raw.rawHeaders, {
+            upstream: upstream.id,
+            remainingMilliseconds: request.deadline - startedAt,
+            lastEventId,
+        });
+        const exchange = this.parts.channels
+            .get(upstream)
+            .start({ method: request.raw.method, target: request.raw.target, headers, body: toBody(request) }, relay);
+        relay.attach(exchange);
+        watchSilence();
+        if (progress.isCallerGone || progress.isTimedOut) {
+            relay.stop(answerRelay.AttemptOutcomeKind.Stopped, "over before it was sent");
+        }
+        const outcome = await relay.outcome;
+        stopSilence();
+        progress.relay = undefined;
+        this.parts.slots.release(upstream.id, false);
+        if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
+            this.recordDuration(upstream.service, clock.now() - startedAt);
+        }
+        return outcome;
+    }
+
+    /** Deals with the end of an attempt; true when the request has its final answer. */
+    private settle(progress: Progress, upstream: types.UpstreamEntry, outcome: answerRelay.AttemptOutcome): boolean {
+        const now = this.parts.clock.now();
+        const { request, delivery } = progress;
+        const kinds = answerRelay.AttemptOutcomeKind;
+        if (progress.isCallerGone) {
+            this.parts.log.finished(request, "the caller left", upstream.id, progress);
+            return true;
+        }
+        if (progress.isTimedOut && outcome.kind !== kinds.Delivered) {
+            const isRun = progress.runs > 0;
+            const reason = isRun ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
+            this.refuse(progress, reason, undefined, upstream.id);
+            return true;
+        }
+        switch (outcome.kind) {
+            case kinds.Delivered:
+                this.parts.log.finished(request, outcome.text, upstream.id, progress);
+                return true;
+            case kinds.NotRun:
+                progress.runs--;
+                this.parts.slots.board.penalize(upstream.id, now + FullPenaltyMilliseconds);
+                break;
+            case kinds.NotSent:
+                this.parts.slots.board.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
+                break;
+            case kinds.Silent:
+                this.parts.channels.get(upstream).renew();
+                this.parts.slots.board.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
+                break;
+            case kinds.Lost:
+            case kinds.Stopped:
+            case kinds.Failed:
+                break;
+        }
+        const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
+        const mayRepeat = decisions.mayRepeat({
+            end: isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun,
+            isRepeatable: isRepeatable(request.route),
+            runs: progress.runs,
+            sends: progress.sends,
+            allowedRuns: request.route.attempts,
+            remainingMilliseconds: request.deadline - now,
+        });
+        const text = outcome.kind === kinds.Failed ? `status ${outcome.answer.status}` : outcome.text;
+        this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat);
+        if (mayRepeat) {
+            return false;
+        }
+        if (outcome.kind === kinds.Failed && !delivery.isStarted) {
+            answerRelay.deliverHeld(this.parts.wire, delivery, outcome.answer);
+            this.parts.log.finished(request, `status ${outcome.answer.status}`, upstream.id, progress);
+            return true;
+        }
+        if (progress.runs === 0) {
+            this.refuse(progress, types.RefusalReason.Overloaded, FullPenaltyMilliseconds * 4, text);
+            return true;
+        }
+        this.refuse(progress, types.RefusalReason.UpstreamFailed, undefined, text);
+        return true;
+    }
+
+    private refuse(
+        progress: Progress,
+        reason: types.RefusalReason,
+        retryAfterMilliseconds: number | undefined,
+        detail: string,
+    ): void {
+        const { request, delivery } = progress;
+        this.parts.log.refused(request, reason, detail, progress);
+        if (delivery.isStarted) {
+            // The caller has a part: only a connection that breaks tells it that the rest won't come.
+            delivery.response.destroy();
+            return;
+        }
+        sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
+    }
+
+    /** Undefined where silence changes nothing: another attempt would not be allowed. */
+    private getSilenceLimit(progress: Progress, runsBefore: number): number | undefined {
+        const { request, delivery } = progress;
+        if (!isRepeatable(request.route) || runsBefore + 1 >= request.route.attempts) {
+            return undefined;
+        }
+        const remaining = request.deadline - this.parts.clock.now();
+        if (request.route.kind !== types.RouteKind.Stream) {
+            return Math.max(request.route.latencyTargetMilliseconds, remaining * SilentShare);
+        }
+        return delivery.isStarted
+            ? SilentStreamMilliseconds
+            : Math.max(SilentStreamMilliseconds, remaining * SilentShare);
+    }
+
+    private recordDuration(service: string, milliseconds: number): void {
+        const mean = this.serviceMeans.get(service);
+        this.serviceMeans.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
+    }
+}
+
+/** Answers with a refusal of ours. */
+export function sendRefusal(
+    callerWire: wire.CallerWire,
+    response: http.ServerResponse,
+    refusal: types.GatewayRefusal,
+): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const answer = callerWire.createRefusal(refusal);
+    response.writeHead(answer.status, http.STATUS_CODES[answer.status], [
+        ...answer.headers,
+        "Content-Length",
+        String(Buffer.byteLength(answer.body)),
+    ]);
+    response.end(answer.body);
+}
+
+function isRepeatable(route: types.Route): boolean {
+    return route.kind === types.RouteKind.Safe || (route.kind === types.RouteKind.Stream && route.isResumable);
+}
+
+function toBody(request: ReadRequest): Buffer | undefined {
+    const hasNone = request.body.length === 0 && (request.raw.method === "GET" || request.raw.method === "HEAD");
+    return hasNone ? undefined : request.body;
+}
--- /dev/null
+++ b/packages/gateway/src/storeWatcher.ts
@@ -0,0 +1,111 @@
+import type * as core from "@boragedale/core";
+import * as gatewayLog from "./gatewayLog.js";
+import * as metadataStore from "./metadataStore.js";
+import type * as types from "./types.js";
+
+export interface StoreWatcherParts {
+    readonly store: metadataStore.MetadataStore;
+    readonly clock: core.Clock;
+    readonly log: gatewayLog.GatewayLog;
+    /** Told of each failure, for whoever must doubt what the store says around it. */
+    readonly onDoubt: () => void;
+}
+
+export interface WatchedPrefix {
+    readonly prefix: string;
+    /** How long one watch call waits; the longest time for which a silent connection goes unnoticed. */
+    readonly waitMilliseconds: number;
+    readonly applyListing: (listing: metadataStore.Listing) => void;
+    readonly applyChanges: (entries: readonly types.StoreEntry[]) => void;
+}
+
+/** First and longest pause after a failed call; doubled in between, so that a store that comes back isn't overrun. */
+const FirstPauseMilliseconds = 100;
+const LongestPauseMilliseconds = 500;
+
+/** Follows a prefix of the metadata store: lists it, then takes changes; lists again when history was dropped. */
+export class StoreWatcher implements AsyncDisposable {
+    private readonly stopper = new AbortController();
+    private renewer = new AbortController();
+    private isReachable = true;
+    private listed: (() => void) | undefined;
+    /** Resolves after the first whole listing. */
+    readonly whenListed = new Promise<void>(resolve => (this.listed = resolve));
+
+    constructor(
+        private readonly parts: StoreWatcherParts,
+        private readonly watched: WatchedPrefix,
+    ) {}
+
+    /** The task: ends when it is disposed. */
+    async run(): Promise<void> {
+        let revision: types.Revision | undefined;
+        let pause = FirstPauseMilliseconds;
+        while (!this.stopper.signal.aborted) {
+            const result: metadataStore.StoreResult<types.Revision> =
+                revision === undefined ? await this.list() : await this.watchOnce(revision);
+            if (result.ok) {
+                this.noteReachable(true, "");
+                revision = result.value;
+                pause = FirstPauseMilliseconds;
+                continue;
+            }
+            if (this.stopper.signal.aborted) {
+                return;
+            }
+            if (result.failure.kind === metadataStore.StoreFailureKind.HistoryGone) {
+                revision = undefined;
+                continue;
+            }
+            this.noteReachable(false, result.failure.text);
+            this.parts.onDoubt();
+            await this.parts.clock.sleep(pause, this.stopper.signal);
+            pause = Math.min(LongestPauseMilliseconds, pause * 2);
+        }
+    }
+
+    /** Starts the waiting call anew: a peer knew something that this watch should have brought. */
+    renew(): void {
+        this.renewer.abort();
+        this.renewer = new AbortController();
+    }
+
+    async [Symbol.asyncDispose](): Promise<void> {
+        this.stopper.abort();
+        this.renewer.abort();
+    }
+
+    private async list(): Promise<metadataStore.StoreResult<types.Revision>> {
+        const result = await this.parts.store.list(this.watched.prefix);
+        if (!result.ok) {
+            return result;
+        }
+        this.watched.applyListing(result.value);
+        this.listed?.();
+        return { ok: true, value: result.value.revision };
+    }
+
+    private async watchOnce(revision: types.Revision): Promise<metadataStore.StoreResult<types.Revision>> {
+        const renewer = this.renewer;
+        const result = await this.parts.store.watch(
+            this.watched.prefix,
+            revision,
+            this.watched.waitMilliseconds,
+            renewer.signal,
+        );
+        if (!result.ok) {
+            return renewer.signal.aborted && !this.stopper.signal.aborted ? { ok: true, value: revision } : result;
+        }
+        this.watched.applyChanges(result.value.entries);
+        return { ok: true, value: Math.max(revision, result.value.revision) };
+    }
+
+    private noteReachable(isReachable: boolean, text: string): void {
+        if (isReachable === this.isReachable) {
+            return;
+        }
+        this.isReachable = isReachable;
+        const event = isReachable ? gatewayLog.GatewayEvent.StoreRegained : gatewayLog.GatewayEvent.StoreLost;
+        this.parts.log.note(event, { prefix: this.watched.prefix, text });
+    }
+}
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -93,6 +93,34 @@
         deaths: count,
         deathsByUpstream: zod.record(name, count).optional(),
     }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.RegistryEntries),
+        entries: zod.array(zod.object({ key: name, revision: zod.int().min(0), value: payload.optional() })),
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SlotUses),
+        isWhole: zod.boolean(),
+        uses: zod.array(zod.tuple([name, count, count])),
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.YieldSlot), upstream: name }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionOwned), submission: name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SubmissionRead),
+        submission: name,
+        position: count,
+        waitMilliseconds: count,
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SubmissionPage),
+        total: count,
+        next: count,
+        results: zod.array(zod.object({ id: name, state: name, text: zod.string() })),
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionItemRead), submission: name, item: name }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionItemBody), body: payload.optional() }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnd), submission: name }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnded) }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionHandover), submission: name }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -30,6 +30,17 @@
     OnlinePressure = "OnlinePressure",
     OnlineTotal = "OnlineTotal",
     SuspectReport = "SuspectReport",
+    RegistryEntries = "RegistryEntries",
+    SlotUses = "SlotUses",
+    YieldSlot = "YieldSlot",
+    SubmissionOwned = "SubmissionOwned",
+    SubmissionRead = "SubmissionRead",
+    SubmissionPage = "SubmissionPage",
+    SubmissionItemRead = "SubmissionItemRead",
+    SubmissionItemBody = "SubmissionItemBody",
+    SubmissionEnd = "SubmissionEnd",
+    SubmissionEnded = "SubmissionEnded",
+    SubmissionHandover = "SubmissionHandover",
     Refused = "Refused",
 }
 
@@ -140,6 +151,81 @@
     readonly deathsByUpstream?: Readonly<Record<core.UpstreamId, number>>;
 }
 
+/** Entries of the metadata store that the sender has seen; the highest revision of a key wins. */
+export interface RegistryEntries {
+    readonly kind: MessageKind.RegistryEntries;
+    readonly entries: readonly {
+        readonly key: string;
+        readonly revision: number;
+        /** Absent: the key was removed at the revision. */
+        readonly value?: Uint8Array;
+    }[];
+}
+
+/** Requests that the sender has on upstreams; each line replaces the one before it. */
+export interface SlotUses {
+    readonly kind: MessageKind.SlotUses;
+    /** Upstreams that aren't listed have none. */
+    readonly isWhole: boolean;
+    readonly uses: readonly (readonly [upstream: core.UpstreamId, online: number, batch: number])[];
+}
+
+/** An online request needs a place that the receiver's batch work holds on the upstream. */
+export interface YieldSlot {
+    readonly kind: MessageKind.YieldSlot;
+    readonly upstream: core.UpstreamId;
+}
+
+/** The sender runs the submission, which is durable. */
+export interface SubmissionOwned {
+    readonly kind: MessageKind.SubmissionOwned;
+    readonly submission: string;
+}
+
+/** Asks the owner for results from a position on. */
+export interface SubmissionRead {
+    readonly kind: MessageKind.SubmissionRead;
+    readonly submission: string;
+    readonly position: number;
+    readonly waitMilliseconds: number;
+}
+
+export interface SubmissionPage {
+    readonly kind: MessageKind.SubmissionPage;
+    readonly total: number;
+    readonly next: number;
+    readonly results: readonly { readonly id: string; readonly state: string; readonly text: string }[];
+}
+
+/** Asks the owner for the body of an item that is not listed. */
+export interface SubmissionItemRead {
+    readonly kind: MessageKind.SubmissionItemRead;
+    readonly submission: string;
+    readonly item: string;
+}
+
+export interface SubmissionItemBody {
+    readonly kind: MessageKind.SubmissionItemBody;
+    /** Absent: the submission has no such item, or has ended. */
+    readonly body?: Uint8Array;
+}
+
+/** Asks the owner to end a submission; answered once that is durable. */
+export interface SubmissionEnd {
+    readonly kind: MessageKind.SubmissionEnd;
+    readonly submission: string;
+}
+
+export interface SubmissionEnded {
+    readonly kind: MessageKind.SubmissionEnded;
+}
+
+/** The sender leaves; the receiver may take the submission over at once. */
+export interface SubmissionHandover {
+    readonly kind: MessageKind.SubmissionHandover;
+    readonly submission: string;
+}
+
 /** The peer could not serve a request; `text` says why. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -163,6 +249,17 @@
     | OnlinePressure
     | OnlineTotal
     | SuspectReport
+    | RegistryEntries
+    | SlotUses
+    | YieldSlot
+    | SubmissionOwned
+    | SubmissionRead
+    | SubmissionPage
+    | SubmissionItemRead
+    | SubmissionItemBody
+    | SubmissionEnd
+    | SubmissionEnded
+    | SubmissionHandover
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
--- a/packages/release/src/keyValueNoteKeeper.ts
+++ b/packages/release/src/keyValueNoteKeeper.ts
@@ -1,7 +1,7 @@
 import * as fileSystem from "node:fs/promises";
 import * as path from "node:path";
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as noteStore from "./noteStore.js";
@@ -14,7 +14,7 @@
 }
 
 export interface KeeperOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly network: protocol.PeerNetwork;
     readonly heartbeats: HeartbeatSource;
     readonly clock: core.Clock;
@@ -59,7 +59,7 @@
         super();
     }
 
-    /** Starts keeping. Returns once the note was read from the data folder and, if it answers, the platform. */
+    /** Starts keeping. Returns once the note was read from the data folder and, if it answers, the backing. */
     static async start(options: KeeperOptions): Promise<KeyValueNoteKeeper> {
         const keeper = new KeyValueNoteKeeper(options);
         await keeper.readFile();
@@ -108,7 +108,7 @@
         this.writing = this.writing.then(() => this.writeFile(note));
     }
 
-    private async runWatch(firstRevision: platform.Revision): Promise<void> {
+    private async runWatch(firstRevision: backing.Revision): Promise<void> {
         const { clock, keyValue } = this.options;
         const signal = this.stopper.signal;
         let afterRevision = firstRevision;
@@ -122,16 +122,16 @@
     }
 
     /** Handles one event of the watch; returns the revision that is known afterwards. */
-    private async take(event: platform.WatchEvent): Promise<platform.Revision> {
+    private async take(event: backing.WatchEvent): Promise<backing.Revision> {
         switch (event.kind) {
-            case platform.WatchEventKind.Changed:
+            case backing.WatchEventKind.Changed:
                 this.takeEntry(event.entry);
                 return event.entry.revision;
-            case platform.WatchEventKind.Removed:
+            case backing.WatchEventKind.Removed:
                 // Nobody of ours removes the note. Whoever did, the note in force stays: it never reverts.
                 this.claims.delete(event.key);
                 return event.revision;
-            case platform.WatchEventKind.Gap:
+            case backing.WatchEventKind.Gap:
                 await this.read();
                 return event.revision;
         }
@@ -149,11 +149,11 @@
         }
     }
 
-    private async read(): Promise<platform.Revision | undefined> {
+    private async read(): Promise<backing.Revision | undefined> {
         const result = await this.options.keyValue.list({
             prefix: noteStore.CurrentNoteKey,
             limit: rolloutClaims.MostClaims,
-            purpose: platform.CallPurpose.Note,
+            purpose: backing.CallPurpose.Note,
         });
         if (!result.ok) {
             return undefined;
@@ -165,7 +165,7 @@
         return Math.max(0, ...result.value.map(entry => entry.revision));
     }
 
-    private takeEntry(entry: platform.Entry): void {
+    private takeEntry(entry: backing.Entry): void {
         if (entry.key === noteStore.CurrentNoteKey) {
             this.adoptEntry(entry);
             return;
@@ -176,7 +176,7 @@
         }
     }
 
-    private adoptEntry(entry: platform.Entry): void {
+    private adoptEntry(entry: backing.Entry): void {
         const note = noteStore.tryDecodeNote(entry.value);
         if (note === undefined) {
             this.options.telemetry.record(telemetry.events.NoteRejected, { text: `revision ${entry.revision}` });
--- a/packages/release/src/keyValueNotePublisher.ts
+++ b/packages/release/src/keyValueNotePublisher.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as telemetry from "@boragedale/telemetry";
 import * as noteChecker from "./noteChecker.js";
 import * as noteStore from "./noteStore.js";
@@ -8,7 +8,7 @@
 import * as types from "./types.js";
 
 export interface PublisherOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
     /** Makes the text by which a publisher recognises its own write; random by default. */
@@ -21,7 +21,7 @@
 const HistoryPageSize = 200;
 
 interface CurrentNote {
-    readonly revision: platform.Revision;
+    readonly revision: backing.Revision;
     readonly note: core.NoteInForce | undefined;
 }
 
@@ -78,7 +78,7 @@
                 prefix: noteStore.getHistoryPrefix(),
                 after,
                 limit: HistoryPageSize,
-                purpose: platform.CallPurpose.Read,
+                purpose: backing.CallPurpose.Read,
             });
             if (!page.ok) {
                 return createUnavailable();
@@ -129,21 +129,21 @@
 
     private async swap(
         note: core.NoteInForce,
-        revision: platform.Revision,
+        revision: backing.Revision,
         checked: core.Checked<types.CheckedNote> & { readonly ok: true },
     ): Promise<Attempt> {
         const value = noteStore.encodeNote(note);
-        if (value.byteLength > platform.MaximumValueBytes) {
+        if (value.byteLength > backing.MaximumValueBytes) {
             return { isFinal: true, outcome: createTooLarge(note) };
         }
         const result = await this.options.keyValue.compareAndSwap({
             key: noteStore.CurrentNoteKey,
             expectedRevision: revision,
             value,
-            purpose: platform.CallPurpose.Note,
+            purpose: backing.CallPurpose.Note,
         });
         if (!result.ok) {
-            const mayBeWritten = result.failure.kind === platform.KeyValueFailureKind.ReplyLost;
+            const mayBeWritten = result.failure.kind === backing.KeyValueFailureKind.ReplyLost;
             return { isFinal: false, text: result.failure.text, mayBeWritten };
         }
         if (!result.value.swapped) {
@@ -164,7 +164,7 @@
         current: core.NoteInForce | undefined,
     ): Promise<Attempt> {
         const key = noteStore.getHistoryKey(request.replaces + 1);
-        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Note);
+        const entry = await this.options.keyValue.get(key, backing.CallPurpose.Note);
         if (!entry.ok) {
             return { isFinal: false, text: entry.failure.text, mayBeWritten: false };
         }
@@ -197,14 +197,14 @@
             key: noteStore.getHistoryKey(note.generation),
             expectedRevision: 0,
             value: noteStore.encodeHistory(record),
-            purpose: platform.CallPurpose.Note,
+            purpose: backing.CallPurpose.Note,
         });
     }
 
     private async readCurrent(): Promise<
         { readonly ok: true; readonly value: CurrentNote } | { readonly ok: false; readonly text: string }
     > {
-        const result = await this.options.keyValue.get(noteStore.CurrentNoteKey, platform.CallPurpose.Note);
+        const result = await this.options.keyValue.get(noteStore.CurrentNoteKey, backing.CallPurpose.Note);
         if (!result.ok) {
             return { ok: false, text: result.failure.text };
         }
@@ -224,7 +224,7 @@
     return note.generation === request.replaces + 1 && (note.nonce === nonce || isRepeated);
 }
 
-function createHistoryEntry(entry: platform.Entry): readonly types.HistoryEntry[] {
+function createHistoryEntry(entry: backing.Entry): readonly types.HistoryEntry[] {
     const record = noteStore.tryDecodeHistory(entry.value);
     if (record === undefined) {
         return [];
@@ -251,7 +251,7 @@
 
 function createTooLarge(note: core.NoteInForce): types.PublishOutcome {
     const place: core.Place = { kind: core.PlaceKind.Request, path: `generation ${note.generation}` };
-    const finding = core.createFinding(core.messages.NoteTooLarge, place, platform.MaximumValueBytes);
+    const finding = core.createFinding(core.messages.NoteTooLarge, place, backing.MaximumValueBytes);
     return { kind: types.PublishKind.Invalid, findings: [finding] };
 }
 
--- a/packages/release/src/rolloutAudit.ts
+++ b/packages/release/src/rolloutAudit.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import type * as protocol from "@boragedale/protocol";
 import type * as upstreams from "@boragedale/upstreams";
 import * as noteStore from "./noteStore.js";
@@ -10,7 +10,7 @@
     readonly membership: protocol.Membership;
     readonly keeper: services.NoteKeeper;
     readonly getEngine: (upstream: core.UpstreamDescription) => upstreams.EngineClient;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
 }
 
@@ -72,7 +72,7 @@
 
     private async record(note: core.NoteInForce): Promise<void> {
         const key = noteStore.getHistoryKey(note.generation);
-        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Note);
+        const entry = await this.options.keyValue.get(key, backing.CallPurpose.Note);
         const record =
             entry.ok && entry.value !== undefined ? noteStore.tryDecodeHistory(entry.value.value) : undefined;
         if (!entry.ok || entry.value === undefined || record === undefined) {
@@ -84,7 +84,7 @@
                 key,
                 expectedRevision: entry.value.revision,
                 value: noteStore.encodeHistory({ ...record, reachedAt: this.options.clock.wallNow() }),
-                purpose: platform.CallPurpose.Note,
+                purpose: backing.CallPurpose.Note,
             });
             if (!result.ok) {
                 return;
--- a/packages/release/src/rolloutClaimant.ts
+++ b/packages/release/src/rolloutClaimant.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import type * as protocol from "@boragedale/protocol";
 import type * as upstreams from "@boragedale/upstreams";
 import * as rolloutClaims from "./rolloutClaims.js";
@@ -9,7 +9,7 @@
 export interface ClaimantOptions {
     readonly membership: protocol.Membership;
     readonly getEngine: (upstream: core.UpstreamDescription) => upstreams.EngineClient;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
 }
 
--- a/packages/release/src/rolloutClaims.ts
+++ b/packages/release/src/rolloutClaims.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as zod from "zod";
 import * as noteStore from "./noteStore.js";
 
@@ -43,7 +43,7 @@
     /** Earlier claims go first; a takeover keeps the place. */
     readonly order: number;
     /** Revision of the last write, which is the fencing number of an order under this claim. */
-    readonly revision: platform.Revision;
+    readonly revision: backing.Revision;
 }
 
 export interface ClaimRequest {
@@ -54,7 +54,7 @@
     readonly replaces: Claim | undefined;
 }
 
-export function tryDecodeClaim(entry: platform.Entry): Claim | undefined {
+export function tryDecodeClaim(entry: backing.Entry): Claim | undefined {
     try {
         const text = Buffer.from(entry.value).toString("utf8");
         const { order, ...stored } = ClaimSchema.parse(JSON.parse(text));
@@ -67,16 +67,16 @@
 
 /** Writes and reads claims for one instance, under one lease that it keeps alive while it holds any. */
 export class ClaimStore implements AsyncDisposable {
-    private lease: platform.LeaseId | undefined;
+    private lease: backing.LeaseId | undefined;
     private leaseValidUntil: core.MonotonicMilliseconds = 0;
     /** Upstreams whose claims rest on the lease; without any it is let lapse, since renewals count as calls. */
     private readonly held = new Set<core.UpstreamId>();
-    private granting: Promise<platform.LeaseId | undefined> | undefined;
+    private granting: Promise<backing.LeaseId | undefined> | undefined;
     private readonly stopper = new AbortController();
     private readonly task: Promise<void>;
 
     constructor(
-        private readonly keyValue: platform.KeyValueService,
+        private readonly keyValue: backing.KeyValueService,
         private readonly clock: core.Clock,
         private readonly instance: core.InstanceId,
     ) {
@@ -88,7 +88,7 @@
         const result = await this.keyValue.list({
             prefix: ClaimPrefix,
             limit: MostClaims,
-            purpose: platform.CallPurpose.Claim,
+            purpose: backing.CallPurpose.Claim,
         });
         return result.ok ? result.value.flatMap(entry => tryDecodeClaim(entry) ?? []) : undefined;
     }
@@ -109,13 +109,13 @@
             expectedRevision: replaces?.revision ?? 0,
             value: Buffer.from(JSON.stringify(stored)),
             lease,
-            purpose: platform.CallPurpose.Claim,
+            purpose: backing.CallPurpose.Claim,
         });
         this.held.add(upstream);
         if (result.ok) {
             return result.value.swapped ? createClaim(stored, result.value.revision) : undefined;
         }
-        return result.failure.kind === platform.KeyValueFailureKind.ReplyLost ? this.readBack(key, nonce) : undefined;
+        return result.failure.kind === backing.KeyValueFailureKind.ReplyLost ? this.readBack(key, nonce) : undefined;
     }
 
     /** Removes a claim; one that another home took over meanwhile stays. */
@@ -124,7 +124,7 @@
             key: ClaimPrefix + claim.upstream,
             expectedRevision: claim.revision,
             value: undefined,
-            purpose: platform.CallPurpose.Claim,
+            purpose: backing.CallPurpose.Claim,
         });
         if (result.ok) {
             this.forget(claim.upstream);
@@ -149,7 +149,7 @@
 
     /** The reply was lost: the nonce tells whether the entry that stands now is the one that was written. */
     private async readBack(key: string, nonce: string): Promise<Claim | undefined> {
-        const result = await this.keyValue.get(key, platform.CallPurpose.Claim);
+        const result = await this.keyValue.get(key, backing.CallPurpose.Claim);
         if (!result.ok || result.value === undefined) {
             return undefined;
         }
@@ -157,7 +157,7 @@
         return isOwn ? tryDecodeClaim(result.value) : undefined;
     }
 
-    private async tryGetLease(): Promise<platform.LeaseId | undefined> {
+    private async tryGetLease(): Promise<backing.LeaseId | undefined> {
         if (this.isLeaseValid()) {
             return this.lease;
         }
@@ -167,7 +167,7 @@
         return this.granting;
     }
 
-    private async grant(): Promise<platform.LeaseId | undefined> {
+    private async grant(): Promise<backing.LeaseId | undefined> {
         const askedAt = this.clock.now();
         const result = await this.keyValue.grantLease(LeaseMilliseconds);
         this.lease = result.ok ? result.value : undefined;
@@ -185,7 +185,7 @@
         }
     }
 
-    private async keepAlive(lease: platform.LeaseId): Promise<void> {
+    private async keepAlive(lease: backing.LeaseId): Promise<void> {
         const askedAt = this.clock.now();
         const result = await this.keyValue.keepLeaseAlive(lease);
         if (result.ok && result.value) {
@@ -197,7 +197,7 @@
     }
 }
 
-function createClaim(stored: zod.output<typeof ClaimSchema>, revision: platform.Revision): Claim {
+function createClaim(stored: zod.output<typeof ClaimSchema>, revision: backing.Revision): Claim {
     const { upstream, instance, generation, needsLoad, order } = stored;
     return { upstream, instance, generation, needsLoad, order: order ?? revision, revision };
 }
--- a/packages/release/src/upstreamRollout.ts
+++ b/packages/release/src/upstreamRollout.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import type * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as upstreams from "@boragedale/upstreams";
@@ -14,7 +14,7 @@
     readonly membership: protocol.Membership;
     readonly keeper: services.NoteKeeper;
     readonly getEngine: (upstream: core.UpstreamDescription) => upstreams.EngineClient;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
     readonly limits?: Partial<rolloutPlan.RolloutLimits>;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -115,6 +115,106 @@
     "The key-value service answers again.",
 );
 
+// 700: the gateway before the users' platform
+export const GatewayAnswered = define(
+    700,
+    "GatewayAnswered",
+    EventLevel.Info,
+    "A forwarded request was answered in full, or its caller left; the text says which.",
+);
+export const GatewayRefused = define(
+    701,
+    "GatewayRefused",
+    EventLevel.Info,
+    "A request ended without an upstream's answer; reason, what was sent and what ran.",
+);
+export const GatewayAttemptFailed = define(
+    702,
+    "GatewayAttemptFailed",
+    EventLevel.Info,
+    "One attempt at an upstream failed; whether the request goes elsewhere.",
+);
+export const GatewayUnroutable = define(
+    703,
+    "GatewayUnroutable",
+    EventLevel.Info,
+    "No route of the configuration in force matches the request.",
+);
+export const StoreLost = define(710, "StoreLost", EventLevel.Warn, "A watch of the metadata store failed.");
+export const StoreRegained = define(711, "StoreRegained", EventLevel.Info, "The watch works again.");
+export const ConfigurationTaken = define(
+    712,
+    "ConfigurationTaken",
+    EventLevel.Info,
+    "A newer version of the operators' configuration is in force here.",
+);
+export const UpstreamChanged = define(
+    713,
+    "UpstreamChanged",
+    EventLevel.Info,
+    "What this instance believes of an upstream changed.",
+);
+export const RegistryEntryUnusable = define(
+    714,
+    "RegistryEntryUnusable",
+    EventLevel.Warn,
+    "An entry of the store can't be read; it names no upstream.",
+);
+export const MemberRegistered = define(
+    715,
+    "MemberRegistered",
+    EventLevel.Info,
+    "This instance's entry stands under a new lease.",
+);
+export const MembersChanged = define(716, "MembersChanged", EventLevel.Info, "Members came or went.");
+export const SubmissionAccepted = define(
+    720,
+    "SubmissionAccepted",
+    EventLevel.Info,
+    "A submission is durable and runs here.",
+);
+export const SubmissionRefused = define(721, "SubmissionRefused", EventLevel.Warn, "A submission was not accepted.");
+export const SubmissionTakenOver = define(
+    722,
+    "SubmissionTakenOver",
+    EventLevel.Info,
+    "This instance runs a submission that another one ran.",
+);
+export const SubmissionLost = define(
+    723,
+    "SubmissionLost",
+    EventLevel.Info,
+    "This instance no longer runs a submission; the reason.",
+);
+export const SubmissionEnded = define(724, "SubmissionEnded", EventLevel.Info, "A caller ended a submission.");
+export const ResultsListed = define(
+    725,
+    "ResultsListed",
+    EventLevel.Info,
+    "Results of a submission are durable and shown.",
+);
+export const ItemRetried = define(
+    726,
+    "ItemRetried",
+    EventLevel.Info,
+    "An item's run ended without a result; it goes on.",
+);
+export const ItemGivenUp = define(727, "ItemGivenUp", EventLevel.Info, "An item is listed as given up; the reason.");
+export const ItemYielded = define(728, "ItemYielded", EventLevel.Info, "An item gave its place to online work.");
+export const SettingsReloaded = define(730, "SettingsReloaded", EventLevel.Info, "The settings were read again.");
+export const MachineEmptied = define(
+    731,
+    "MachineEmptied",
+    EventLevel.Info,
+    "The operators were told that this machine holds nothing.",
+);
+export const LinesSuppressed = define(
+    732,
+    "LinesSuppressed",
+    EventLevel.Warn,
+    "Lines of one event over the bound of a second were counted instead of written.",
+);
+
 /** Every event, in the order of its number. */
 export function getEventDefinitions(): readonly EventDefinition[] {
     return [...definitions].sort((left, right) => left.number - right.number);
