--- a/packages/tools/src/diskKeyValueService.ts
+++ b/packages/tools/src/diskKeyValueService.ts
@@ -1,5 +1,5 @@
 import * as fileSystem from "node:fs";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 
 interface StoredEntry {
     readonly revision: number;
@@ -11,7 +11,7 @@
  * A key-value service whose values lie in a file, so that a measurement of this process's memory doesn't measure the
  * service's. No leases, no watches, no faults.
  */
-export class DiskKeyValueService extends platform.KeyValueService implements Disposable {
+export class DiskKeyValueService extends backing.KeyValueService implements Disposable {
     writes = 0;
     private readonly entries: Map<string, StoredEntry> = new Map();
     private readonly file: number;
@@ -30,11 +30,11 @@
         }
     }
 
-    override async get(key: string): Promise<platform.KeyValueResult<platform.Entry | undefined>> {
+    override async get(key: string): Promise<backing.KeyValueResult<backing.Entry | undefined>> {
         return { ok: true, value: this.tryRead(key) };
     }
 
-    override async list(request: platform.ListRequest): Promise<platform.KeyValueResult<readonly platform.Entry[]>> {
+    override async list(request: backing.ListRequest): Promise<backing.KeyValueResult<readonly backing.Entry[]>> {
         const keys = [...this.entries.keys()].filter(
             key => key.startsWith(request.prefix) && (request.after === undefined || key > request.after),
         );
@@ -42,9 +42,7 @@
         return { ok: true, value: found.map(key => this.tryRead(key)).filter(entry => entry !== undefined) };
     }
 
-    override async compareAndSwap(
-        request: platform.SwapRequest,
-    ): Promise<platform.KeyValueResult<platform.SwapOutcome>> {
+    override async compareAndSwap(request: backing.SwapRequest): Promise<backing.KeyValueResult<backing.SwapOutcome>> {
         const current = this.entries.get(request.key);
         if ((current?.revision ?? 0) !== request.expectedRevision) {
             return { ok: true, value: { swapped: false, current: this.tryRead(request.key) } };
@@ -54,7 +52,7 @@
             this.entries.delete(request.key);
             return { ok: true, value: { swapped: true, revision } };
         }
-        if (request.value.byteLength > platform.MaximumValueBytes) {
+        if (request.value.byteLength > backing.MaximumValueBytes) {
             throw new Error(`'${request.key}' is over the size limit`);
         }
         fileSystem.writeSync(this.file, request.value, 0, request.value.byteLength, this.end);
@@ -63,20 +61,20 @@
         return { ok: true, value: { swapped: true, revision } };
     }
 
-    override async grantLease(): Promise<platform.KeyValueResult<platform.LeaseId>> {
+    override async grantLease(): Promise<backing.KeyValueResult<backing.LeaseId>> {
         return { ok: true, value: "1" };
     }
 
-    override async keepLeaseAlive(): Promise<platform.KeyValueResult<boolean>> {
+    override async keepLeaseAlive(): Promise<backing.KeyValueResult<boolean>> {
         return { ok: true, value: true };
     }
 
-    override async revokeLease(): Promise<platform.KeyValueResult<void>> {
+    override async revokeLease(): Promise<backing.KeyValueResult<void>> {
         return { ok: true, value: undefined };
     }
 
-    override async *watch(request: platform.WatchRequest): AsyncIterable<platform.WatchEvent> {
-        yield { kind: platform.WatchEventKind.Gap, revision: this.writes };
+    override async *watch(request: backing.WatchRequest): AsyncIterable<backing.WatchEvent> {
+        yield { kind: backing.WatchEventKind.Gap, revision: this.writes };
         await new Promise<void>(resolve => request.signal.addEventListener("abort", () => resolve()));
     }
 
@@ -91,7 +89,7 @@
         return `${this.path}.index`;
     }
 
-    private tryRead(key: string): platform.Entry | undefined {
+    private tryRead(key: string): backing.Entry | undefined {
         const entry = this.entries.get(key);
         if (entry === undefined) {
             return undefined;
--- a/packages/tools/src/linkedFleet.ts
+++ b/packages/tools/src/linkedFleet.ts
@@ -1,6 +1,6 @@
 import * as core from "@boragedale/core";
 import * as entry from "@boragedale/entry";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as release from "@boragedale/release";
 import * as standins from "@boragedale/standins";
@@ -35,7 +35,7 @@
 }
 
 /** A list that every instance of the run reads; it does not lag here. */
-class SharedInstanceList extends platform.InstanceList {
+class SharedInstanceList extends backing.InstanceList {
     readonly instances: core.InstanceDescription[] = [];
 
     override async tryRead(): Promise<readonly core.InstanceDescription[] | undefined> {
--- a/packages/tools/src/slopes/linkSlopes.ts
+++ b/packages/tools/src/slopes/linkSlopes.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as standins from "@boragedale/standins";
 import * as telemetry from "@boragedale/telemetry";
@@ -81,7 +81,7 @@
 /** Processor time of `calls` reads, ten at once, through a client that has budget enough. */
 async function callPaced(calls: number): Promise<number> {
     const clock = new core.SystemClock();
-    await using client = new platform.PacedKeyValueService(new standins.MemoryKeyValueService(clock), {
+    await using client = new backing.PacedKeyValueService(new standins.MemoryKeyValueService(clock), {
         clock,
         telemetry: new telemetry.Telemetry({ instance: "entry-1", logLevel: "silent" }, clock),
         getFleetSize: () => 1,
@@ -91,7 +91,7 @@
     const before = process.cpuUsage();
     for (let call = 0; call < calls; call += 10) {
         const keys = Array.from({ length: 10 }, (...[, index]: [unknown, number]) => `key-${call + index}`);
-        await Promise.all(keys.map(key => client.get(key, platform.CallPurpose.Read)));
+        await Promise.all(keys.map(key => client.get(key, backing.CallPurpose.Read)));
     }
     return cost.getMicroseconds(before);
 }
--- a/packages/tools/src/workRuns.ts
+++ b/packages/tools/src/workRuns.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import * as work from "@boragedale/work";
 import * as measuredFleet from "./measuredFleet.js";
 
@@ -25,7 +25,7 @@
     readonly writes: number;
     readonly reads: number;
     readonly writtenBytes: number;
-    readonly writesByPurpose: ReadonlyMap<platform.CallPurpose, number>;
+    readonly writesByPurpose: ReadonlyMap<backing.CallPurpose, number>;
     readonly virtualMilliseconds: number;
 }
 
--- a/packages/work/src/boardStore.ts
+++ b/packages/work/src/boardStore.ts
@@ -1,12 +1,12 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as boards from "./board.js";
 import * as codec from "./codec.js";
 import * as jobRecords from "./jobRecords.js";
 import * as swap from "./swap.js";
 
 export interface BoardStoreOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly createId: () => string;
 }
@@ -17,7 +17,7 @@
 
 interface KnownBoard {
     readonly board: boards.Board;
-    readonly revision: platform.Revision;
+    readonly revision: backing.Revision;
     readonly readAt: core.MonotonicMilliseconds;
 }
 
@@ -37,7 +37,7 @@
         if (known !== undefined && this.options.clock.now() - known.readAt < maximumAge) {
             return { ok: true, board: known.board };
         }
-        const entry = await this.options.keyValue.get(jobRecords.getBoardKey(job), platform.CallPurpose.Read);
+        const entry = await this.options.keyValue.get(jobRecords.getBoardKey(job), backing.CallPurpose.Read);
         if (!entry.ok) {
             return { ok: false, text: entry.failure.text, mayBeWritten: false };
         }
@@ -47,7 +47,7 @@
     /** Changes the board; `change` returns undefined where nothing is to be written. Resolves to the board after it. */
     async update(
         job: string,
-        purpose: platform.CallPurpose,
+        purpose: backing.CallPurpose,
         change: (board: boards.Board) => boards.Board | undefined,
     ): Promise<BoardResult> {
         let current = await this.read(job, Infinity);
@@ -84,13 +84,13 @@
         this.known.delete(job);
     }
 
-    private adopt(job: string, entry: platform.Entry | undefined): boards.Board {
+    private adopt(job: string, entry: backing.Entry | undefined): boards.Board {
         const board = entry === undefined ? boards.createBoard() : codec.decode<boards.Board>(entry.value);
         this.remember(job, board, entry?.revision ?? 0);
         return board;
     }
 
-    private remember(job: string, board: boards.Board, revision: platform.Revision): void {
+    private remember(job: string, board: boards.Board, revision: backing.Revision): void {
         this.known.delete(job);
         this.known.set(job, { board, revision, readAt: this.options.clock.now() });
         if (this.known.size > KnownBoards) {
--- a/packages/work/src/checkpointer.ts
+++ b/packages/work/src/checkpointer.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as boards from "./board.js";
 import type * as boardStore from "./boardStore.js";
 import type * as files from "./files.js";
@@ -133,7 +133,7 @@
             return true;
         }
         const key = this.getSegmentKey(pending);
-        const written = await this.options.vault.tryCreate(key, pending.segment, platform.CallPurpose.Checkpoint);
+        const written = await this.options.vault.tryCreate(key, pending.segment, backing.CallPurpose.Checkpoint);
         if (written) {
             pending.segment = undefined;
         }
@@ -146,7 +146,7 @@
         const { checkpoint } = pending;
         let lost: readonly number[] = [];
         const now = this.options.clock.wallNow();
-        const result = await this.options.boards.update(this.job.id, platform.CallPurpose.Checkpoint, board => {
+        const result = await this.options.boards.update(this.job.id, backing.CallPurpose.Checkpoint, board => {
             const isRecorded = boards.isRecorded(board, checkpoint);
             lost = isRecorded ? [] : boards.getLostChunks(board, checkpoint);
             return isRecorded || lost.length > 0 ? undefined : boards.applyCheckpoint(board, this.job, checkpoint, now);
@@ -158,7 +158,7 @@
     private async removeSegment(pending: PendingCheckpoint): Promise<void> {
         const { segment } = pending.checkpoint;
         if (segment !== undefined && segment.inline === undefined) {
-            await this.options.vault.remove(this.getSegmentKey(pending), platform.CallPurpose.Checkpoint);
+            await this.options.vault.remove(this.getSegmentKey(pending), backing.CallPurpose.Checkpoint);
         }
     }
 
--- a/packages/work/src/chunkLoader.ts
+++ b/packages/work/src/chunkLoader.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import type * as boards from "./board.js";
 import * as codec from "./codec.js";
 import * as files from "./files.js";
@@ -7,7 +7,7 @@
 import * as jobRecords from "./jobRecords.js";
 
 export interface ChunkLoaderOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly vault: files.FileVault;
     readonly clock: core.Clock;
     readonly signal: AbortSignal;
@@ -36,7 +36,7 @@
     options: ChunkLoaderOptions,
 ): Promise<readonly string[] | undefined> {
     const { caller, inputFile } = chunk.job;
-    const entry = await options.keyValue.get(jobRecords.getFileKey(caller, inputFile), platform.CallPurpose.Read);
+    const entry = await options.keyValue.get(jobRecords.getFileKey(caller, inputFile), backing.CallPurpose.Read);
     if (!entry.ok) {
         return undefined;
     }
--- a/packages/work/src/files.ts
+++ b/packages/work/src/files.ts
@@ -1,11 +1,11 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as codec from "./codec.js";
 import * as jobRecords from "./jobRecords.js";
 import * as swap from "./swap.js";
 
 export interface FileVaultOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
 }
 
@@ -66,7 +66,7 @@
     /** Removes what an upload that failed has left, as far as the service answers. */
     async removePieces(file: string, pieces: number): Promise<void> {
         for (let piece = 0; piece <= pieces; piece++) {
-            await this.remove(jobRecords.getPieceKey(file, piece), platform.CallPurpose.JobInput);
+            await this.remove(jobRecords.getPieceKey(file, piece), backing.CallPurpose.JobInput);
         }
     }
 
@@ -86,7 +86,7 @@
     }
 
     /** One try to create a value that nobody else writes; true once it is there. */
-    async tryCreate(key: string, value: Uint8Array, purpose: platform.CallPurpose): Promise<boolean> {
+    async tryCreate(key: string, value: Uint8Array, purpose: backing.CallPurpose): Promise<boolean> {
         const written = await swap.writeValue(this.options.keyValue, this.options.clock, {
             key,
             expectedRevision: 0,
@@ -97,7 +97,7 @@
     }
 
     /** Creates a value that nobody else writes; tries again for a while when the service is busy or down. */
-    async create(key: string, value: Uint8Array, purpose: platform.CallPurpose): Promise<StoreResult> {
+    async create(key: string, value: Uint8Array, purpose: backing.CallPurpose): Promise<StoreResult> {
         const { keyValue, clock } = this.options;
         const giveUpAt = clock.now() + PatienceMilliseconds;
         for (;;) {
@@ -118,7 +118,7 @@
     }
 
     async tryReadValue(key: string): Promise<Uint8Array | undefined> {
-        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Read);
+        const entry = await this.options.keyValue.get(key, backing.CallPurpose.Read);
         return entry.ok ? entry.value?.value : undefined;
     }
 
@@ -127,7 +127,7 @@
         const { keyValue, clock } = this.options;
         const giveUpAt = clock.now() + PatienceMilliseconds;
         for (;;) {
-            const entry = await keyValue.get(key, platform.CallPurpose.Read);
+            const entry = await keyValue.get(key, backing.CallPurpose.Read);
             if (entry.ok && entry.value !== undefined) {
                 return entry.value.value;
             }
@@ -139,7 +139,7 @@
     }
 
     /** Deletes a value whatever its revision; true once it is known to be absent. */
-    async remove(key: string, purpose: platform.CallPurpose): Promise<boolean> {
+    async remove(key: string, purpose: backing.CallPurpose): Promise<boolean> {
         const { keyValue } = this.options;
         const entry = await keyValue.get(key, purpose);
         if (!entry.ok || entry.value === undefined) {
@@ -152,7 +152,7 @@
 
     private async writePiece(file: string, piece: number, bytes: Uint8Array): Promise<StoreResult> {
         const key = jobRecords.getPieceKey(file, piece);
-        return this.create(key, await codec.compress(bytes), platform.CallPurpose.JobInput);
+        return this.create(key, await codec.compress(bytes), backing.CallPurpose.JobInput);
     }
 
     private async readPiece(file: jobRecords.FileRecord, piece: number): Promise<Uint8Array> {
--- a/packages/work/src/jobRetention.ts
+++ b/packages/work/src/jobRetention.ts
@@ -1,11 +1,11 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as codec from "./codec.js";
 import * as files from "./files.js";
 import * as jobRecords from "./jobRecords.js";
 
 export interface JobRetentionOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     /** How long results and files stay readable, from the release note in force. */
     readonly getRetentionMilliseconds: () => number;
@@ -49,20 +49,20 @@
         }
     }
 
-    private async removeJob(job: jobRecords.JobRecord, entry: platform.Entry): Promise<boolean> {
+    private async removeJob(job: jobRecords.JobRecord, entry: backing.Entry): Promise<boolean> {
         return (
             (await this.removePrefix(jobRecords.getResultsPrefix(job.id))) &&
-            (await this.vault.remove(jobRecords.getBoardKey(job.id), platform.CallPurpose.Checkpoint)) &&
+            (await this.vault.remove(jobRecords.getBoardKey(job.id), backing.CallPurpose.Checkpoint)) &&
             (await this.removeEntry(entry))
         );
     }
 
-    private async removeFile(file: jobRecords.FileRecord, entry: platform.Entry): Promise<boolean> {
+    private async removeFile(file: jobRecords.FileRecord, entry: backing.Entry): Promise<boolean> {
         return (await this.removePrefix(jobRecords.getPiecesPrefix(file.id))) && this.removeEntry(entry);
     }
 
     private async removePrefix(prefix: string): Promise<boolean> {
-        const request = { prefix, limit: SegmentListLimit, purpose: platform.CallPurpose.Read };
+        const request = { prefix, limit: SegmentListLimit, purpose: backing.CallPurpose.Read };
         for (;;) {
             const entries = await this.options.keyValue.list(request);
             if (!entries.ok) {
@@ -79,12 +79,12 @@
         }
     }
 
-    private async removeEntry(entry: platform.Entry): Promise<boolean> {
+    private async removeEntry(entry: backing.Entry): Promise<boolean> {
         const removed = await this.options.keyValue.compareAndSwap({
             key: entry.key,
             expectedRevision: entry.revision,
             value: undefined,
-            purpose: platform.CallPurpose.Checkpoint,
+            purpose: backing.CallPurpose.Checkpoint,
         });
         return removed.ok && removed.value.swapped;
     }
@@ -93,12 +93,12 @@
     private async forEachEntry(
         prefix: string,
         signal: AbortSignal,
-        visit: (entry: platform.Entry) => Promise<boolean>,
+        visit: (entry: backing.Entry) => Promise<boolean>,
     ): Promise<boolean> {
         let after: string | undefined;
         let isWhole = true;
         while (!signal.aborted) {
-            const request = { prefix, after, limit: ListLimit, purpose: platform.CallPurpose.Read };
+            const request = { prefix, after, limit: ListLimit, purpose: backing.CallPurpose.Read };
             const entries = await this.options.keyValue.list(request);
             if (!entries.ok) {
                 return false;
--- a/packages/work/src/jobRunner.ts
+++ b/packages/work/src/jobRunner.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as activeJob from "./activeJob.js";
@@ -21,7 +21,7 @@
 import * as types from "./types.js";
 
 export interface JobRunnerOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly peers: protocol.PeerNetwork;
     readonly membership: protocol.Membership;
     readonly executor: services.ItemExecutor;
@@ -211,7 +211,7 @@
         // each other on one instance.
         const share = Math.ceil(open.length / (2 * Math.max(1, membership.getLiveInstances().length)));
         const wanted = open.slice(0, share);
-        const result = await this.boards.update(record.id, platform.CallPurpose.Claim, board =>
+        const result = await this.boards.update(record.id, backing.CallPurpose.Claim, board =>
             boards.claimChunks(board, record, wanted.slice(0, claimPlan.getRoom(this.getAtHand(), record)), claimer),
         );
         if (!result.ok) {
@@ -327,7 +327,7 @@
             }
             job.recheckAt = clock.now() + RecheckMilliseconds;
             const now = clock.wallNow();
-            const result = await this.boards.update(job.record.id, platform.CallPurpose.Claim, board =>
+            const result = await this.boards.update(job.record.id, backing.CallPurpose.Claim, board =>
                 boards.endBoard(board, types.JobState.Expired, now),
             );
             await this.endJobIfEnded(job, result);
--- a/packages/work/src/jobStore.ts
+++ b/packages/work/src/jobStore.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as boards from "./board.js";
@@ -16,7 +16,7 @@
 import * as types from "./types.js";
 
 export interface KeyValueJobStoreOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly peers: protocol.PeerNetwork;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
@@ -64,7 +64,7 @@
         const description: types.FileDescription = { id, caller, name, bytes, purpose, createdAt };
         const record: jobRecords.FileRecord = { ...description, pieces: stored.pieces, inline: stored.inline };
         const key = jobRecords.getFileKey(caller, id);
-        const kept = await this.vault.create(key, codec.encode(record), platform.CallPurpose.JobInput);
+        const kept = await this.vault.create(key, codec.encode(record), backing.CallPurpose.JobInput);
         return kept.ok ? core.createSuccess(description) : refusals.createUnavailable();
     }
 
@@ -99,7 +99,7 @@
         const { caller } = request;
         const id = getJobId(request);
         const key = jobRecords.getJobKey(caller, id);
-        const existing = await this.options.keyValue.get(key, platform.CallPurpose.Read);
+        const existing = await this.options.keyValue.get(key, backing.CallPurpose.Read);
         if (!existing.ok) {
             return refusals.createUnavailable();
         }
@@ -115,7 +115,7 @@
             key,
             expectedRevision: 0,
             value: codec.encode(record),
-            purpose: platform.CallPurpose.JobInput,
+            purpose: backing.CallPurpose.JobInput,
         });
         switch (written.kind) {
             case swap.WriteKind.Written:
@@ -142,7 +142,7 @@
             prefix,
             after: after === undefined ? undefined : prefix + after,
             limit,
-            purpose: platform.CallPurpose.Read,
+            purpose: backing.CallPurpose.Read,
         });
         if (!entries.ok) {
             return refusals.createUnavailable();
@@ -167,7 +167,7 @@
         }
         const now = this.options.clock.wallNow();
         let holders: ReadonlySet<core.InstanceId> = new Set();
-        const updated = await this.boards.update(id, platform.CallPurpose.Claim, board => {
+        const updated = await this.boards.update(id, backing.CallPurpose.Claim, board => {
             const claims = Object.values(board.chunks).map(progress => progress.claim?.instance);
             holders = new Set(claims.filter(instance => instance !== undefined));
             return boards.endBoard(board, types.JobState.Cancelled, now);
@@ -242,7 +242,7 @@
     }
 
     private async readRecord<T>(key: string, kind: string, id: string): Promise<core.Outcome<T>> {
-        const entry = await this.options.keyValue.get(key, platform.CallPurpose.Read);
+        const entry = await this.options.keyValue.get(key, backing.CallPurpose.Read);
         if (!entry.ok) {
             return refusals.createUnavailable();
         }
@@ -299,7 +299,7 @@
     board: boards.Board,
 ): Promise<boolean> {
     const key = jobRecords.getJobKey(record.caller, record.id);
-    const entry = await keyValue.get(key, platform.CallPurpose.Checkpoint);
+    const entry = await keyValue.get(key, backing.CallPurpose.Checkpoint);
     if (!entry.ok || entry.value === undefined || board.endedAt === undefined) {
         return entry.ok;
     }
@@ -313,7 +313,7 @@
         key,
         expectedRevision: entry.value.revision,
         value: codec.encode({ ...current, ended }),
-        purpose: platform.CallPurpose.Checkpoint,
+        purpose: backing.CallPurpose.Checkpoint,
     });
     return written.kind === swap.WriteKind.Written;
 }
--- a/packages/work/src/jobWatch.ts
+++ b/packages/work/src/jobWatch.ts
@@ -1,10 +1,10 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as codec from "./codec.js";
 import * as jobRecords from "./jobRecords.js";
 
 export interface JobWatchOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly signal: AbortSignal;
     /** A running job was found or changed. */
@@ -38,15 +38,15 @@
         }
     }
 
-    private async handle(event: platform.WatchEvent): Promise<void> {
+    private async handle(event: backing.WatchEvent): Promise<void> {
         switch (event.kind) {
-            case platform.WatchEventKind.Changed:
+            case backing.WatchEventKind.Changed:
                 this.adopt(event.entry);
                 break;
-            case platform.WatchEventKind.Removed:
+            case backing.WatchEventKind.Removed:
                 this.end(event.key);
                 break;
-            case platform.WatchEventKind.Gap:
+            case backing.WatchEventKind.Gap:
                 await this.listAll();
                 break;
         }
@@ -59,7 +59,7 @@
         let after: string | undefined;
         while (!signal.aborted) {
             const request = { prefix: jobRecords.JobsPrefix, after, limit: ListLimit };
-            const entries = await keyValue.list({ ...request, purpose: platform.CallPurpose.Read });
+            const entries = await keyValue.list({ ...request, purpose: backing.CallPurpose.Read });
             if (!entries.ok) {
                 await clock.sleep(ReconnectMilliseconds, signal);
                 continue;
@@ -78,7 +78,7 @@
         }
     }
 
-    private adopt(entry: platform.Entry): void {
+    private adopt(entry: backing.Entry): void {
         const record = codec.decode<jobRecords.JobRecord>(entry.value);
         if (record.ended !== undefined) {
             this.running.set(entry.key, record.id);
--- a/packages/work/src/ledger.ts
+++ b/packages/work/src/ledger.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import type * as protocol from "@boragedale/protocol";
 import * as telemetry from "@boragedale/telemetry";
 import * as files from "./files.js";
@@ -14,7 +14,7 @@
 import * as types from "./types.js";
 
 export interface ShardedCallLedgerOptions {
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly peers: protocol.PeerNetwork;
     readonly membership: protocol.Membership;
     readonly clock: core.Clock;
--- a/packages/work/src/ledgerHead.ts
+++ b/packages/work/src/ledgerHead.ts
@@ -1,5 +1,5 @@
 import * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as callTable from "./callTable.js";
 import * as codec from "./codec.js";
 import * as files from "./files.js";
@@ -9,7 +9,7 @@
 
 export interface LedgerHeadOptions {
     readonly shard: number;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly createId: () => string;
 }
@@ -22,7 +22,7 @@
 }
 
 interface LoadedHead {
-    readonly revision: platform.Revision;
+    readonly revision: backing.Revision;
     readonly table: callTable.CallTable;
     readonly sealed: sealedCalls.SealedState;
 }
@@ -65,12 +65,12 @@
     /** Reads the head again; returns why that failed. */
     async reload(): Promise<string | undefined> {
         const { keyValue, shard } = this.options;
-        const entry = await keyValue.get(getHeadKey(shard), platform.CallPurpose.Ledger);
+        const entry = await keyValue.get(getHeadKey(shard), backing.CallPurpose.Ledger);
         return entry.ok ? this.adopt(entry.value) : entry.failure.text;
     }
 
     /** Revision of the head that is loaded. */
-    tryGetRevision(): platform.Revision | undefined {
+    tryGetRevision(): backing.Revision | undefined {
         return this.head?.revision;
     }
 
@@ -140,7 +140,7 @@
             key: getHeadKey(shard),
             expectedRevision: head.revision,
             value: codec.encode({ nonce: createId(), calls, sealed } satisfies StoredHead),
-            purpose: platform.CallPurpose.Ledger,
+            purpose: backing.CallPurpose.Ledger,
         });
         switch (written.kind) {
             case swap.WriteKind.Written:
@@ -158,7 +158,7 @@
         }
     }
 
-    private async adopt(entry: platform.Entry | undefined): Promise<string | undefined> {
+    private async adopt(entry: backing.Entry | undefined): Promise<string | undefined> {
         const revision = entry?.revision ?? 0;
         if (this.head?.revision === revision) {
             return undefined;
--- a/packages/work/src/ledgerShard.ts
+++ b/packages/work/src/ledgerShard.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import * as telemetry from "@boragedale/telemetry";
 import * as callTable from "./callTable.js";
 import * as commitPacer from "./commitPacer.js";
@@ -10,7 +10,7 @@
 
 export interface LedgerShardOptions {
     readonly shard: number;
-    readonly keyValue: platform.KeyValueService;
+    readonly keyValue: backing.KeyValueService;
     readonly clock: core.Clock;
     readonly telemetry: telemetry.Telemetry;
     readonly createId: () => string;
--- a/packages/work/src/resultBodies.ts
+++ b/packages/work/src/resultBodies.ts
@@ -1,4 +1,4 @@
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as codec from "./codec.js";
 import type * as files from "./files.js";
 import * as sealedCalls from "./sealedCalls.js";
@@ -25,7 +25,7 @@
         for (let start = 0; start < result.body.byteLength; start += PieceBytes) {
             const value = await codec.compress(result.body.subarray(start, start + PieceBytes));
             const key = sealedCalls.getBodyKey(name, pieces++);
-            if (!(await this.vault.tryCreate(key, value, platform.CallPurpose.Ledger))) {
+            if (!(await this.vault.tryCreate(key, value, backing.CallPurpose.Ledger))) {
                 return undefined;
             }
         }
--- a/packages/work/src/resultSpool.ts
+++ b/packages/work/src/resultSpool.ts
@@ -1,9 +1,9 @@
-import type * as platform from "@boragedale/platform";
+import type * as backing from "@boragedale/backing";
 import * as codec from "./codec.js";
 import type * as types from "./types.js";
 
 /** What the ledger needs of an instance's small disk. */
-export type SpoolFiles = Pick<platform.Spool, "append" | "read" | "acknowledge">;
+export type SpoolFiles = Pick<backing.Spool, "append" | "read" | "acknowledge">;
 
 export interface SpooledResult {
     readonly record: types.CallRecord;
--- a/packages/work/src/sealedCalls.ts
+++ b/packages/work/src/sealedCalls.ts
@@ -1,6 +1,6 @@
 import * as crypto from "node:crypto";
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 import * as callTable from "./callTable.js";
 import * as codec from "./codec.js";
 import type * as files from "./files.js";
@@ -48,7 +48,7 @@
 
     constructor(
         private readonly shard: number,
-        private readonly keyValue: platform.KeyValueService,
+        private readonly keyValue: backing.KeyValueService,
         private readonly vault: files.FileVault,
         private readonly createId: () => string,
     ) {}
@@ -59,7 +59,7 @@
             if (this.knownRuns.has(run.name)) {
                 continue;
             }
-            const entry = await this.keyValue.get(this.getRunKey(run.name), platform.CallPurpose.Ledger);
+            const entry = await this.keyValue.get(this.getRunKey(run.name), backing.CallPurpose.Ledger);
             if (!entry.ok) {
                 return entry.failure.text;
             }
@@ -95,7 +95,7 @@
         const name = this.createId();
         const value = await codec.compress(codec.encode(calls));
         const key = this.getSegmentKey(name);
-        if (!(await this.vault.tryCreate(key, value, platform.CallPurpose.Ledger))) {
+        if (!(await this.vault.tryCreate(key, value, backing.CallPurpose.Ledger))) {
             return undefined;
         }
         const newestAt = Math.max(...calls.map(call => call.endedAt ?? call.startedAt));
@@ -107,7 +107,7 @@
     async unseal(before: SealedState, after: SealedState): Promise<void> {
         const known = new Set([...before.segments, ...before.runs].map(value => value.name));
         for (const segment of after.segments.filter(value => !known.has(value.name))) {
-            await this.vault.remove(this.getSegmentKey(segment.name), platform.CallPurpose.Ledger);
+            await this.vault.remove(this.getSegmentKey(segment.name), backing.CallPurpose.Ledger);
         }
     }
 
@@ -137,7 +137,7 @@
         for (const { result } of records) {
             for (let piece = 0; piece < (result?.storedBody?.pieces ?? 0); piece++) {
                 const key = getBodyKey(result?.storedBody?.name ?? "", piece);
-                if (!(await this.vault.remove(key, platform.CallPurpose.Ledger))) {
+                if (!(await this.vault.remove(key, backing.CallPurpose.Ledger))) {
                     return false;
                 }
             }
@@ -153,7 +153,7 @@
         const name = this.createId();
         const newestAt = Math.max(...state.segments.map(segment => segment.newestAt));
         const value = codec.encode(state.segments);
-        const isWritten = await this.vault.tryCreate(this.getRunKey(name), value, platform.CallPurpose.Ledger);
+        const isWritten = await this.vault.tryCreate(this.getRunKey(name), value, backing.CallPurpose.Ledger);
         return isWritten ? { segments: [], runs: [...state.runs, { name, newestAt }] } : undefined;
     }
 
@@ -163,7 +163,7 @@
             const isRemoved =
                 records !== undefined &&
                 (await this.removeBodies(records)) &&
-                (await this.vault.remove(this.getSegmentKey(segment.name), platform.CallPurpose.Ledger));
+                (await this.vault.remove(this.getSegmentKey(segment.name), backing.CallPurpose.Ledger));
             if (!isRemoved) {
                 return false;
             }
@@ -173,7 +173,7 @@
     }
 
     private async removeRun(name: string): Promise<boolean> {
-        const isRemoved = await this.vault.remove(this.getRunKey(name), platform.CallPurpose.Ledger);
+        const isRemoved = await this.vault.remove(this.getRunKey(name), backing.CallPurpose.Ledger);
         if (isRemoved) {
             this.knownRuns.delete(name);
         }
@@ -186,7 +186,7 @@
         if (cached !== undefined) {
             return cached;
         }
-        const entry = await this.keyValue.get(this.getSegmentKey(name), platform.CallPurpose.Ledger);
+        const entry = await this.keyValue.get(this.getSegmentKey(name), backing.CallPurpose.Ledger);
         if (!entry.ok) {
             return undefined;
         }
--- a/packages/work/src/swap.ts
+++ b/packages/work/src/swap.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import * as platform from "@boragedale/platform";
+import * as backing from "@boragedale/backing";
 
 export enum WriteKind {
     Written = "Written",
@@ -12,8 +12,8 @@
 }
 
 export type WriteOutcome =
-    | { readonly kind: WriteKind.Written; readonly revision: platform.Revision }
-    | { readonly kind: WriteKind.Conflict; readonly current: platform.Entry | undefined }
+    | { readonly kind: WriteKind.Written; readonly revision: backing.Revision }
+    | { readonly kind: WriteKind.Conflict; readonly current: backing.Entry | undefined }
     | { readonly kind: WriteKind.Failed; readonly text: string; readonly retryAfterMilliseconds?: number }
     | { readonly kind: WriteKind.Unknown; readonly text: string };
 
@@ -23,15 +23,15 @@
  * unique as a whole), so equal bytes mean the own write.
  */
 export async function writeValue(
-    service: platform.KeyValueService,
+    service: backing.KeyValueService,
     clock: core.Clock,
-    request: platform.SwapRequest,
+    request: backing.SwapRequest,
 ): Promise<WriteOutcome> {
-    const isOwn = (entry: platform.Entry): boolean => isEqual(entry.value, request.value);
-    const result = await platform.swapWithReadBack(request, { service, clock, isOwn });
+    const isOwn = (entry: backing.Entry): boolean => isEqual(entry.value, request.value);
+    const result = await backing.swapWithReadBack(request, { service, clock, isOwn });
     if (!result.ok) {
         const { kind, text, retryAfterMilliseconds } = result.failure;
-        return kind === platform.KeyValueFailureKind.ReplyLost
+        return kind === backing.KeyValueFailureKind.ReplyLost
             ? { kind: WriteKind.Unknown, text }
             : { kind: WriteKind.Failed, text, retryAfterMilliseconds };
     }
@@ -42,7 +42,7 @@
 }
 
 /** A value that is there already as it was to be written counts as written: an earlier try was not known to work. */
-function createConflict(request: platform.SwapRequest, current: platform.Entry | undefined): WriteOutcome {
+function createConflict(request: backing.SwapRequest, current: backing.Entry | undefined): WriteOutcome {
     return current !== undefined && isEqual(current.value, request.value)
         ? { kind: WriteKind.Written, revision: current.revision }
         : { kind: WriteKind.Conflict, current };
