--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -28,6 +28,7 @@
     [gateway.GatewayEvent.ResultsListed]: telemetry.events.ResultsListed,
     [gateway.GatewayEvent.ItemRetried]: telemetry.events.ItemRetried,
     [gateway.GatewayEvent.ItemGivenUp]: telemetry.events.ItemGivenUp,
+    [gateway.GatewayEvent.ItemStarted]: telemetry.events.ItemStarted,
     [gateway.GatewayEvent.ItemYielded]: telemetry.events.ItemYielded,
     [gateway.GatewayEvent.RequestUnroutable]: telemetry.events.GatewayUnroutable,
     [gateway.GatewayEvent.Defect]: telemetry.events.InternalDefect,
@@ -104,6 +105,8 @@
             milliseconds: Math.round(now - request.arrivedAt),
             firstMilliseconds: firstAt === undefined ? undefined : Math.round(firstAt - request.arrivedAt),
             sends: progress.sends,
+            online: progress.believed.online,
+            batch: progress.believed.batch,
         });
     }
 
--- a/packages/daemon/src/gatewayProcess.ts
+++ b/packages/daemon/src/gatewayProcess.ts
@@ -91,7 +91,10 @@
                 }),
             }),
         );
-        const slots = this.stack.use(new gateway.SlotSharing(new decisions.SlotBoard(Math.random), network, clock));
+        const slots = this.stack.use(new gateway.SlotSharing(new decisions.SlotBoard(Math.random, upstream => decisions.hashToUnit(`${self.id}/${upstream}`)), network, clock, upstream => {
+                const home = members.chooseHome(upstream);
+                return home === self.id ? decisions.SelfInstance : home;
+            }));
         const channels = this.stack.use(new gateway.ChannelDirectory(clock));
         const registration = this.stack.use(new gateway.Registration(store, self, clock, log, onDoubt));
         const shared = { wire, view, channels, slots, clock, log, dataCentre: settings.dataCentre };
--- a/packages/decisions/src/hashing.ts
+++ b/packages/decisions/src/hashing.ts
@@ -5,6 +5,9 @@
  * member that comes or goes moves only the keys that it wins or held.
  */
 
+/** One more than the largest 32 bit hash. */
+const HashRange = 0x1_0000_0000;
+
 const hasher = await xxhash.default();
 
 /** A 32 bit hash of a text, the same on every instance. */
@@ -12,6 +15,11 @@
     return hasher.h32(text);
 }
 
+/** A number from 0 to 1 that a text always gives. */
+export function hashToUnit(text: string): number {
+    return hasher.h32(text) / HashRange;
+}
+
 /** The members in the order in which they own the key. The order of `members` doesn't matter. */
 export function rankByRendezvous(key: string, members: readonly string[]): readonly string[] {
     return members
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,3 +18,4 @@
 export * from "./slotBoard.js";
 export * from "./onlineAdmission.js";
 export * from "./retryRule.js";
+export * from "./batchGrants.js";
--- a/packages/decisions/src/slotBoard.ts
+++ b/packages/decisions/src/slotBoard.ts
@@ -42,7 +42,11 @@
 export class SlotBoard {
     private readonly uses = new Map<core.UpstreamId, UpstreamUse>();
 
-    constructor(private readonly random: () => number) {}
+    /** `preference` is this instance's own fixed order of upstreams, each from 0 (first) to 1. */
+    constructor(
+        private readonly random: () => number,
+        private readonly preference: (upstream: core.UpstreamId) => number,
+    ) {}
 
     take(upstream: core.UpstreamId, isBatch: boolean): void {
         const use = this.getUse(upstream);
@@ -107,13 +111,15 @@
 
     /**
      * The upstream for an online request: the one with the most free places; where none is free, one whose place batch
-     * work gives up; else the shortest queue for its size. Ties fall at random, so that instances which see the same
-     * board don't all send to the same upstream before they hear of each other, and to the own data centre first,
-     * where the answer has the shorter way.
+     * work gives up; else the shortest queue for its size. Among equals each instance has its own order, so that those
+     * which see the same board don't all send to the same upstream before they hear of each other: at the height of a
+     * burst five requests come in the time that a notice takes. Batch work gives up a place already when fewer than
+     * `reserve` would stay free, since the free place of which everybody knows is the one that two take at once.
      */
     tryChooseOnline(
         candidates: readonly SlotCandidate[],
         dataCentre: core.DataCentre,
+        reserve: number,
         now: core.MonotonicMilliseconds,
     ): SlotChoice | undefined {
         let best: SlotCandidate | undefined;
@@ -129,7 +135,7 @@
             return undefined;
         }
         const total = this.getTotal(best.id);
-        const needsPlace = total.online + total.batch >= best.slots && total.batch > 0;
+        const needsPlace = total.online + total.batch + 1 > best.slots - reserve && total.batch > 0;
         return {
             id: best.id,
             waiting: Math.max(0, total.online - best.slots + 1),
@@ -177,7 +183,8 @@
         const base = occupied < 1 ? occupied : online < 1 ? 1 + online : 2 + online;
         const penalty = use.penaltyUntil > now ? PenaltyScore : 0;
         const near = candidate.dataCentre === dataCentre ? 0 : NearBonus;
-        return base + penalty + near + this.random() * TieSpread;
+        const order = this.preference(candidate.id) * PreferenceSpread + this.random() * TieSpread;
+        return base + penalty + near + order;
     }
 
     private tryChooseYielder(upstream: core.UpstreamId): core.InstanceId | undefined {
@@ -206,8 +213,10 @@
     }
 }
 
-/** Less than one place of eight: it decides among equals only, or nearly so. */
-const TieSpread = 0.1;
+/** One place of eight: it decides among upstreams whose load differs by one request at most. */
+const PreferenceSpread = 0.125;
+/** A quarter of a place: instances with like orders part ways. */
+const TieSpread = 0.03;
 /** Half a place: the way to another data centre costs a millisecond or two, a queue costs tens. */
 const NearBonus = 0.06;
 /** Beyond any queue. */
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -12,6 +12,8 @@
     readonly runs: number;
     readonly sends: number;
     readonly delivery: { readonly firstByteAt: number | undefined };
+    /** Requests that were believed to be at the upstream when it was chosen. */
+    readonly believed: { readonly online: number; readonly batch: number };
 }
 
 /** Fields of a log line besides its number and name. */
@@ -54,6 +56,7 @@
     ResultsListed = "ResultsListed",
     ItemRetried = "ItemRetried",
     ItemGivenUp = "ItemGivenUp",
+    ItemStarted = "ItemStarted",
     ItemYielded = "ItemYielded",
     RequestUnroutable = "RequestUnroutable",
     Defect = "Defect",
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -5,7 +5,7 @@
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
-import type * as slotSharing from "./slotSharing.js";
+import * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
 
@@ -19,8 +19,6 @@
     readonly dataCentre: core.DataCentre;
 }
 
-/** Places that batch work leaves free on each upstream: an online request that comes finds one without asking. */
-const ReservedSlots = 1;
 /** An engine sends an event each 30 ms; a queue before the first one lasts as long as a stream. */
 const SilentMilliseconds = 1_500;
 /** Pause of an item after an end that tells nothing of it. */
@@ -28,6 +26,8 @@
 /** An upstream that refused as full, or that could not be reached, is left out for this long. */
 const FullPenaltyMilliseconds = 80;
 const UnreachablePenaltyMilliseconds = 1_000;
+/** An upstream whose home said no is left out until its next notices have come. */
+const DeniedMilliseconds = 40;
 /** Items wait for room at most this long before it is looked for again, in case no notice told of it. */
 const LookMilliseconds = 60;
 /** An item that may be given up is kept this much longer, since the caller counts from its own first send. */
@@ -44,7 +44,8 @@
     >();
     private readonly routeMissingSince = new Map<ownedSubmission.OwnedSubmission, core.MonotonicMilliseconds>();
     private stopLook: (() => void) | undefined;
-    private isDispatching = false;
+    private readonly asking = new Map<core.UpstreamId, number>();
+    private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
     private isStopped = false;
 
     constructor(private readonly parts: SchedulerParts) {}
@@ -87,23 +88,16 @@
 
     /** Starts as many items as there are places for, earliest due first. */
     dispatch(): void {
-        if (this.isDispatching || this.isStopped) {
+        if (this.isStopped) {
             return;
         }
-        this.isDispatching = true;
-        try {
-            this.giveUpExpired();
-            const now = this.parts.clock.now();
-            const waiting = this.getWaiting(now);
-            for (const owned of waiting) {
-                if (!this.tryStart(owned, now)) {
-                    break;
-                }
+        this.giveUpExpired();
+        const now = this.parts.clock.now();
+        for (const owned of this.getWaiting(now)) {
+            if (!this.tryStart(owned, now)) {
+                break;
             }
         }
-        finally {
-            this.isDispatching = false;
-        }
         this.scheduleLook();
     }
 
@@ -133,21 +127,54 @@
         if (route === undefined || service === undefined) {
             return true;
         }
-        const candidates = this.parts.view.getUsable(service, now).map(upstream => upstream.entry);
-        const chosen = this.parts.slots.board.tryChooseBatch(candidates, ReservedSlots, this.parts.dataCentre, now);
-        const upstream = candidates.find(candidate => candidate.id === chosen);
+        const candidates = this.parts.view
+            .getUsable(service, now)
+            .map(upstream => upstream.entry)
+            .filter(entry => (this.deniedUntil.get(entry.id) ?? 0) <= now)
+            .map(entry => ({ ...entry, slots: entry.slots - (this.asking.get(entry.id) ?? 0) }));
+        const chosen = this.parts.slots.board.tryChooseBatch(candidates, slotSharing.ReservedSlots, this.parts.dataCentre, now);
+        const upstream = chosen === undefined ? undefined : this.parts.view.tryGetUpstream(chosen);
         if (upstream === undefined) {
             return false;
         }
-        void this.run(owned, upstream, route);
+        void this.askAndRun(owned, upstream, route);
         return true;
     }
 
+    /** The place is counted as taken while its home is asked, so that the next item looks elsewhere. */
+    private async askAndRun(
+        owned: ownedSubmission.OwnedItem,
+        upstream: types.UpstreamEntry,
+        route: types.Route,
+    ): Promise<void> {
+        owned.state = ownedSubmission.ItemState.Running;
+        this.asking.set(upstream.id, (this.asking.get(upstream.id) ?? 0) + 1);
+        const isGranted = await this.parts.slots.mayStartBatch(upstream, slotSharing.ReservedSlots);
+        this.asking.set(upstream.id, (this.asking.get(upstream.id) ?? 1) - 1);
+        if (owned.state !== ownedSubmission.ItemState.Running) {
+            return;
+        }
+        if (!isGranted || !owned.submission.isActive() || this.isStopped || !this.submissions.has(owned.submission)) {
+            owned.state = ownedSubmission.ItemState.Waiting;
+            if (!isGranted) {
+                this.deniedUntil.set(upstream.id, this.parts.clock.now() + DeniedMilliseconds);
+            }
+            return;
+        }
+        await this.run(owned, upstream, route);
+    }
+
     private async run(
         owned: ownedSubmission.OwnedItem,
         upstream: types.UpstreamEntry,
         route: types.Route,
     ): Promise<void> {
+        this.parts.log.note(gatewayLog.GatewayEvent.ItemStarted, {
+            item: owned.item.id,
+            upstream: upstream.id,
+            events: owned.texts.length,
+            ...this.parts.slots.board.getTotal(upstream.id),
+        });
         owned.state = ownedSubmission.ItemState.Running;
         let stopSilence = (): void => undefined;
         const watchSilence = (): void => {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -6,7 +6,7 @@
 import type * as fleetView from "./fleetView.js";
 import type * as gatewayLog from "./gatewayLog.js";
 import * as routeTable from "./routeTable.js";
-import type * as slotSharing from "./slotSharing.js";
+import * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
 
@@ -40,6 +40,8 @@
     relay: answerRelay.AnswerRelay | undefined;
     isCallerGone: boolean;
     isTimedOut: boolean;
+    /** What was believed of the chosen upstream when it was chosen. */
+    believed: decisions.SlotUse;
 }
 
 /**
@@ -78,6 +80,7 @@
             relay: undefined,
             isCallerGone: response.destroyed,
             isTimedOut: false,
+            believed: { online: 0, batch: 0 },
         };
         const onClose = (): void => {
             if (!response.writableFinished) {
@@ -121,7 +124,7 @@
         const usable = service === undefined ? [] : this.parts.view.getUsable(service, now);
         const fresh = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
         const candidates = (fresh.length > 0 ? fresh : usable).map(upstream => upstream.entry);
-        const choice = this.parts.slots.board.tryChooseOnline(candidates, this.parts.dataCentre, now);
+        const choice = this.parts.slots.board.tryChooseOnline(candidates, this.parts.dataCentre, slotSharing.ReservedSlots, now);
         const chosen = candidates.find(candidate => candidate.id === choice?.id);
         if (service === undefined || choice === undefined || chosen === undefined) {
             this.refuse(
@@ -153,6 +156,7 @@
         if (choice.yielder !== undefined) {
             this.parts.slots.askToYield(choice.id, choice.yielder);
         }
+        progress.believed = this.parts.slots.board.getTotal(chosen.id);
         return chosen;
     }
 
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -1,9 +1,6 @@
 import * as decisions from "@boragedale/decisions";
 import type * as types from "./types.js";
 
-/** `hashText` yields 32 bits. */
-const HashRange = 0x1_0000_0000;
-
 /** Finds the route of a request: by host, then the longest prefix that begins the path. */
 export class RouteTable {
     private readonly byHost = new Map<string, Map<string, types.Route>>();
@@ -48,7 +45,7 @@
     if (route.services.length <= 1 || total <= 0) {
         return route.services[0]?.service;
     }
-    let point = (decisions.hashText(key) / HashRange) * total;
+    let point = decisions.hashToUnit(key) * total;
     for (const part of route.services) {
         point -= part.weight;
         if (point < 0) {
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -2,13 +2,20 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 
+/** Places that batch work leaves free on each upstream: an online request that comes finds one without asking. */
+export const ReservedSlots = 1;
+
+/** A place taken is told almost at once: until then others may take the same one. */
+const TakenDelayMilliseconds = 2;
 /**
- * Changes are gathered for this long before they are told: with a request each few milliseconds at a burst, a notice
- * each would be most of the messages; a place taken twice within it costs the second request a short queue.
+ * A place that came free is told with others after this long: a notice each would be most of the messages, and one that
+ * is known free a little later costs nobody a queue.
  */
-const NoticeDelayMilliseconds = 15;
+const NoticeDelayMilliseconds = 25;
 /** The whole use is told this often, so that a lost notice is mended and a silent peer is known. */
 const WholeIntervalMilliseconds = 1_000;
+/** Time for a home to answer: some milliseconds of way; an item has seconds, but a dead home must not hold it up. */
+const HomeTimeoutMilliseconds = 80;
 /** A peer that told nothing for this long has no requests that count: it is gone, stopped or cut off. */
 const PeerSilenceMilliseconds = 3_500;
 
@@ -18,15 +25,24 @@
     private readonly heard = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     private readonly used = new Set<core.UpstreamId>();
     private readonly stopper = new AbortController();
-    private isNoticeDue = false;
+    private noticeDueAt: core.MonotonicMilliseconds = Infinity;
+    private stopNotice: (() => void) | undefined;
     private onYield: (upstream: core.UpstreamId) => void = () => undefined;
     private onRoom: () => void = () => undefined;
 
+    private readonly grants = new decisions.BatchGrants();
+
     constructor(
         readonly board: decisions.SlotBoard,
         private readonly network: protocol.PeerNetwork,
         private readonly clock: core.Clock,
+        /** The member that says who may start batch work on an upstream; `SelfInstance` for this one. */
+        private readonly chooseHome: (upstream: core.UpstreamId) => core.InstanceId | undefined,
     ) {
+        network.handle(protocol.MessageKind.BatchStart, async (message, from) => ({
+            kind: protocol.MessageKind.BatchStartReply,
+            isGranted: this.grant(from, { id: message.upstream, slots: message.slots }, message.reserve),
+        }));
         network.handle(protocol.MessageKind.SlotUses, async (message, from) => {
             this.takeNotice(message, from);
             return undefined;
@@ -45,12 +61,12 @@
 
     take(upstream: core.UpstreamId, isBatch: boolean): void {
         this.board.take(upstream, isBatch);
-        this.noteChange(upstream);
+        this.noteChange(upstream, TakenDelayMilliseconds);
     }
 
     release(upstream: core.UpstreamId, isBatch: boolean): void {
         this.board.release(upstream, isBatch);
-        this.noteChange(upstream);
+        this.noteChange(upstream, NoticeDelayMilliseconds);
         this.onRoom();
     }
 
@@ -63,6 +79,31 @@
         this.network.notify(yielder, { kind: protocol.MessageKind.YieldSlot, upstream }, protocol.Lane.Control);
     }
 
+    /**
+     * Whether a batch item may start on the upstream, as its home says. A home that doesn't answer is one that stopped or
+     * is cut off: then the own board decides, as the others' do.
+     */
+    async mayStartBatch(upstream: decisions.SlotCandidate, reserve: number): Promise<boolean> {
+        const home = this.chooseHome(upstream.id);
+        if (home === undefined || home === decisions.SelfInstance) {
+            return this.grant(decisions.SelfInstance, upstream, reserve);
+        }
+        const message = {
+            kind: protocol.MessageKind.BatchStart,
+            upstream: upstream.id,
+            slots: upstream.slots,
+            reserve,
+        } as const;
+        const reply = await this.network.request(home, message, {
+            lane: protocol.Lane.Control,
+            timeoutMilliseconds: HomeTimeoutMilliseconds,
+        });
+        if (reply.ok && reply.message.kind === protocol.MessageKind.BatchStartReply) {
+            return reply.message.isGranted;
+        }
+        return this.grant(decisions.SelfInstance, upstream, reserve);
+    }
+
     /** The task that repeats the whole use. */
     async run(): Promise<void> {
         while (!this.stopper.signal.aborted) {
@@ -76,18 +117,26 @@
         this.stopper.abort();
     }
 
-    private noteChange(upstream: core.UpstreamId): void {
+    private grant(asker: core.InstanceId, upstream: { id: core.UpstreamId; slots: number }, reserve: number): boolean {
+        const total = this.board.getTotal(upstream.id);
+        return this.grants.tryGrant(asker, upstream.id, total, upstream.slots, reserve, this.clock.now());
+    }
+
+    private noteChange(upstream: core.UpstreamId, delay: number): void {
         this.used.add(upstream);
         this.dirty.add(upstream);
-        if (!this.isNoticeDue) {
-            this.isNoticeDue = true;
-            this.clock.schedule(NoticeDelayMilliseconds, () => {
-                this.isNoticeDue = false;
-                const changed = [...this.dirty];
-                this.dirty.clear();
-                this.tell(changed, false);
-            });
+        const dueAt = this.clock.now() + delay;
+        if (dueAt >= this.noticeDueAt) {
+            return;
         }
+        this.stopNotice?.();
+        this.noticeDueAt = dueAt;
+        this.stopNotice = this.clock.schedule(delay, () => {
+            this.noticeDueAt = Infinity;
+            const changed = [...this.dirty];
+            this.dirty.clear();
+            this.tell(changed, false);
+        });
     }
 
     private tell(upstreams: readonly core.UpstreamId[], isWhole: boolean): void {
@@ -97,9 +146,7 @@
         });
         const listed = isWhole ? uses.filter(([, online, batch]) => online > 0 || batch > 0) : uses;
         const message: protocol.SlotUses = { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed };
-        for (const peer of this.network.getConnectedPeers()) {
-            this.network.notify(peer, message, protocol.Lane.Control);
-        }
+        this.network.notifyAll(message, protocol.Lane.Control);
     }
 
     private takeNotice(message: protocol.SlotUses, from: core.InstanceId): void {
@@ -108,6 +155,7 @@
             this.board.removePeer(from);
         }
         for (const [upstream, online, batch] of message.uses) {
+            this.grants.settle(from, upstream);
             this.board.setPeer(from, upstream, { online, batch });
         }
         this.onRoom();
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -103,6 +103,8 @@
         uses: zod.array(zod.tuple([name, count, count])),
     }),
     zod.object({ kind: zod.literal(types.MessageKind.YieldSlot), upstream: name }),
+    zod.object({ kind: zod.literal(types.MessageKind.BatchStart), upstream: name, slots: count, reserve: count }),
+    zod.object({ kind: zod.literal(types.MessageKind.BatchStartReply), isGranted: zod.boolean() }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionOwned), submission: name }),
     zod.object({
         kind: zod.literal(types.MessageKind.SubmissionRead),
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -57,6 +57,14 @@
         return this.beat(message);
     }
 
+    /** Sends a notice that was packed once for many links. */
+    notifyPacked(bytes: Uint8Array): void {
+        this.lastUsed = this.clock.now();
+        if (this.connection.getBacklog() < LargestBacklogBytes) {
+            this.connection.send(bytes);
+        }
+    }
+
     /** Sends what only keeps the link alive, which is no use of it. */
     beat(message: types.Message): boolean {
         return this.connection.getBacklog() < LargestBacklogBytes && this.send({ message }) === undefined;
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -33,6 +33,8 @@
     RegistryEntries = "RegistryEntries",
     SlotUses = "SlotUses",
     YieldSlot = "YieldSlot",
+    BatchStart = "BatchStart",
+    BatchStartReply = "BatchStartReply",
     SubmissionOwned = "SubmissionOwned",
     SubmissionRead = "SubmissionRead",
     SubmissionPage = "SubmissionPage",
@@ -176,6 +178,20 @@
     readonly upstream: core.UpstreamId;
 }
 
+/** Asks the home of an upstream whether a batch item may start there. */
+export interface BatchStart {
+    readonly kind: MessageKind.BatchStart;
+    readonly upstream: core.UpstreamId;
+    /** Places of the upstream, and those of them that stay free for online work. */
+    readonly slots: number;
+    readonly reserve: number;
+}
+
+export interface BatchStartReply {
+    readonly kind: MessageKind.BatchStartReply;
+    readonly isGranted: boolean;
+}
+
 /** The sender runs the submission, which is durable. */
 export interface SubmissionOwned {
     readonly kind: MessageKind.SubmissionOwned;
@@ -252,6 +268,8 @@
     | RegistryEntries
     | SlotUses
     | YieldSlot
+    | BatchStart
+    | BatchStartReply
     | SubmissionOwned
     | SubmissionRead
     | SubmissionPage
@@ -293,6 +311,8 @@
     abstract request(peer: core.InstanceId, message: Message, options: RequestOptions): Promise<PeerResult>;
     /** Sends without waiting; false where no link is open. A notice may be lost: state must not rest on it. */
     abstract notify(peer: core.InstanceId, message: Message, lane: Lane): boolean;
+    /** Sends a notice to every linked peer; packed once. */
+    abstract notifyAll(message: Message, lane: Lane): void;
     /** Registers the one handler of a kind of message. */
     abstract handle<K extends MessageKind>(kind: K, handler: MessageHandler<K>): void;
     /** Peers with an open link. */
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -124,6 +124,16 @@
         return link.notify(message);
     }
 
+    override notifyAll(message: types.Message, lane: types.Lane): void {
+        const encoded = codec.encodeFrame({ message }, lane);
+        if (!encoded.ok) {
+            return;
+        }
+        for (const peer of this.getConnectedPeers()) {
+            this.tryGetLink(peer, lane)?.notifyPacked(encoded.bytes);
+        }
+    }
+
     override handle<K extends types.MessageKind>(kind: K, handler: types.MessageHandler<K>): void {
         this.handlers.set(kind, handler as AnyHandler);
     }
--- a/packages/standins/src/memoryPeers.ts
+++ b/packages/standins/src/memoryPeers.ts
@@ -53,6 +53,10 @@
         return true;
     }
 
+    override notifyAll(message: protocol.Message): void {
+        this.getConnectedPeers().forEach(peer => this.notify(peer, message));
+    }
+
     override handle<K extends protocol.MessageKind>(kind: K, handler: protocol.MessageHandler<K>): void {
         this.handlers.set(kind, handler as AnyHandler);
     }
