--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -28,6 +28,7 @@
     readonly members: gateway.MemberDirectory;
     readonly slots: gateway.SlotSharing;
     readonly channels: gateway.ChannelDirectory;
+    readonly crashes: gateway.CrashWatch;
     readonly registration: gateway.Registration;
     readonly scheduler: gateway.ItemScheduler;
     readonly submissions: gateway.SubmissionService;
@@ -59,11 +60,21 @@
         view: awilix.asFunction(createView).singleton(),
         slots: awilix.asFunction(createSlots).singleton(),
         channels: awilix.asFunction(({ clock }: Parts) => new gateway.ChannelDirectory(clock)).singleton(),
+        crashes: awilix
+            .asFunction(({ network, clock, log }: Parts) => new gateway.CrashWatch(network, clock, log))
+            .singleton(),
         registration: awilix.asFunction(createRegistration).singleton(),
         scheduler: awilix.asFunction(createScheduler).singleton(),
         submissions: awilix.asFunction(createSubmissions).singleton(),
         forwarder: awilix
-            .asFunction((parts: Parts) => new gateway.RequestForwarder({ ...pickShared(parts), random: Math.random }))
+            .asFunction(
+                (parts: Parts) =>
+                    new gateway.RequestForwarder({
+                        ...pickShared(parts),
+                        crashes: parts.crashes,
+                        random: Math.random,
+                    }),
+            )
             .singleton(),
         server: awilix.asFunction(createServer).singleton(),
         relay: awilix
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -16,6 +16,7 @@
     [gateway.GatewayEvent.StoreLost]: telemetry.events.StoreLost,
     [gateway.GatewayEvent.StoreRegained]: telemetry.events.StoreRegained,
     [gateway.GatewayEvent.ConfigurationTaken]: telemetry.events.ConfigurationTaken,
+    [gateway.GatewayEvent.UpstreamDied]: telemetry.events.UpstreamDied,
     [gateway.GatewayEvent.UpstreamChanged]: telemetry.events.UpstreamChanged,
     [gateway.GatewayEvent.EntryUnusable]: telemetry.events.RegistryEntryUnusable,
     [gateway.GatewayEvent.MemberRegistered]: telemetry.events.MemberRegistered,
--- a/packages/daemon/test/endToEnd.test.ts
+++ b/packages/daemon/test/endToEnd.test.ts
@@ -144,4 +144,22 @@
     await stopped;
 });
 
+// The balancer goes on sending to a gateway that stops, since too few others are left. A request that it takes in its last
+// second is cut off with the process; a connection that it refuses makes the caller go elsewhere at once.
+suite("a gateway that stops refuses new connections once the balancer has had its time", async () => {
+    await using world = await fixtures.startPlatform(1);
+    const { caller } = world.gateways[0]!.addresses;
+    world.service.faults.isSilent = true;
+    const last = fixtures.send(caller, "/safe/x", { headers: { [AttemptId]: "r1" } }).catch(() => undefined);
+    await fixtures.waitUntil(() => world.service.received.length > 0);
+    const stopped = world.gateways[0]!.stop();
+    await fixtures.waitUntil(async () => {
+        const answer = await fixtures.send(caller, "/none/x").catch(() => undefined);
+        return answer === undefined;
+    });
+    // The request in progress still has its time: its route ends it.
+    assert.is((await last)?.status, 504);
+    await stopped;
+});
+
 suite.run();
--- a/packages/decisions/src/hashing.ts
+++ b/packages/decisions/src/hashing.ts
@@ -15,6 +15,11 @@
     return hasher.h32(text);
 }
 
+/** A 32 bit hash of bytes. */
+export function hashBytes(bytes: Uint8Array): number {
+    return hasher.h32Raw(bytes);
+}
+
 /** A number from 0 to 1 that a text always gives. */
 export function hashToUnit(text: string): number {
     return hasher.h32(text) / HashRange;
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -60,6 +60,12 @@
     /** Suspects that run: fingerprint to upstream. */
     private readonly runningAlone = new Map<string, core.UpstreamId>();
 
+    /**
+     * `deathsToQuarantine`: where many upstreams crash at once for other reasons, a request can meet two deaths by chance
+     * before a second one alone is sure; three then prove it.
+     */
+    constructor(private readonly deathsToQuarantine = DeathsToQuarantine) {}
+
     /** How a request of this fingerprint may run. */
     judge(fingerprint: string, now: core.MonotonicMilliseconds): SuspectDecision {
         const suspect = this.tryGetSuspect(fingerprint, now);
@@ -67,7 +73,7 @@
         if (suspect === undefined || deaths === 0) {
             return { verdict: SuspectVerdict.Usual, deaths: 0, retryAfterMilliseconds: 0 };
         }
-        if (deaths < DeathsToQuarantine) {
+        if (deaths < this.deathsToQuarantine) {
             return { verdict: SuspectVerdict.Alone, deaths, retryAfterMilliseconds: 0 };
         }
         const retryAfterMilliseconds = suspect.lastDeathAt + QuarantineTime - now;
@@ -188,7 +194,7 @@
         if (suspect === undefined) {
             return undefined;
         }
-        const life = countDeaths(suspect) >= DeathsToQuarantine ? QuarantineTime : SuspicionTime;
+        const life = countDeaths(suspect) >= this.deathsToQuarantine ? QuarantineTime : SuspicionTime;
         if (now - suspect.lastDeathAt < life) {
             return suspect;
         }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -58,15 +58,30 @@
         return this.inProgress;
     }
 
-    /** From now on answers end their connections, so that callers go elsewhere with the next request. */
+    /**
+     * From now on answers end their connections and new ones are refused, so that callers go elsewhere with the next
+     * request. A balancer that has too few others goes on sending whatever readiness says; a request that comes in the last
+     * second would be cut off, while a connection that is refused costs its caller nothing.
+     */
     startClosing(): void {
         this.isClosing = true;
+        this.server.close();
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        const closed = new Promise<void>(resolve => this.server.once("close", resolve));
+        if (!this.isClosing) {
+            this.server.close();
+        }
+        const hasConnections = await this.hasConnections();
         this.server.closeAllConnections();
-        await closed;
+        if (hasConnections) {
+            await closed;
+        }
+    }
+
+    private async hasConnections(): Promise<boolean> {
+        return new Promise(resolve => this.server.getConnections((error, count) => resolve(!error && count > 0)));
     }
 
     private takeConfiguration(): void {
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -44,6 +44,7 @@
     StoreLost = "StoreLost",
     StoreRegained = "StoreRegained",
     ConfigurationTaken = "ConfigurationTaken",
+    UpstreamDied = "UpstreamDied",
     UpstreamChanged = "UpstreamChanged",
     EntryUnusable = "EntryUnusable",
     MemberRegistered = "MemberRegistered",
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./slotSharing.js";
 export * from "./upstreamExchange.js";
 export * from "./channelDirectory.js";
+export * from "./crashWatch.js";
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
 export * from "./requestForwarder.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -3,6 +3,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as answerRelay from "./answerRelay.js";
 import type * as channelDirectory from "./channelDirectory.js";
+import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import type * as gatewayLog from "./gatewayLog.js";
 import * as routeTable from "./routeTable.js";
@@ -15,6 +16,7 @@
     readonly view: fleetView.FleetView;
     readonly channels: channelDirectory.Channels;
     readonly slots: slotSharing.SlotSharing;
+    readonly crashes: crashWatch.CrashWatch;
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
     readonly dataCentre: core.DataCentre;
@@ -33,6 +35,8 @@
 
 interface Progress {
     readonly request: ReadRequest;
+    /** The same for each attempt of the same request, also of the caller's own. */
+    readonly fingerprint: string;
     readonly delivery: answerRelay.Delivery;
     readonly tried: Set<core.UpstreamId>;
     runs: number;
@@ -73,6 +77,7 @@
         const delivery = { response, isStarted: false, lastEventId: undefined, firstByteAt: undefined };
         const progress: Progress = {
             request,
+            fingerprint: crashWatch.createFingerprint(request.raw.target, request.body),
             delivery,
             tried: new Set(),
             runs: 0,
@@ -119,11 +124,20 @@
     private tryChoose(progress: Progress): types.UpstreamEntry | undefined {
         const { request } = progress;
         const now = this.parts.clock.now();
+        const suspicion = this.parts.crashes.registry.judge(progress.fingerprint, now);
+        if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
+            const retryAfter = suspicion.retryAfterMilliseconds;
+            this.refuse(progress, types.RefusalReason.Quarantined, retryAfter, `${suspicion.deaths} upstreams died`);
+            return undefined;
+        }
         const key = request.head.promptParts.at(-1) ?? request.head.attemptId;
         const service = routeTable.chooseService(request.route, key);
         const usable = service === undefined ? [] : this.parts.view.getUsable(service, now);
         const fresh = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
-        const candidates = (fresh.length > 0 ? fresh : usable).map(upstream => upstream.entry);
+        const untried = (fresh.length > 0 ? fresh : usable).map(upstream => upstream.entry);
+        // A suspect runs apart from other suspects where it can, so that the next death tells them apart.
+        const apart = untried.filter(entry => this.parts.crashes.registry.maySend(progress.fingerprint, entry.id, now));
+        const candidates = apart.length > 0 ? apart : untried;
         const choice = this.parts.slots.board.tryChooseOnline(
             candidates,
             this.parts.dataCentre,
@@ -194,6 +208,7 @@
         progress.sends++;
         progress.tried.add(upstream.id);
         this.parts.slots.take(upstream.id, false);
+        this.parts.crashes.registry.onSent(request.head.attemptId, progress.fingerprint, upstream.id, startedAt);
         const headers = this.parts.wire.createForwardHeaders(request.raw.rawHeaders, {
             upstream: upstream.id,
             remainingMilliseconds: request.deadline - startedAt,
@@ -211,12 +226,31 @@
         stopSilence();
         progress.relay = undefined;
         this.parts.slots.release(upstream.id, false);
+        await this.tellCrashWatch(progress, upstream, outcome);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.recordDuration(upstream.service, clock.now() - startedAt);
         }
         return outcome;
     }
 
+    private async tellCrashWatch(
+        progress: Progress,
+        upstream: types.UpstreamEntry,
+        outcome: answerRelay.AttemptOutcome,
+    ): Promise<void> {
+        const { registry } = this.parts.crashes;
+        const kinds = answerRelay.AttemptOutcomeKind;
+        const id = progress.request.head.attemptId;
+        if (outcome.kind === kinds.Delivered || outcome.kind === kinds.Failed) {
+            registry.onFinished(id, upstream.id);
+            return;
+        }
+        if (outcome.kind === kinds.Lost) {
+            await this.parts.crashes.onBroken(upstream);
+        }
+        registry.onAbandoned(id, upstream.id);
+    }
+
     /** Deals with the end of an attempt; true when the request has its final answer. */
     private settle(progress: Progress, upstream: types.UpstreamEntry, outcome: answerRelay.AttemptOutcome): boolean {
         const now = this.parts.clock.now();
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -154,6 +154,7 @@
     EventLevel.Info,
     "What this instance believes of an upstream changed.",
 );
+export const UpstreamDied = define(717, "UpstreamDied", EventLevel.Warn, "An upstream broke off and can't be reached.");
 export const RegistryEntryUnusable = define(
     714,
     "RegistryEntryUnusable",
@@ -201,7 +202,12 @@
 );
 export const ItemGivenUp = define(727, "ItemGivenUp", EventLevel.Info, "An item is listed as given up; the reason.");
 export const ItemYielded = define(728, "ItemYielded", EventLevel.Info, "An item gave its place to online work.");
-export const ItemStarted = define(729, "ItemStarted", EventLevel.Info, "An item's run began; what was believed there.");
+export const ItemStarted = define(
+    729,
+    "ItemStarted",
+    EventLevel.Debug,
+    "An item's run began; what was believed there.",
+);
 export const SettingsReloaded = define(730, "SettingsReloaded", EventLevel.Info, "The settings were read again.");
 export const MachineEmptied = define(
     731,
