--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -28,6 +28,12 @@
 const UnreachablePenaltyMilliseconds = 1_000;
 /** An upstream whose home said no is left out until its next notices have come. */
 const DeniedMilliseconds = 40;
+/**
+ * Notices of peers come every few milliseconds at a burst; looking through all waiting items at each was most of the
+ * processor time of a loaded instance. An item runs for seconds.
+ */
+const DispatchDelayMilliseconds = 8;
+const ExpiryLookMilliseconds = 500;
 /** Items wait for room at most this long before it is looked for again, in case no notice told of it. */
 const LookMilliseconds = 60;
 /** An item that may be given up is kept this much longer, since the caller counts from its own first send. */
@@ -44,6 +50,8 @@
     >();
     private readonly routeMissingSince = new Map<ownedSubmission.OwnedSubmission, core.MonotonicMilliseconds>();
     private stopLook: (() => void) | undefined;
+    private stopDispatch: (() => void) | undefined;
+    private nextExpiryLook: core.MonotonicMilliseconds = -Infinity;
     private readonly asking = new Map<core.UpstreamId, number>();
     private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
     private isStopped = false;
@@ -86,13 +94,24 @@
         }
     }
 
-    /** Starts as many items as there are places for, earliest due first. */
+    /** Something may have come free: items are started soon, once for all that came free together. */
     dispatch(): void {
-        if (this.isStopped) {
+        if (this.stopDispatch !== undefined || this.isStopped || this.submissions.size === 0) {
             return;
         }
-        this.giveUpExpired();
+        this.stopDispatch = this.parts.clock.schedule(DispatchDelayMilliseconds, () => {
+            this.stopDispatch = undefined;
+            this.startWaiting();
+        });
+    }
+
+    /** Starts as many items as there are places for, earliest due first. */
+    private startWaiting(): void {
         const now = this.parts.clock.now();
+        if (now >= this.nextExpiryLook) {
+            this.nextExpiryLook = now + ExpiryLookMilliseconds;
+            this.giveUpExpired();
+        }
         for (const owned of this.getWaiting(now)) {
             if (!this.tryStart(owned, now)) {
                 break;
--- a/packages/gateway/src/storeWatcher.ts
+++ b/packages/gateway/src/storeWatcher.ts
@@ -20,8 +20,8 @@
 }
 
 /** First and longest pause after a failed call; doubled in between, so that a store that comes back isn't overrun. */
-const FirstPauseMilliseconds = 100;
-const LongestPauseMilliseconds = 500;
+const FirstPauseMilliseconds = 150;
+const LongestPauseMilliseconds = 1_000;
 
 /** Follows a prefix of the metadata store: lists it, then takes changes; lists again when history was dropped. */
 export class StoreWatcher implements AsyncDisposable {
--- a/packages/gateway/src/submissionRecords.ts
+++ b/packages/gateway/src/submissionRecords.ts
@@ -106,6 +106,10 @@
     return parts.map(part => packer.pack(part));
 }
 
+export function encodeItems(items: readonly types.BatchItem[]): Uint8Array {
+    return packer.pack(items);
+}
+
 export function tryDecodeItems(value: Uint8Array): readonly types.BatchItem[] | undefined {
     return tryDecode(zod.array(ItemSchema), value);
 }
--- a/packages/gateway/src/submissionService.ts
+++ b/packages/gateway/src/submissionService.ts
@@ -39,10 +39,13 @@
 
 /** One page of results at most, in bytes of text: the platform's bound of a megabyte with room for escapes. */
 const PageBytes = 600_000;
+/** Longest time that a peer is given to keep a submission for this member. */
+const ForwardMilliseconds = 1_200;
 const ItemPartBytes = 500_000;
 /** Time for a peer to answer: some milliseconds of way, and whatever a busy loop adds. */
 const PeerTimeoutMilliseconds = 600;
-const StoreRetryMilliseconds = 150;
+/** Each refused call has its price, and an outage lasts seconds. */
+const StoreRetryMilliseconds = 300;
 /** When to come back while the store does not answer: an outage lasts seconds. */
 const StoreRetryAfterMilliseconds = 1_000;
 /** Heads are looked through this often for submissions that nobody runs. */
@@ -71,6 +74,7 @@
         network.handle(kinds.SubmissionRead, async message => this.servePage(message));
         network.handle(kinds.SubmissionItemRead, async message => this.serveBody(message));
         network.handle(kinds.SubmissionEnd, async message => this.serveEnd(message));
+        network.handle(kinds.SubmissionForward, async message => this.serveForward(message));
         network.handle(kinds.SubmissionHandover, async message => {
             await this.adopt(message.submission);
             return undefined;
@@ -79,7 +83,7 @@
     }
 
     /** Makes a submission durable and runs it; accepted once, however often it comes. */
-    async accept(submission: NewSubmission): Promise<AcceptOutcome> {
+    async accept(submission: NewSubmission, canForward = true): Promise<AcceptOutcome> {
         const { clock } = this.parts;
         if (this.owned.has(submission.id) || this.owners.has(submission.id)) {
             return { ok: true };
@@ -92,6 +96,7 @@
         const head = this.createHead(submission, parts.length);
         const puts = parts.map((value, part) => ({ key: records.getItemsKey(submission.id, part), value }));
         let isUncertain = false;
+        let isForwarded = !canForward;
         for (;;) {
             const outcome = await this.parts.submissions.write({ submission: submission.id, head, expected: 0, puts });
             switch (outcome.kind) {
@@ -110,6 +115,12 @@
                 case submissionStore.WriteOutcomeKind.NotDone:
                     break;
             }
+            if (!isForwarded) {
+                isForwarded = true;
+                if (await this.acceptElsewhere(submission)) {
+                    return { ok: true };
+                }
+            }
             if (clock.now() + StoreRetryMilliseconds > submission.deadline) {
                 return this.refuseUnstored(submission, outcome.text, isUncertain);
             }
@@ -216,6 +227,48 @@
         this.owned.forEach(submission => submission.lose("this member stops"));
     }
 
+    /**
+     * The store may turn this member away while it serves the others: one of them can keep the submission. It is the same
+     * one, so a write of ours that is carried out late meets it and does nothing.
+     */
+    private async acceptElsewhere(submission: NewSubmission): Promise<boolean> {
+        const peers = this.parts.network.getConnectedPeers();
+        const peer = peers[Math.floor(Math.random() * peers.length)];
+        const remaining = submission.deadline - this.parts.clock.now();
+        if (peer === undefined || remaining <= 0) {
+            return false;
+        }
+        const message = {
+            kind: protocol.MessageKind.SubmissionForward,
+            submission: submission.id,
+            host: submission.host,
+            target: submission.target,
+            items: records.encodeItems(submission.items),
+            waitMilliseconds: Math.min(ForwardMilliseconds, remaining),
+        } as const;
+        const reply = await this.parts.network.request(peer, message, {
+            lane: protocol.Lane.Bulk,
+            timeoutMilliseconds: message.waitMilliseconds,
+        });
+        if (!reply.ok || reply.message.kind !== protocol.MessageKind.SubmissionKept) {
+            return false;
+        }
+        this.owners.set(submission.id, peer);
+        return true;
+    }
+
+    private async serveForward(message: protocol.SubmissionForward): Promise<protocol.Message> {
+        const items = records.tryDecodeItems(message.items);
+        const refused = { kind: protocol.MessageKind.Refused, text: "not kept here" } as const;
+        if (items === undefined) {
+            return refused;
+        }
+        const deadline = this.parts.clock.now() + message.waitMilliseconds - StoreRetryMilliseconds;
+        const { submission: id, host, target } = message;
+        const outcome = await this.accept({ id, host, target, items, deadline }, false);
+        return outcome.ok ? { kind: protocol.MessageKind.SubmissionKept } : refused;
+    }
+
     private createHead(submission: NewSubmission, itemParts: number): records.SubmissionHead {
         return {
             owner: this.parts.members.self.id,
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -94,6 +94,18 @@
     assert.is((await fixtures.readAll(fleet, member, "s"))?.length, 3);
 });
 
+// The store turns one member away and serves the others. The caller's submission is kept through a peer instead of being
+// refused while the platform works.
+suite("a member that the store turns away has a peer keep the submission", async () => {
+    const fleet = await fixtures.createFleet(2);
+    const [cutOff, other] = fleet.members;
+    cutOff!.store.faults.isDown = true;
+    assert.equal(await fixtures.submit(fleet, cutOff!, "s", fixtures.createItems(3)), { ok: true });
+    assert.is(other!.submissions.getOwnedCount(), 1);
+    await fleet.clock.advance(3_000);
+    assert.is((await fixtures.readAll(fleet, cutOff!, "s"))?.length, 3);
+});
+
 // While the store is down nothing can be kept, so nothing may be promised: the caller is told that nothing ran and when to
 // come back.
 suite("a submission is refused as not run while the store is down", async () => {
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -123,6 +123,15 @@
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnd), submission: name }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnded) }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionHandover), submission: name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SubmissionForward),
+        submission: name,
+        host: zod.string(),
+        target: zod.string(),
+        items: payload,
+        waitMilliseconds: count,
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionKept) }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -43,6 +43,8 @@
     SubmissionEnd = "SubmissionEnd",
     SubmissionEnded = "SubmissionEnded",
     SubmissionHandover = "SubmissionHandover",
+    SubmissionForward = "SubmissionForward",
+    SubmissionKept = "SubmissionKept",
     Refused = "Refused",
 }
 
@@ -242,6 +244,22 @@
     readonly submission: string;
 }
 
+/** The sender can't reach the store: the receiver may keep the submission and run it. */
+export interface SubmissionForward {
+    readonly kind: MessageKind.SubmissionForward;
+    readonly submission: string;
+    readonly host: string;
+    readonly target: string;
+    /** Packed by the gateway. */
+    readonly items: Uint8Array;
+    readonly waitMilliseconds: number;
+}
+
+/** The submission is durable. */
+export interface SubmissionKept {
+    readonly kind: MessageKind.SubmissionKept;
+}
+
 /** The peer could not serve a request; `text` says why. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -278,6 +296,8 @@
     | SubmissionEnd
     | SubmissionEnded
     | SubmissionHandover
+    | SubmissionForward
+    | SubmissionKept
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
