--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -36,6 +36,7 @@
     readonly server: gateway.CallerServer;
     readonly relay: peers.RegistryRelay;
     readonly watchers: readonly gateway.StoreWatcher[];
+    readonly fleetWatcher: gateway.StoreWatcher;
 }
 
 /** Time for an answer of the store; it takes milliseconds, and some hundred when it is slow. */
@@ -81,6 +82,7 @@
             .asFunction(({ view, network, clock }: Parts) => new peers.RegistryRelay(view, network, clock))
             .singleton(),
         watchers: awilix.asFunction(createWatchers).singleton(),
+        fleetWatcher: awilix.asFunction(createFleetWatcher).singleton(),
     });
     const parts = container.cradle;
     owned.use(parts.store);
@@ -90,7 +92,7 @@
     owned.use(parts.registration);
     owned.use(parts.submissions);
     owned.use(parts.server);
-    parts.watchers.forEach(watcher => owned.use(watcher));
+    [...parts.watchers, parts.fleetWatcher].forEach(watcher => owned.use(watcher));
     return parts;
 }
 
@@ -99,7 +101,7 @@
     const parts = container.cradle;
     const { settings, clock, view, life } = parts;
     const face = settingsReader.getFace(settings.peerAddress, "peerAddress");
-    const id = `${settings.instance}~${gateway.createNonce().slice(0, 8)}`;
+    const id = gateway.createMemberId(settings.instance, gateway.createNonce().slice(0, 8));
     const late: { members?: gateway.MemberDirectory } = {};
     const network = await protocol.WebSocketPeerNetwork.start({
         instance: id,
@@ -153,7 +155,7 @@
 }
 
 function createRegistration({ store, members, clock, log, view }: Parts): gateway.Registration {
-    return new gateway.Registration(store, members.self, clock, log, () => view.noteDoubt(clock.now()));
+    return new gateway.Registration(store, members, clock, log, () => view.noteDoubt(clock.now()));
 }
 
 function createScheduler(parts: Parts): gateway.ItemScheduler {
@@ -186,18 +188,21 @@
 }
 
 function createWatchers(parts: Parts): gateway.StoreWatcher[] {
-    const { store, clock, log, view, codec, relay, members, submissions } = parts;
-    const watchParts = { store, clock, log, onDoubt: () => view.noteDoubt(clock.now()) };
-    const registries = [codec.configurationKey, codec.upstreamPrefix].map(
+    const { clock, view, codec, relay } = parts;
+    return [codec.configurationKey, codec.upstreamPrefix].map(
         prefix =>
-            new gateway.StoreWatcher(watchParts, {
+            new gateway.StoreWatcher(pickWatchParts(parts), {
                 prefix,
                 waitMilliseconds: WatchMilliseconds,
                 applyListing: listing => relay.tell(view.applyListing(prefix, listing, clock.now())),
                 applyChanges: entries => relay.tell(view.apply(entries, clock.now())),
             }),
     );
-    const fleet = new gateway.StoreWatcher(watchParts, {
+}
+
+function createFleetWatcher(parts: Parts): gateway.StoreWatcher {
+    const { members, submissions } = parts;
+    return new gateway.StoreWatcher(pickWatchParts(parts), {
         prefix: gateway.FleetPrefix,
         waitMilliseconds: WatchMilliseconds,
         applyListing: listing => {
@@ -210,7 +215,10 @@
             submissions.applyEndedMarks(entries);
         },
     });
-    return [...registries, fleet];
+}
+
+function pickWatchParts({ store, clock, log, view }: Parts): gateway.StoreWatcherParts {
+    return { store, clock, log, onDoubt: () => view.noteDoubt(clock.now()) };
 }
 
 function pickShared(parts: Parts): gateway.SchedulerParts {
--- a/packages/daemon/src/gatewayProcess.ts
+++ b/packages/daemon/src/gatewayProcess.ts
@@ -35,8 +35,8 @@
     const parts = await composition.createParts({ settings, clock, log }, owned);
     const isReady = (): boolean => parts.view.getConfiguration() !== undefined && !parts.life.isStopping;
     const addresses = await listenOnFaces(parts, isReady, owned);
-    parts.registration.start();
-    parts.watchers.forEach(watcher => void watcher.run());
+    [...parts.watchers, parts.fleetWatcher].forEach(watcher => void watcher.run());
+    parts.registration.start(parts.fleetWatcher.whenListed);
     void parts.slots.run();
     void parts.submissions.run();
     observeGauges(parts);
@@ -116,7 +116,7 @@
     log.record(telemetry.events.InstanceDraining, { inProgress: server.getInProgress() });
     scheduler.stop();
     network.announceLeaving();
-    const handedOver = submissions.handOver();
+    void submissions.handOver();
     await clock.sleep(settings.balancerMilliseconds);
     server.startClosing();
     const shortest = settings.balancerMilliseconds + Math.min(LastRequestsMilliseconds, settings.balancerMilliseconds);
@@ -124,8 +124,8 @@
         server.server.closeIdleConnections();
         await clock.sleep(StopLookMilliseconds);
     }
-    const overtime = new AbortController();
-    await Promise.race([handedOver, clock.sleep(Math.max(0, latest - clock.now()), overtime.signal)]);
-    overtime.abort();
+    while (clock.now() < latest && submissions.getActiveCount() > 0) {
+        await clock.sleep(StopLookMilliseconds);
+    }
     log.record(telemetry.events.InstanceStopped, { inProgress: server.getInProgress() });
 }
--- a/packages/gateway/src/memberDirectory.ts
+++ b/packages/gateway/src/memberDirectory.ts
@@ -9,6 +9,8 @@
 export const MemberPrefix = `${FleetPrefix}member/`;
 export const EndedPrefix = `${FleetPrefix}ended/`;
 
+const LifeSeparator = "~";
+
 /** One life of an instance; a restart is another member. */
 export interface Member {
     readonly id: core.InstanceId;
@@ -70,6 +72,20 @@
         );
     }
 
+    /** Whether another life of the member's instance is listed: then this one has ended, whatever became of its lease. */
+    hasNewerLife(id: core.InstanceId): boolean {
+        const instance = getInstanceName(id);
+        return this.getMembers().some(member => member.id !== id && getInstanceName(member.id) === instance);
+    }
+
+    /** Former lives of this member's instance that are still listed. */
+    getFormerLives(): readonly core.InstanceId[] {
+        const instance = getInstanceName(this.self.id);
+        return this.getOthers()
+            .map(member => member.id)
+            .filter(id => getInstanceName(id) === instance);
+    }
+
     onChange(listener: (gone: readonly core.InstanceId[]) => void): void {
         this.listeners.add(listener);
     }
@@ -108,6 +124,15 @@
     }
 }
 
+/** Names one life of an instance: a restart is another member. */
+export function createMemberId(instance: string, nonce: string): core.InstanceId {
+    return `${instance}${LifeSeparator}${nonce}`;
+}
+
+function getInstanceName(id: core.InstanceId): string {
+    return id.slice(0, Math.max(0, id.lastIndexOf(LifeSeparator)));
+}
+
 function tryDecodeMember(value: Uint8Array): Member | undefined {
     try {
         const parsed = MemberSchema.safeParse(msgpackr.unpack(value));
--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -27,6 +27,9 @@
     notBefore: core.MonotonicMilliseconds;
 }
 
+/** Index of an item, id of its last event, data of its events so far. */
+export type ItemProgress = readonly [item: number, lastEventId: number, texts: readonly string[]];
+
 export interface OwnedSubmissionOptions {
     readonly id: string;
     readonly stored: submissionStore.StoredHead;
@@ -155,6 +158,26 @@
         });
     }
 
+    /** How far the items have come that have begun. */
+    getProgress(): ItemProgress[] {
+        return this.items.flatMap((owned): ItemProgress[] =>
+            owned.state === ItemState.Finished || owned.lastEventId === undefined
+                ? []
+                : [[owned.index, owned.lastEventId, [...owned.texts]]],
+        );
+    }
+
+    /** Lets items go on where a former owner left them. */
+    setProgress(progress: readonly ItemProgress[]): void {
+        for (const [index, lastEventId, texts] of progress) {
+            const owned = this.items[index];
+            if (owned?.state === ItemState.Waiting && owned.texts.length === 0) {
+                owned.texts.push(...texts);
+                owned.lastEventId = lastEventId;
+            }
+        }
+    }
+
     /** Ends it: no item runs from now on, and that is durable when true is returned. */
     async end(): Promise<boolean> {
         if (this.hasEnded) {
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -8,6 +8,7 @@
 /** A third of the lease: two renewals may fail before it ends. */
 const RenewMilliseconds = 1_300;
 const RetryMilliseconds = 300;
+const ListingMilliseconds = 500;
 
 /** Keeps this member's entry in the metadata store, under a lease that ends with the process. */
 export class Registration implements AsyncDisposable {
@@ -17,14 +18,15 @@
 
     constructor(
         private readonly store: metadataStore.MetadataStore,
-        private readonly self: memberDirectory.Member,
+        private readonly members: memberDirectory.MemberDirectory,
         private readonly clock: core.Clock,
         private readonly log: gatewayLog.GatewayLog,
         private readonly onDoubt: () => void,
     ) {}
 
-    start(): void {
-        this.task = this.run();
+    /** Registers once the former lives of this instance are known, or the time for that is up. */
+    start(whenListed: Promise<void>): void {
+        this.task = this.run(whenListed);
     }
 
     tryGetLease(): string | undefined {
@@ -39,7 +41,8 @@
         }
     }
 
-    private async run(): Promise<void> {
+    private async run(whenListed: Promise<void>): Promise<void> {
+        await Promise.race([whenListed, this.clock.sleep(ListingMilliseconds, this.stopper.signal)]);
         while (!this.stopper.signal.aborted) {
             const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
             await this.clock.sleep(isKept ? RenewMilliseconds : RetryMilliseconds, this.stopper.signal);
@@ -53,11 +56,13 @@
             return false;
         }
         const put = {
-            key: memberDirectory.MemberPrefix + this.self.id,
-            value: memberDirectory.encodeMember(this.self),
+            key: memberDirectory.MemberPrefix + this.members.self.id,
+            value: memberDirectory.encodeMember(this.members.self),
             lease: granted.value,
         };
-        const written = await this.store.transact({ preconditions: [], puts: [put], deletes: [] });
+        // A process that was killed and is back would else keep its submissions waiting for its former life's lease.
+        const deletes = this.members.getFormerLives().map(id => memberDirectory.MemberPrefix + id);
+        const written = await this.store.transact({ preconditions: [], puts: [put], deletes });
         if (!written.ok) {
             this.onDoubt();
             return false;
--- a/packages/gateway/src/submissionService.ts
+++ b/packages/gateway/src/submissionService.ts
@@ -51,7 +51,10 @@
 /** Heads are looked through this often for submissions that nobody runs. */
 const ScanIntervalMilliseconds = 5_000;
 /** A member that vanished may only have been forgotten in an outage; it registers again within this time. */
-const TakeoverDelayMilliseconds = 2_500;
+const TakeoverDelayMilliseconds = 1_600;
+/** One that vanished because a new life of its instance removed it is gone for sure. */
+const ReplacedDelayMilliseconds = 100;
+const HandOverLookMilliseconds = 150;
 /** Kept beyond the retention, since callers count from their own clocks. */
 const RetentionSlackMilliseconds = 30_000;
 const EndedMarkLimit = 10_000;
@@ -62,7 +65,9 @@
     private readonly owners = new Map<string, core.InstanceId>();
     private readonly adopting = new Map<string, Promise<void>>();
     private readonly endedMarks = new Set<string>();
+    private readonly leavingPeers = new Set<core.InstanceId>();
     private readonly stopper = new AbortController();
+    private isLeaving = false;
 
     constructor(private readonly parts: SubmissionServiceParts) {
         const { network, members } = parts;
@@ -75,8 +80,9 @@
         network.handle(kinds.SubmissionItemRead, async message => this.serveBody(message));
         network.handle(kinds.SubmissionEnd, async message => this.serveEnd(message));
         network.handle(kinds.SubmissionForward, async message => this.serveForward(message));
-        network.handle(kinds.SubmissionHandover, async message => {
-            await this.adopt(message.submission);
+        network.handle(kinds.SubmissionHandover, async message => this.serveHandover(message));
+        network.handle(kinds.Leaving, async (message, from) => {
+            this.leavingPeers.add(from);
             return undefined;
         });
         members.onChange(gone => this.forgetOwners(gone));
@@ -97,6 +103,12 @@
         const puts = parts.map((value, part) => ({ key: records.getItemsKey(submission.id, part), value }));
         let isUncertain = false;
         let isForwarded = !canForward;
+        if (this.isLeaving && canForward) {
+            isForwarded = true;
+            if (await this.acceptElsewhere(submission)) {
+                return { ok: true };
+            }
+        }
         for (;;) {
             const outcome = await this.parts.submissions.write({ submission: submission.id, head, expected: 0, puts });
             switch (outcome.kind) {
@@ -212,10 +224,22 @@
         }
     }
 
-    /** Writes what is pending and asks the others to take over; for a planned stop. */
+    /**
+     * Has the others take over all that this member owns, until the stop is over: callers and peers still send while the
+     * balancer does, and a submission that is only dropped waits for the end of this member's lease.
+     */
     async handOver(): Promise<void> {
-        const own = [...this.owned.values()];
-        await Promise.all(own.map(submission => this.handOverOne(submission)));
+        this.isLeaving = true;
+        while (!this.stopper.signal.aborted) {
+            const own = [...this.owned.values()].filter(submission => submission.isActive());
+            await Promise.all(own.map(submission => this.handOverOne(submission)));
+            await this.parts.clock.sleep(HandOverLookMilliseconds, this.stopper.signal);
+        }
+    }
+
+    /** Submissions here that still have items to run. */
+    getActiveCount(): number {
+        return [...this.owned.values()].filter(own => own.isActive() && !own.isComplete()).length;
     }
 
     getOwnedCount(): number {
@@ -232,8 +256,7 @@
      * one, so a write of ours that is carried out late meets it and does nothing.
      */
     private async acceptElsewhere(submission: NewSubmission): Promise<boolean> {
-        const peers = this.parts.network.getConnectedPeers();
-        const peer = peers[Math.floor(Math.random() * peers.length)];
+        const peer = this.chooseStayingPeer();
         const remaining = submission.deadline - this.parts.clock.now();
         if (peer === undefined || remaining <= 0) {
             return false;
@@ -299,6 +322,7 @@
         stored: submissionStore.StoredHead,
         items: readonly types.BatchItem[],
         results: readonly types.BatchResult[],
+        progress: readonly ownedSubmission.ItemProgress[] = [],
     ): void {
         const submission = new ownedSubmission.OwnedSubmission({
             id,
@@ -311,6 +335,7 @@
             onListed: (count, calls) =>
                 this.parts.log.note(gatewayLog.GatewayEvent.ResultsListed, { submission: id, count, calls }),
         });
+        submission.setProgress(progress);
         this.owned.set(id, submission);
         this.owners.delete(id);
         for (const peer of this.parts.network.getConnectedPeers()) {
@@ -477,11 +502,13 @@
                 this.owners.delete(submission);
             }
         }
-        this.parts.clock.schedule(TakeoverDelayMilliseconds, () => void this.scan(false));
+        const isReplaced = gone.every(id => this.parts.members.hasNewerLife(id));
+        const delay = isReplaced ? ReplacedDelayMilliseconds : TakeoverDelayMilliseconds;
+        this.parts.clock.schedule(delay, () => void this.scan(false));
     }
 
     private async scan(allowStale: boolean): Promise<void> {
-        if (!this.parts.members.isListed() || this.stopper.signal.aborted) {
+        if (this.isLeaving || !this.parts.members.isListed() || this.stopper.signal.aborted) {
             return;
         }
         const listed = await this.parts.submissions.listHeads(allowStale);
@@ -519,17 +546,17 @@
     }
 
     /** Takes a submission over: from now on the former owner's writes fail. */
-    private async adopt(id: string): Promise<void> {
+    private async adopt(id: string, progress: readonly ownedSubmission.ItemProgress[] = []): Promise<void> {
         const known = this.adopting.get(id);
         if (known !== undefined || this.owned.has(id)) {
             return known;
         }
-        const task = this.adoptOnce(id).finally(() => this.adopting.delete(id));
+        const task = this.adoptOnce(id, progress).finally(() => this.adopting.delete(id));
         this.adopting.set(id, task);
         return task;
     }
 
-    private async adoptOnce(id: string): Promise<void> {
+    private async adoptOnce(id: string, progress: readonly ownedSubmission.ItemProgress[]): Promise<void> {
         const { submissions, members } = this.parts;
         const found = await submissions.readHead(id);
         if (!found.ok || found.value === undefined || found.value.head.isEnded) {
@@ -555,22 +582,48 @@
             listed: head.listed,
             items: head.itemCount,
         });
-        this.own(id, { head: mine, revision: outcome.revision }, items.value, results.value.results);
+        this.own(id, { head: mine, revision: outcome.revision }, items.value, results.value.results, progress);
     }
 
     private async handOverOne(submission: ownedSubmission.OwnedSubmission): Promise<void> {
+        this.parts.scheduler.remove(submission);
         await submission.flush();
-        if (!submission.isActive() || submission.isComplete()) {
+        if (submission.isComplete()) {
+            this.owned.delete(submission.getId());
             return;
         }
-        const id = submission.getId();
-        const others = this.parts.network.getConnectedPeers();
-        const heir = others[Math.floor(Math.random() * others.length)];
-        submission.lose("this member leaves");
-        if (heir !== undefined) {
-            const message = { kind: protocol.MessageKind.SubmissionHandover, submission: id } as const;
-            this.parts.network.notify(heir, message, protocol.Lane.Control);
+        const heir = this.chooseStayingPeer();
+        if (heir === undefined || !submission.isActive()) {
+            return;
         }
+        const message = {
+            kind: protocol.MessageKind.SubmissionHandover,
+            submission: submission.getId(),
+            progress: submission.getProgress(),
+        } as const;
+        const reply = await this.parts.network.request(heir, message, {
+            lane: protocol.Lane.Bulk,
+            timeoutMilliseconds: ForwardMilliseconds,
+        });
+        if (reply.ok && reply.message.kind === protocol.MessageKind.SubmissionKept) {
+            submission.lose(`${heir} took it over`);
+            this.owners.set(submission.getId(), heir);
+        }
+    }
+
+    private async serveHandover(message: protocol.SubmissionHandover): Promise<protocol.Message> {
+        if (this.isLeaving) {
+            return { kind: protocol.MessageKind.Refused, text: "this member leaves too" };
+        }
+        await this.adopt(message.submission, message.progress);
+        return this.owned.has(message.submission)
+            ? { kind: protocol.MessageKind.SubmissionKept }
+            : { kind: protocol.MessageKind.Refused, text: "not taken over" };
+    }
+
+    private chooseStayingPeer(): core.InstanceId | undefined {
+        const peers = this.parts.network.getConnectedPeers().filter(peer => !this.leavingPeers.has(peer));
+        return peers[Math.floor(Math.random() * peers.length)];
     }
 }
 
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -122,7 +122,11 @@
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionItemBody), body: payload.optional() }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnd), submission: name }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionEnded) }),
-    zod.object({ kind: zod.literal(types.MessageKind.SubmissionHandover), submission: name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.SubmissionHandover),
+        submission: name,
+        progress: zod.array(zod.tuple([count, count, zod.array(zod.string())])),
+    }),
     zod.object({
         kind: zod.literal(types.MessageKind.SubmissionForward),
         submission: name,
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -238,10 +238,12 @@
     readonly kind: MessageKind.SubmissionEnded;
 }
 
-/** The sender leaves; the receiver may take the submission over at once. */
+/** The sender leaves; the receiver takes the submission over at once, and goes on where the items stand. */
 export interface SubmissionHandover {
     readonly kind: MessageKind.SubmissionHandover;
     readonly submission: string;
+    /** Items that have begun: index, id of the last event, data of the events so far. */
+    readonly progress: readonly (readonly [item: number, lastEventId: number, texts: readonly string[]])[];
 }
 
 /** The sender can't reach the store: the receiver may keep the submission and run it. */
