--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -5,6 +5,7 @@
 import * as commandSettings from "./commandSettings.js";
 import * as entryCommand from "./entryCommand.js";
 import * as exitCodes from "./exitCodes.js";
+import * as explainCommand from "./explainCommand.js";
 import * as jobCommands from "./jobCommands.js";
 import * as operatorCommands from "./operatorCommands.js";
 import * as output from "./output.js";
@@ -37,6 +38,13 @@
     addEntry(program);
     addOperatorCommands(program);
     addJobCommands(program);
+    program
+        .command("explain <id> [...files]", "Show what the logs of all processes tell of a request, submission or item")
+        .action(
+            (id: string, files: readonly string[]): Action =>
+                async () =>
+                    explainCommand.runExplain(id, files),
+        );
     program.version(getVersion());
     program.help();
     return program;
