--- a/packages/tools/src/platformDemo.ts
+++ b/packages/tools/src/platformDemo.ts
@@ -40,6 +40,8 @@
     await showStream(world);
     await showResumedStream(world);
     await showSubmission(world);
+    await showFullEngines(world);
+    await showBrokenStream(world);
     await showKill(world);
     await showStop(world);
     console.log(failures === 0 ? "every promise held" : `${failures} promises broken`);
@@ -84,11 +86,23 @@
         started.child.kill("SIGKILL");
         await started.ended;
     });
+    keepLog(name, started);
     const caller = String(started.announcement["address"]);
     await waitFor(async () => (await send(caller, "/none/x", "GET")).status === 404);
     return { process: started, caller };
 }
 
+/** With `--logs FOLDER` each process's log stays there, for `boragedale explain`. */
+function keepLog(name: string, started: processes.StartedProcess): void {
+    const folder = process.argv[3];
+    if (process.argv[2] !== "--logs" || folder === undefined) {
+        started.child.stdout?.resume();
+        return;
+    }
+    fileSystem.mkdirSync(folder, { recursive: true });
+    started.child.stdout?.pipe(fileSystem.createWriteStream(path.join(folder, `${name}.log`)));
+}
+
 async function showStream(world: World): Promise<void> {
     const answer = await send(getCaller(world, 0), "/stream/x", "POST", "r1", "prompt");
     report("a stream passes whole", answer.body.split("\n\n").length === 21, `${answer.status}`);
@@ -110,6 +124,25 @@
     report("its results are read at another gateway", count === ItemCount, `${count} of ${ItemCount}`);
 }
 
+async function showFullEngines(world: World): Promise<void> {
+    world.engines.forEach(engine => (engine.faults.isFull = true));
+    const answer = await send(getCaller(world, 0), "/stream/x", "POST", "r4", "prompt");
+    world.engines.forEach(engine => (engine.faults.isFull = false));
+    const isHonest = answer.status === 503 && world.engines.every(engine => !hasReceived(engine, "r4"));
+    report("a refusal that says not run is true", isHonest, `${answer.status}`);
+}
+
+async function showBrokenStream(world: World): Promise<void> {
+    world.engines.forEach(engine => Object.assign(engine.faults, { breaks: 1, breakAfterEvents: 2 }));
+    const answer = await send(getCaller(world, 1), "/stream/x", "POST", "r5", "prompt");
+    world.engines.forEach(engine => (engine.faults.breaks = 0));
+    report("a stream that can't be finished doesn't look finished", !answer.isComplete, "after three engines");
+}
+
+function hasReceived(engine: standins.UpstreamServer, attempt: string): boolean {
+    return engine.received.some(request => request.attempt === attempt);
+}
+
 async function showKill(world: World): Promise<void> {
     const accepted = await submit(world, 0, "s2");
     const victim = world.gateways[0];
@@ -122,7 +155,7 @@
 async function showStop(world: World): Promise<void> {
     const stopped = world.gateways[1];
     const streaming = send(getCaller(world, 1), "/stream/x", "POST", "r3", "prompt");
-    await waitFor(() => world.engines.some(engine => engine.received.some(request => request.attempt === "r3")));
+    await waitFor(() => world.engines.some(engine => hasReceived(engine, "r3")));
     stopped?.process.child.kill("SIGTERM");
     const answer = await streaming;
     const code = await stopped?.process.ended;
