--- a/deploy/instance.tpl
+++ b/deploy/instance.tpl
@@ -6,6 +6,7 @@
     "readinessAddress": "{{Listen.Ready}}",
     "peerAddress": "{{Listen.Control}}",
     "peerSeeds": [{{#Seeds}}{{.|json}}{{,}}{{/Seeds}}],
+    "metricsAddress": "{{Ip}}:9464",
     "peerKey": "replace-this-key-before-opening-the-network",
     "graceMilliseconds": {{Bounds.GraceS}}000,
     "retentionMilliseconds": {{Bounds.StatusS}}000
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -16,7 +16,9 @@
 
 /** Every part of a gateway process, by the name under which the container knows it. */
 export interface Parts {
+    /** As they were at the start: names and faces. */
     readonly settings: settingsReader.Settings;
+    readonly getSettings: () => settingsReader.Settings;
     readonly clock: core.Clock;
     readonly log: eventLog.EventLog;
     readonly life: LifeStatus;
@@ -46,12 +48,13 @@
 
 /** Makes the parts; `owned` gives them back in reverse. The peer network listens when this resolves. */
 export async function createParts(
-    given: Pick<Parts, "settings" | "clock" | "log">,
+    given: Pick<Parts, "settings" | "getSettings" | "clock" | "log">,
     owned: core.DisposalStack,
 ): Promise<Parts> {
     const container = awilix.createContainer<Parts>({ strict: true });
     container.register({
         settings: awilix.asValue(given.settings),
+        getSettings: awilix.asValue(given.getSettings),
         clock: awilix.asValue(given.clock),
         log: awilix.asValue(given.log),
         life: awilix.asValue({ isStopping: false }),
@@ -99,7 +102,7 @@
 /** Listens for peers first: the member's entry tells the port, which the system may have chosen. */
 async function startNetwork(container: awilix.AwilixContainer<Parts>, owned: core.DisposalStack): Promise<void> {
     const parts = container.cradle;
-    const { settings, clock, view, life } = parts;
+    const { settings, getSettings, clock, view, life } = parts;
     const face = settingsReader.getFace(settings.peerAddress, "peerAddress");
     const id = gateway.createMemberId(settings.instance, gateway.createNonce().slice(0, 8));
     const late: { members?: gateway.MemberDirectory } = {};
@@ -111,7 +114,10 @@
         host: face.host,
         port: face.port,
         getNeighbours: () => (late.members === undefined ? [] : peers.chooseNeighbours(late.members)),
-        getSeeds: () => settings.peerSeeds.filter(seed => seed !== settings.peerAddress).map(seed => `ws://${seed}`),
+        getSeeds: () => {
+            const seeds = getSettings().peerSeeds.filter(seed => seed !== settings.peerAddress);
+            return seeds.map(seed => `ws://${seed}`);
+        },
         tryGetAddress: peer => (late.members === undefined ? undefined : peers.tryGetAddress(late.members, peer)),
         createHeartbeat: () => ({
             kind: protocol.MessageKind.Heartbeat,
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -1,4 +1,4 @@
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import * as gateway from "@boragedale/gateway";
 import * as telemetry from "@boragedale/telemetry";
 import bunyan from "bunyan";
@@ -151,9 +151,12 @@
         this.record(GatewayEvents[event], fields);
     }
 
-    /** A reload signal came; the platform also changes the file without one. */
-    noteReload(): void {
-        this.record(telemetry.events.SettingsReloaded, {});
+    /** The settings file was read again. */
+    noteReload(changed: readonly string[], findings: readonly core.Finding[]): void {
+        this.record(telemetry.events.SettingsReloaded, {
+            changed: changed.join(","),
+            findings: findings.map(finding => core.formatFinding(finding)).join("; "),
+        });
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/daemon/src/gatewayProcess.ts
+++ b/packages/daemon/src/gatewayProcess.ts
@@ -17,10 +17,12 @@
     readonly caller: string;
     readonly readiness: string;
     readonly metrics: string | undefined;
+    readonly peer: string;
 }
 
 export interface GatewayOptions {
-    readonly settings: settingsReader.Settings;
+    /** As they are now: some are read again while the process runs. */
+    readonly getSettings: () => settingsReader.Settings;
     readonly clock: core.Clock;
     readonly log: eventLog.EventLog;
     /** Resolves when the process shall stop. */
@@ -30,9 +32,9 @@
 
 /** The process on the machines that callers reach: runs until it is told to stop and the last request has ended. */
 export async function runGatewayProcess(options: GatewayOptions): Promise<void> {
-    const { settings, clock, log } = options;
+    const { getSettings, clock, log } = options;
     await using owned = new core.DisposalStack();
-    const parts = await composition.createParts({ settings, clock, log }, owned);
+    const parts = await composition.createParts({ settings: getSettings(), getSettings, clock, log }, owned);
     const isReady = (): boolean => parts.view.getConfiguration() !== undefined && !parts.life.isStopping;
     const addresses = await listenOnFaces(parts, isReady, owned);
     [...parts.watchers, parts.fleetWatcher].forEach(watcher => void watcher.run());
@@ -70,6 +72,7 @@
             settings.metricsAddress === undefined
                 ? undefined
                 : await listen(metrics, settingsReader.splitAddress(settings.metricsAddress), owned),
+        peer: parts.members.self.peerAddress,
     };
 }
 
@@ -109,7 +112,8 @@
 
 /** Answers on while the balancer still sends, then until the last request has ended or the time is up. */
 async function stopGracefully(parts: composition.Parts): Promise<void> {
-    const { clock, log, server, scheduler, network, submissions, settings } = parts;
+    const { clock, log, server, scheduler, network, submissions } = parts;
+    const settings = parts.getSettings();
     const startedAt = clock.now();
     const latest = startedAt + settings.graceMilliseconds - StopMarginMilliseconds;
     parts.life.isStopping = true;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,6 +2,7 @@
 import * as eventLog from "./eventLog.js";
 import * as gatewayProcess from "./gatewayProcess.js";
 import * as settingsReader from "./settings.js";
+import * as settingsKeeper from "./settingsKeeper.js";
 import * as storageProcess from "./storageProcess.js";
 
 /** What a process does; the first word of its command line. */
@@ -27,10 +28,15 @@
         process.once("SIGINT", () => resolve());
     });
     await using log = new eventLog.EventLog(clock, settings.value.instance, settings.value.logLevel);
-    process.on("SIGHUP", () => log.noteReload());
+    await using keeper = new settingsKeeper.SettingsKeeper({
+        file: core.Debug.checkDefined(process.env[settingsReader.SettingsVariable], "the settings were read from it"),
+        initial: settings.value,
+        onRead: (changed, findings) => log.noteReload(changed, findings),
+    });
+    process.on("SIGHUP", () => keeper.reload());
     switch (role) {
         case Role.Gateway:
-            await gatewayProcess.runGatewayProcess({ settings: settings.value, clock, log, stop });
+            await gatewayProcess.runGatewayProcess({ getSettings: () => keeper.get(), clock, log, stop });
             break;
         case Role.Storage:
             await storageProcess.runStorageProcess(settings.value, clock, log, stop);
--- a/packages/daemon/src/peers.ts
+++ b/packages/daemon/src/peers.ts
@@ -27,15 +27,17 @@
 
 /** Entries of one notice, so that a large view stays under a lane's frame limit. */
 const EntriesInNotice = 200;
-/** A peer that seems behind is told at most this often: its heartbeat may be older than the last notice. */
+/** A peer that is ahead is asked at most this often: its notice may be on its way. */
 const CatchUpMilliseconds = 900;
+const CatchUpTimeoutMilliseconds = 2_000;
 
 /**
  * Passes on what the store told: it may turn some members away while it serves the others, and an upstream that leaves
- * must be known to all within seconds.
+ * must be known to all within seconds. A member that was cut off, or that starts while the store is away, asks a peer whose
+ * heartbeat shows later changes.
  */
 export class RegistryRelay {
-    private readonly caughtUp = new Map<core.InstanceId, core.MonotonicMilliseconds>();
+    private askedAt: core.MonotonicMilliseconds = -Infinity;
 
     constructor(
         private readonly view: gateway.FleetView,
@@ -43,38 +45,51 @@
         private readonly clock: core.Clock,
     ) {
         network.handle(protocol.MessageKind.RegistryEntries, async message => {
-            const entries = message.entries.map(entry => ({ ...entry, value: entry.value }));
-            view.apply(entries, clock.now());
+            this.take(message);
             return undefined;
         });
+        network.handle(protocol.MessageKind.RegistryRequest, async message => ({
+            kind: protocol.MessageKind.RegistryEntries,
+            isWhole: view.isWhole() && message.revision === 0,
+            entries: view.getEntriesAfter(message.revision).map(toWire),
+        }));
         network.handle(protocol.MessageKind.Heartbeat, async (message, from) => {
-            this.catchUp(from, message.generation);
+            await this.catchUp(from, message.generation);
             return undefined;
         });
     }
 
     /** Tells all linked peers what was news here. */
     tell(news: readonly gateway.StoreEntry[]): void {
-        if (news.length > 0) {
-            this.network.getConnectedPeers().forEach(peer => this.send(peer, news));
+        for (let start = 0; start < news.length; start += EntriesInNotice) {
+            const entries = news.slice(start, start + EntriesInNotice).map(toWire);
+            const message = { kind: protocol.MessageKind.RegistryEntries, isWhole: false, entries } as const;
+            this.network.getConnectedPeers().forEach(peer => this.network.notify(peer, message, protocol.Lane.Bulk));
         }
     }
 
-    private catchUp(peer: core.InstanceId, revision: gateway.Revision): void {
+    private async catchUp(peer: core.InstanceId, revision: gateway.Revision): Promise<void> {
         const now = this.clock.now();
-        const last = this.caughtUp.get(peer) ?? -Infinity;
-        if (revision >= this.view.getRevision() || now - last < CatchUpMilliseconds) {
+        const known = this.view.isWhole() ? this.view.getRevision() : 0;
+        if (revision <= known || now - this.askedAt < CatchUpMilliseconds) {
             return;
         }
-        this.caughtUp.set(peer, now);
-        this.send(peer, this.view.getEntriesAfter(revision));
+        this.askedAt = now;
+        const message = { kind: protocol.MessageKind.RegistryRequest, revision: known } as const;
+        const reply = await this.network.request(peer, message, {
+            lane: protocol.Lane.Bulk,
+            timeoutMilliseconds: CatchUpTimeoutMilliseconds,
+        });
+        if (reply.ok && reply.message.kind === protocol.MessageKind.RegistryEntries) {
+            this.take(reply.message);
+        }
     }
 
-    private send(peer: core.InstanceId, entries: readonly gateway.StoreEntry[]): void {
-        for (let start = 0; start < entries.length; start += EntriesInNotice) {
-            const part = entries.slice(start, start + EntriesInNotice).map(entry => toWire(entry));
-            const message = { kind: protocol.MessageKind.RegistryEntries, entries: part } as const;
-            this.network.notify(peer, message, protocol.Lane.Bulk);
+    private take(message: protocol.RegistryEntries): void {
+        const entries = message.entries.map(({ key, revision, value }) => ({ key, revision, value }));
+        this.view.apply(entries, this.clock.now());
+        if (message.isWhole) {
+            this.view.noteWhole();
         }
     }
 }
--- a/packages/daemon/test/endToEnd.test.ts
+++ b/packages/daemon/test/endToEnd.test.ts
@@ -162,4 +162,18 @@
     await stopped;
 });
 
+// A gateway is started anew while the store is away. It would answer every caller with "no configuration"; a seed tells it what
+// the others know.
+suite("a gateway that starts in an outage of the store learns from a seed", async () => {
+    await using world = await fixtures.startPlatform(1);
+    const seed = world.gateways[0]!.addresses.peer;
+    world.store.faults.isDown = true;
+    const late = await fixtures.startGateway("late", world.store.address, [seed]);
+    await fixtures.waitUntil(async () => (await fixtures.get(late.addresses.readiness, "/")).status === 200);
+    const answer = await fixtures.send(late.addresses.caller, "/safe/x", { headers: { [AttemptId]: "r1" } });
+    assert.is(answer.body, "answer to r1");
+    world.store.faults.isDown = false;
+    await late.stop();
+});
+
 suite.run();
--- a/packages/entry/src/callerFace/completions.ts
+++ b/packages/entry/src/callerFace/completions.ts
@@ -6,6 +6,8 @@
 import * as eventStream from "./eventStream.js";
 import type * as parts from "./parts.js";
 
+const TokenLimit = zod.int().min(1).nullable();
+
 /**
  * What is read of the body; the rest goes to the engine as it came. Features whose answers can't be put together
  * again after a resumed stream are refused instead of being answered wrongly.
@@ -15,6 +17,13 @@
     messages: zod.array(zod.looseObject({ role: zod.string() })).min(1),
     stream: zod.boolean().optional(),
     stream_options: zod.looseObject({ include_usage: zod.boolean().optional() }).optional(),
+    // The ranges of OpenAI's reference. A limit of -1 went to the engine and came back as a whole answer without a token.
+    max_tokens: TokenLimit.optional(),
+    max_completion_tokens: TokenLimit.optional(),
+    temperature: zod.number().min(0).max(2).nullish(),
+    top_p: zod.number().min(0).max(1).nullish(),
+    presence_penalty: zod.number().min(-2).max(2).nullish(),
+    frequency_penalty: zod.number().min(-2).max(2).nullish(),
     n: zod.literal(1, "only one choice is supported").optional(),
     tools: zod.undefined("tools are not supported").optional(),
     functions: zod.undefined("functions are not supported").optional(),
--- a/packages/entry/test/callerFace.test.ts
+++ b/packages/entry/test/callerFace.test.ts
@@ -54,6 +54,31 @@
     assert.is(body.choices[0]?.finish_reason, "stop");
 });
 
+// The caller asks for -1 tokens, or a temperature of 9. It must be told what is wrong with its request; a 200 without a
+// token looks like an engine that fails.
+for (const member of [{ max_tokens: -1 }, { max_completion_tokens: 0 }, { temperature: 9 }, { top_p: -0.1 }]) {
+    suite(`a number out of its range is refused with its name: ${JSON.stringify(member)}`, async () => {
+        await using fixture = await createFixture();
+        const completion = createCompletion("hello", false);
+        const payload = { ...(completion.payload as Record<string, unknown>), ...member };
+        const response = await fixture.server.inject({ ...completion, payload });
+        assert.is(response.statusCode, 400);
+        assert.match(response.body, Object.keys(member)[0] ?? "");
+    });
+}
+
+suite("a number in its range, or null, is taken", async () => {
+    await using fixture = await createFixture();
+    const completion = createCompletion("hello", false);
+    const payload = {
+        ...(completion.payload as Record<string, unknown>),
+        max_tokens: 5,
+        temperature: JSON.parse("null") as unknown,
+    };
+    const response = await fixture.server.inject({ ...completion, payload });
+    assert.is(response.statusCode, 200);
+});
+
 suite("a stream ends with [DONE]; one that fails midway ends with an error and without it", async () => {
     // What the caller sees: some text, then the engine is lost for good. A stream that simply ended, or ended with
     // [DONE], would be taken for a whole answer.
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -49,6 +49,7 @@
         readonly key: string;
     }[] = [];
     private readonly listeners = new Set<() => void>();
+    private readonly wholePrefixes = new Set<string>();
 
     constructor(
         private readonly codec: wire.RegistryCodec,
@@ -68,6 +69,20 @@
         return this.revision;
     }
 
+    /**
+     * Whether everything that the store had was seen, here or at a peer. A notice of one late change raises the revision
+     * though all before it is missing.
+     */
+    isWhole(): boolean {
+        return this.wholePrefixes.has(this.codec.configurationKey) && this.wholePrefixes.has(this.codec.upstreamPrefix);
+    }
+
+    /** A peer that has seen everything sent all its entries. */
+    noteWhole(): void {
+        this.wholePrefixes.add(this.codec.configurationKey);
+        this.wholePrefixes.add(this.codec.upstreamPrefix);
+    }
+
     onChange(listener: () => void): void {
         this.listeners.add(listener);
     }
@@ -111,6 +126,7 @@
         listing: { entries: readonly types.StoreEntry[]; revision: types.Revision },
         now: core.MonotonicMilliseconds,
     ): types.StoreEntry[] {
+        this.wholePrefixes.add(prefix);
         const present = new Set(listing.entries.map(entry => entry.key));
         const missing = [...this.entries.values()]
             .map(known => known.entry)
--- a/packages/gateway/src/storeWatcher.ts
+++ b/packages/gateway/src/storeWatcher.ts
@@ -26,7 +26,6 @@
 /** Follows a prefix of the metadata store: lists it, then takes changes; lists again when history was dropped. */
 export class StoreWatcher implements AsyncDisposable {
     private readonly stopper = new AbortController();
-    private renewer = new AbortController();
     private isReachable = true;
     private listed: (() => void) | undefined;
     /** Resolves after the first whole listing. */
@@ -64,15 +63,8 @@
         }
     }
 
-    /** Starts the waiting call anew: a peer knew something that this watch should have brought. */
-    renew(): void {
-        this.renewer.abort();
-        this.renewer = new AbortController();
-    }
-
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopper.abort();
-        this.renewer.abort();
     }
 
     private async list(): Promise<metadataStore.StoreResult<types.Revision>> {
@@ -86,15 +78,14 @@
     }
 
     private async watchOnce(revision: types.Revision): Promise<metadataStore.StoreResult<types.Revision>> {
-        const renewer = this.renewer;
         const result = await this.parts.store.watch(
             this.watched.prefix,
             revision,
             this.watched.waitMilliseconds,
-            renewer.signal,
+            this.stopper.signal,
         );
         if (!result.ok) {
-            return renewer.signal.aborted && !this.stopper.signal.aborted ? { ok: true, value: revision } : result;
+            return result;
         }
         this.watched.applyChanges(result.value.entries);
         return { ok: true, value: Math.max(revision, result.value.revision) };
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -93,8 +93,10 @@
         deaths: count,
         deathsByUpstream: zod.record(name, count).optional(),
     }),
+    zod.object({ kind: zod.literal(types.MessageKind.RegistryRequest), revision: count }),
     zod.object({
         kind: zod.literal(types.MessageKind.RegistryEntries),
+        isWhole: zod.boolean(),
         entries: zod.array(zod.object({ key: name, revision: zod.int().min(0), value: payload.optional() })),
     }),
     zod.object({
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -30,6 +30,7 @@
     OnlinePressure = "OnlinePressure",
     OnlineTotal = "OnlineTotal",
     SuspectReport = "SuspectReport",
+    RegistryRequest = "RegistryRequest",
     RegistryEntries = "RegistryEntries",
     SlotUses = "SlotUses",
     YieldSlot = "YieldSlot",
@@ -155,9 +156,17 @@
     readonly deathsByUpstream?: Readonly<Record<core.UpstreamId, number>>;
 }
 
+/** Asks a peer that has seen later changes for the entries after a revision. */
+export interface RegistryRequest {
+    readonly kind: MessageKind.RegistryRequest;
+    readonly revision: number;
+}
+
 /** Entries of the metadata store that the sender has seen; the highest revision of a key wins. */
 export interface RegistryEntries {
     readonly kind: MessageKind.RegistryEntries;
+    /** All that the store had, not only what is news. */
+    readonly isWhole: boolean;
     readonly entries: readonly {
         readonly key: string;
         readonly revision: number;
@@ -285,6 +294,7 @@
     | OnlinePressure
     | OnlineTotal
     | SuspectReport
+    | RegistryRequest
     | RegistryEntries
     | SlotUses
     | YieldSlot
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -56,6 +56,8 @@
 export class WebSocketPeerNetwork extends types.PeerNetwork implements AsyncDisposable {
     private readonly handlers = new Map<types.MessageKind, AnyHandler>();
     private readonly links = new Map<string, peerLinks.PeerLink[]>();
+    /** Peers that were found by a seed: other lanes to them are dialled at the same address. */
+    private readonly seedUrls = new Map<core.InstanceId, string>();
     private readonly dials = new Map<string, Promise<peerLinks.PeerLink | undefined>>();
     private readonly tasks = new Set<Promise<void>>();
     private readonly open = new Set<connections.Connection>();
@@ -206,6 +208,9 @@
                 onLinked(undefined);
                 return;
             }
+            if (address.id === undefined) {
+                this.seedUrls.set(link.peer, address.url);
+            }
             await this.runLink(link, () => onLinked(link));
         }
         finally {
@@ -257,7 +262,9 @@
         deadline: core.MonotonicMilliseconds,
     ): Promise<peerLinks.PeerLink | undefined> {
         const key = getLinkKey(peer, lane);
-        const address = this.options.tryGetAddress(peer);
+        const seedUrl = this.seedUrls.get(peer);
+        const address =
+            this.options.tryGetAddress(peer) ?? (seedUrl === undefined ? undefined : { id: peer, url: seedUrl });
         if (address === undefined || peer === this.options.instance || this.stopper.signal.aborted) {
             return undefined;
         }
