--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -13,7 +13,11 @@
 /** Of these libraries' index files a role needs a part; what the rest does at load would be charged at each start. */
 const Parts = {
     // Without `fetch`, web sockets and caches, whose mere loading starts the runtime's own copy of the library.
-    undici: `export { default as Pool } from "${locate("undici", "lib/dispatcher/pool.js")}";
+    // The calls of its dispatchers are joined to them as its index does it.
+    undici: `import Dispatcher from "${locate("undici", "lib/dispatcher/dispatcher.js")}";
+        import request from "${locate("undici", "lib/api/api-request.js")}";
+        Object.assign(Dispatcher.prototype, { request });
+        export { default as Pool } from "${locate("undici", "lib/dispatcher/pool.js")}";
         export { default as buildConnector } from "${locate("undici", "lib/core/connect.js")}";`,
     // Without the writers and readers of log files, and the number formats that they make.
     "hdr-histogram-js": `export { build } from "${locate("hdr-histogram-js", "dist/HistogramBuilder.js")}";`,
