--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,3 +19,4 @@
 export * from "./onlineAdmission.js";
 export * from "./retryRule.js";
 export * from "./batchGrants.js";
+export * from "./itemOrder.js";
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
 import type * as channelDirectory from "./channelDirectory.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
@@ -54,6 +55,8 @@
     private nextExpiryLook: core.MonotonicMilliseconds = -Infinity;
     private readonly asking = new Map<core.UpstreamId, number>();
     private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
+    /** How long items run, by the name of their route. */
+    private readonly lengths = new Map<string, decisions.ItemLength>();
     private isStopped = false;
 
     constructor(private readonly parts: SchedulerParts) {}
@@ -77,13 +80,13 @@
         this.isStopped = true;
     }
 
-    /** Gives a place on the upstream up for online work: the item whose submission is due last loses least. */
+    /** Gives a place on the upstream up for online work: the item that would have got its place last. */
     yieldPlace(upstream: core.UpstreamId): void {
+        const getOutlook = this.createOutlooks();
         let chosen: { owned: ownedSubmission.OwnedItem; run: itemRun.ItemRun } | undefined;
         for (const [owned, entry] of this.running) {
             const isLater =
-                chosen === undefined ||
-                owned.submission.getHead().acceptedAt > chosen.owned.submission.getHead().acceptedAt;
+                chosen === undefined || decisions.compareItems(getOutlook(owned), getOutlook(chosen.owned)) > 0;
             if (entry.upstream === upstream && isLater) {
                 chosen = { owned, run: entry.run };
             }
@@ -131,12 +134,37 @@
                 );
             }
         }
-        // The item that has come furthest goes first within a submission: its place is soonest free again.
-        return waiting.sort(
-            (left, right) =>
-                left.submission.getHead().acceptedAt - right.submission.getHead().acceptedAt ||
-                right.texts.length - left.texts.length,
-        );
+        const getOutlook = this.createOutlooks();
+        return waiting
+            .map(owned => ({ owned, outlook: getOutlook(owned) }))
+            .sort((left, right) => decisions.compareItems(left.outlook, right.outlook))
+            .map(({ owned }) => owned);
+    }
+
+    /** What is known now of when items are due and how long they still run. */
+    private createOutlooks(): (owned: ownedSubmission.OwnedItem) => decisions.ItemOutlook {
+        const wallNow = this.parts.clock.wallNow();
+        const routes = this.parts.view.getRoutes();
+        const found = new Map<ownedSubmission.OwnedSubmission, types.Route | undefined>();
+        return owned => {
+            const head = owned.submission.getHead();
+            if (!found.has(owned.submission)) {
+                found.set(owned.submission, routes?.tryFind(head.host, head.target));
+            }
+            const route = found.get(owned.submission);
+            const dueAt = head.acceptedAt + (route?.runTargetMilliseconds ?? 0);
+            return {
+                dueInMilliseconds: dueAt - wallNow,
+                remainingMilliseconds: this.lengths.get(route?.name ?? "")?.estimate(owned.texts.length) ?? 0,
+                eventsSoFar: owned.texts.length,
+            };
+        };
+    }
+
+    private recordLength(route: types.Route, events: number, runEvents: number, milliseconds: number): void {
+        const length = this.lengths.get(route.name) ?? new decisions.ItemLength();
+        this.lengths.set(route.name, length);
+        length.record(events, runEvents, milliseconds);
     }
 
     private tryStart(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
@@ -221,11 +249,17 @@
             headers,
             body: Buffer.from(owned.item.body),
         };
+        const startedAt = this.parts.clock.now();
+        const eventsBefore = owned.texts.length;
         run.attach(this.parts.channels.get(upstream).start(request, run));
         watchSilence();
         const outcome = await run.outcome;
         stopSilence();
         this.running.delete(owned);
+        if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
+            const events = owned.texts.length;
+            this.recordLength(route, events, events - eventsBefore, this.parts.clock.now() - startedAt);
+        }
         this.settle(owned, upstream, route, outcome);
         this.parts.slots.release(upstream.id, true);
     }
--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -27,9 +27,6 @@
     notBefore: core.MonotonicMilliseconds;
 }
 
-/** Index of an item, id of its last event, data of its events so far. */
-export type ItemProgress = readonly [item: number, lastEventId: number, texts: readonly string[]];
-
 export interface OwnedSubmissionOptions {
     readonly id: string;
     readonly stored: submissionStore.StoredHead;
@@ -50,6 +47,15 @@
 /** Bytes of text of one segment. */
 const SegmentBytes = 400_000;
 const RetryMilliseconds = 200;
+/**
+ * How often the progress of items is kept. An item takes five to ten seconds; when every process is killed at once, this
+ * much of it is run again instead of all, which else makes the items of a whole fleet late.
+ */
+const CheckpointMilliseconds = 2_500;
+/** Fewer new events than this are cheaper to run again than to write: about a second of one place on an engine. */
+const LeastCheckpointEvents = 40;
+/** Bytes of text of a checkpoint: half of the largest value that the store takes; what exceeds it is run again. */
+const CheckpointBytes = 400_000;
 
 /** A submission that this member runs. Nothing is shown to anyone before the store has acknowledged it. */
 export class OwnedSubmission {
@@ -59,6 +65,9 @@
     private readonly pending: types.BatchResult[] = [];
     private readonly waiters = new Set<() => void>();
     private stopFlush: (() => void) | undefined;
+    private stopCheckpoint: (() => void) | undefined;
+    /** Events of each item, by its index, that the store has. */
+    private keptEvents: ReadonlyMap<number, number> = new Map();
     /** Writes follow one another: each is fenced by the revision of the one before. */
     private lastWrite: Promise<void> = Promise.resolve();
     private hasEnded = false;
@@ -80,6 +89,7 @@
             failures: failures.get(index) ?? 0,
             notBefore: -Infinity,
         }));
+        this.scheduleCheckpoint();
     }
 
     getId(): string {
@@ -159,8 +169,8 @@
     }
 
     /** How far the items have come that have begun. */
-    getProgress(): ItemProgress[] {
-        return this.items.flatMap((owned): ItemProgress[] =>
+    getProgress(): records.ItemProgress[] {
+        return this.items.flatMap((owned): records.ItemProgress[] =>
             owned.state === ItemState.Finished || owned.lastEventId === undefined
                 ? []
                 : [[owned.index, owned.lastEventId, [...owned.texts]]],
@@ -168,7 +178,7 @@
     }
 
     /** Lets items go on where a former owner left them. */
-    setProgress(progress: readonly ItemProgress[]): void {
+    setProgress(progress: readonly records.ItemProgress[]): void {
         for (const [index, lastEventId, texts] of progress) {
             const owned = this.items[index];
             if (owned?.state === ItemState.Waiting && owned.texts.length === 0) {
@@ -185,10 +195,11 @@
         }
         let isDone = false;
         await this.writeInTurn(async () => {
-            isDone = this.hasEnded || (await this.writeUntilKnown(this.createHead({ isEnded: true }), []));
+            isDone = this.hasEnded || (await this.writeUntilKnown(this.createWrite({ isEnded: true }, [])));
         });
         if (isDone) {
             this.hasEnded = true;
+            this.stopCheckpoint?.();
             this.wake();
         }
         return isDone;
@@ -201,6 +212,7 @@
         }
         this.isLost = true;
         this.stopFlush?.();
+        this.stopCheckpoint?.();
         this.wake();
         this.options.onLost(reason);
     }
@@ -208,12 +220,9 @@
     private async writeSegment(): Promise<boolean> {
         const first = this.listed.length;
         const batch = takeWithin(this.pending, SegmentBytes);
-        const head = this.createHead({
-            segments: [...this.stored.head.segments, first],
-            listed: first + batch.length,
-        });
-        const puts = [{ key: records.getResultsKey(this.options.id, first), value: records.encodeResults(batch) }];
-        if (!(await this.writeUntilKnown(head, puts))) {
+        const change = { segments: [...this.stored.head.segments, first], listed: first + batch.length };
+        const put = { key: records.getResultsKey(this.options.id, first), value: records.encodeResults(batch) };
+        if (!(await this.writeUntilKnown(this.createWrite(change, [put])))) {
             return false;
         }
         this.pending.splice(0, batch.length);
@@ -222,31 +231,80 @@
         return true;
     }
 
+    /** Keeps the progress of the items now and then, whatever becomes of this process. */
+    private scheduleCheckpoint(): void {
+        if (this.isActive() && !this.isComplete()) {
+            this.stopCheckpoint = this.options.clock.schedule(
+                CheckpointMilliseconds,
+                () => void this.checkpoint().then(() => this.scheduleCheckpoint()),
+            );
+        }
+    }
+
+    private async checkpoint(): Promise<void> {
+        await this.writeInTurn(async () => {
+            if (this.isActive() && this.countUnkeptEvents() >= LeastCheckpointEvents) {
+                await this.writeUntilKnown(this.createWrite({}, []), true);
+            }
+        });
+    }
+
+    private countUnkeptEvents(): number {
+        return this.items
+            .filter(owned => owned.state !== ItemState.Finished)
+            .reduce((sum, owned) => sum + owned.texts.length - (this.keptEvents.get(owned.index) ?? 0), 0);
+    }
+
+    /**
+     * A write that changes the head and keeps the progress of the items as it is now: beside a result it costs no call of
+     * its own. The last result and the end remove it.
+     */
+    private createWrite(
+        change: Partial<records.SubmissionHead>,
+        puts: readonly metadataStore.Put[],
+    ): submissionStore.HeadWrite {
+        const key = records.getProgressKey(this.options.id);
+        const isOver = change.isEnded === true || change.listed === this.items.length;
+        const progress = isOver ? [] : takeProgressWithin(this.getProgress(), CheckpointBytes);
+        const hasProgress = progress.length > 0;
+        return {
+            submission: this.options.id,
+            head: this.createHead({ ...change, hasProgress }),
+            expected: this.stored.revision,
+            puts: hasProgress ? [...puts, { key, value: records.encodeProgress(progress) }] : puts,
+            deletes: !hasProgress && this.stored.head.hasProgress ? [key] : [],
+        };
+    }
+
     /**
      * Writes until the store says what became of it. A write without an answer is sent again as it was: it may still be
-     * carried out, and then the second one finds its own nonce.
+     * carried out, and then the second one finds its own nonce. One that may be left out is, once it is known that nothing
+     * was done: a store that refuses is not asked again and again for what can be run again.
      */
-    private async writeUntilKnown(head: records.SubmissionHead, puts: readonly metadataStore.Put[]): Promise<boolean> {
+    private async writeUntilKnown(write: submissionStore.HeadWrite, mayLeaveOut = false): Promise<boolean> {
+        const events = new Map(this.items.map(owned => [owned.index, owned.texts.length]));
+        let mayBeDone = false;
         for (let calls = 1; !this.isLost; calls++) {
-            const outcome = await this.options.store.write({
-                submission: this.options.id,
-                head,
-                expected: this.stored.revision,
-                puts,
-            });
+            const outcome = await this.options.store.write(write);
             switch (outcome.kind) {
                 case submissionStore.WriteOutcomeKind.Written:
-                    this.stored = { head, revision: outcome.revision };
-                    this.options.onListed(head.listed, calls);
+                    this.stored = { head: write.head, revision: outcome.revision };
+                    this.keptEvents = events;
+                    this.options.onListed(write.head.listed, calls);
                     return true;
                 case submissionStore.WriteOutcomeKind.Conflict:
                     this.resolveConflict(outcome.current);
                     return false;
                 case submissionStore.WriteOutcomeKind.NotDone:
+                    if (mayLeaveOut && !mayBeDone) {
+                        return false;
+                    }
+                    break;
                 case submissionStore.WriteOutcomeKind.Unknown:
-                    await this.options.clock.sleep(RetryMilliseconds);
+                    mayBeDone = true;
                     break;
             }
+            await this.options.clock.sleep(RetryMilliseconds);
         }
         return false;
     }
@@ -292,6 +350,20 @@
     return { total, next: position + page.length, results: page };
 }
 
+/** The items that have come furthest, up to `limitBytes` of text: they lose most when they start anew. */
+function takeProgressWithin(progress: readonly records.ItemProgress[], limitBytes: number): records.ItemProgress[] {
+    const taken: records.ItemProgress[] = [];
+    let bytes = 0;
+    for (const entry of [...progress].sort((left, right) => right[2].length - left[2].length)) {
+        bytes += entry[2].reduce((sum, text) => sum + Buffer.byteLength(text), 0);
+        if (bytes > limitBytes) {
+            break;
+        }
+        taken.push(entry);
+    }
+    return taken;
+}
+
 /** The first results, up to `limitBytes` of text, but one at least. */
 function takeWithin(results: readonly types.BatchResult[], limitBytes: number): types.BatchResult[] {
     const taken: types.BatchResult[] = [];
--- a/packages/gateway/src/submissionRecords.ts
+++ b/packages/gateway/src/submissionRecords.ts
@@ -8,7 +8,8 @@
  *
  * - the head: small, written with every change; its revision is the fence between two owners;
  * - the items, in parts, written once together with the head before the submission is acknowledged;
- * - segments of results, each written once in the transaction that lists it in the head.
+ * - segments of results, each written once in the transaction that lists it in the head;
+ * - the progress of the items that have no result yet, written over again and again, removed with the last result.
  */
 export interface SubmissionHead {
     /** Member that runs it. */
@@ -27,8 +28,13 @@
     readonly isEnded: boolean;
     /** Answers that count against an item, by its index: kept so that a new owner doesn't start anew. */
     readonly failures: readonly (readonly [item: number, count: number])[];
+    /** Whether the progress of items is kept beside it. */
+    readonly hasProgress: boolean;
 }
 
+/** Index of an item, id of its last event, data of its events so far. */
+export type ItemProgress = readonly [item: number, lastEventId: number, texts: readonly string[]];
+
 const HeadSchema = zod.object({
     owner: zod.string(),
     nonce: zod.string(),
@@ -41,8 +47,11 @@
     listed: zod.number(),
     isEnded: zod.boolean(),
     failures: zod.array(zod.tuple([zod.number(), zod.number()])),
+    hasProgress: zod.boolean(),
 });
 
+const ProgressSchema = zod.array(zod.tuple([zod.number(), zod.number(), zod.array(zod.string())]));
+
 const ItemSchema = zod.object({
     id: zod.string(),
     target: zod.string(),
@@ -57,6 +66,7 @@
 export const HeadPrefix = "boragedale/head/";
 const ItemsPrefix = "boragedale/items/";
 const ResultsPrefix = "boragedale/results/";
+const ProgressPrefix = "boragedale/progress/";
 
 /** Keys are limited to 200 bytes; an id that makes a longer one names no submission that could exist. */
 export const LongestIdBytes = 120;
@@ -77,6 +87,10 @@
     return `${ResultsPrefix}${encodeURIComponent(submission)}/${first}`;
 }
 
+export function getProgressKey(submission: string): string {
+    return ProgressPrefix + encodeURIComponent(submission);
+}
+
 const packer = new msgpackr.Packr({ useRecords: false });
 
 export function encodeHead(head: SubmissionHead): Uint8Array {
@@ -122,6 +136,14 @@
     return tryDecode(zod.array(ResultSchema), value);
 }
 
+export function encodeProgress(progress: readonly ItemProgress[]): Uint8Array {
+    return packer.pack(progress);
+}
+
+export function tryDecodeProgress(value: Uint8Array): readonly ItemProgress[] | undefined {
+    return tryDecode(ProgressSchema, value);
+}
+
 function tryDecode<T>(schema: zod.ZodType<T>, value: Uint8Array): T | undefined {
     try {
         const parsed = schema.safeParse(packer.unpack(value));
--- a/packages/gateway/src/submissionService.ts
+++ b/packages/gateway/src/submissionService.ts
@@ -305,6 +305,7 @@
             listed: 0,
             isEnded: false,
             failures: [],
+            hasProgress: false,
         };
     }
 
@@ -322,7 +323,7 @@
         stored: submissionStore.StoredHead,
         items: readonly types.BatchItem[],
         results: readonly types.BatchResult[],
-        progress: readonly ownedSubmission.ItemProgress[] = [],
+        progress: readonly records.ItemProgress[] = [],
     ): void {
         const submission = new ownedSubmission.OwnedSubmission({
             id,
@@ -546,7 +547,7 @@
     }
 
     /** Takes a submission over: from now on the former owner's writes fail. */
-    private async adopt(id: string, progress: readonly ownedSubmission.ItemProgress[] = []): Promise<void> {
+    private async adopt(id: string, progress: readonly records.ItemProgress[] = []): Promise<void> {
         const known = this.adopting.get(id);
         if (known !== undefined || this.owned.has(id)) {
             return known;
@@ -556,7 +557,7 @@
         return task;
     }
 
-    private async adoptOnce(id: string, progress: readonly ownedSubmission.ItemProgress[]): Promise<void> {
+    private async adoptOnce(id: string, progress: readonly records.ItemProgress[]): Promise<void> {
         const { submissions, members } = this.parts;
         const found = await submissions.readHead(id);
         if (!found.ok || found.value === undefined || found.value.head.isEnded) {
@@ -568,7 +569,8 @@
             head.listed === 0
                 ? { ok: true as const, value: { results: [] } }
                 : await submissions.readResults(id, head, 0);
-        if (!items.ok || !results.ok) {
+        const kept = await submissions.readProgress(id, head);
+        if (!items.ok || !results.ok || !kept.ok) {
             return;
         }
         const mine = { ...head, owner: members.self.id, nonce: ownedSubmission.createNonce() };
@@ -582,7 +584,9 @@
             listed: head.listed,
             items: head.itemCount,
         });
-        this.own(id, { head: mine, revision: outcome.revision }, items.value, results.value.results, progress);
+        // What the former owner handed over is newer than what it last kept in the store.
+        const known = [...progress, ...kept.value];
+        this.own(id, { head: mine, revision: outcome.revision }, items.value, results.value.results, known);
     }
 
     private async handOverOne(submission: ownedSubmission.OwnedSubmission): Promise<void> {
--- a/packages/gateway/src/submissionStore.ts
+++ b/packages/gateway/src/submissionStore.ts
@@ -29,6 +29,7 @@
     /** Revision that the head must have; 0: it must not exist. */
     readonly expected: types.Revision;
     readonly puts: readonly metadataStore.Put[];
+    readonly deletes?: readonly string[];
 }
 
 /** Reads and writes of submissions; every write is fenced by the head's revision. */
@@ -40,7 +41,7 @@
         const result = await this.store.transact({
             preconditions: [{ key, revision: write.expected }],
             puts: [{ key, value: records.encodeHead(write.head) }, ...write.puts],
-            deletes: [],
+            deletes: write.deletes ?? [],
         });
         if (!result.ok) {
             const isNotDone = result.failure.kind === metadataStore.StoreFailureKind.NotDone;
@@ -85,6 +86,22 @@
         return read.ok ? { ok: true, value: { first, results: read.value } } : read;
     }
 
+    /** How far the items have come that have no result; none where it is not kept or can't be read: they start anew. */
+    async readProgress(
+        submission: string,
+        head: records.SubmissionHead,
+    ): Promise<metadataStore.StoreResult<readonly records.ItemProgress[]>> {
+        if (!head.hasProgress) {
+            return { ok: true, value: [] };
+        }
+        const result = await this.store.read(records.getProgressKey(submission));
+        if (!result.ok) {
+            return result;
+        }
+        const value = result.value?.value;
+        return { ok: true, value: (value === undefined ? undefined : records.tryDecodeProgress(value)) ?? [] };
+    }
+
     /** All heads; `allowStale` costs a tenth and may miss the newest. */
     async listHeads(allowStale: boolean): Promise<metadataStore.StoreResult<ReadonlyMap<string, StoredHead>>> {
         const result = await this.store.list(records.HeadPrefix, allowStale);
@@ -108,6 +125,7 @@
             headKey,
             ...getItemKeys(submission, stored.head),
             ...stored.head.segments.map(first => records.getResultsKey(submission, first)),
+            ...(stored.head.hasProgress ? [records.getProgressKey(submission)] : []),
         ];
         const limit = metadataStore.MaximumTransactionEntries - 1;
         // The head goes first: a kill in between leaves pieces that no record names, never a record without pieces.
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -175,6 +175,30 @@
     assert.ok(fleet.channels.runs.some(run => run.after !== undefined));
 });
 
+// Every process loses power at once, with items in the middle of their runs, and nobody is left to hand anything over. Begun
+// anew, the items of all submissions come late together; their owner kept in the store how far they had come, and the
+// next one goes on from there.
+suite("a kill of all costs items only what ran since they were last kept", async () => {
+    const fleet = await fixtures.createFleet(2, 2);
+    fleet.channels.behaviour.eventMilliseconds = 1_000;
+    await fixtures.submit(fleet, fleet.members[0]!, "s", fixtures.createItems(14));
+    await fleet.clock.advance(5_500);
+    fleet.members.forEach(member => member.kill());
+    const killedAt = fleet.clock.now();
+    fleet.addMember();
+    await fleet.clock.advance(20_000);
+    const results = await fixtures.readAll(fleet, fleet.members.at(-1)!, "s");
+    assert.is(results?.length, 14);
+    results?.forEach(result => assert.is(result.text, fixtures.getExpectedText(result.id)));
+    const resumed = fleet.channels.runs.filter(run => run.at > killedAt).map(run => Number(run.after ?? -1));
+    assert.is(resumed.length, 14);
+    assert.ok(
+        resumed.every(after => after >= 2),
+        `goes on after events ${resumed.join(" ")}`,
+    );
+    assert.is(fleet.metadata.list("boragedale/progress/").entries.length, 0);
+});
+
 // While a process stops, callers that the balancer still sends hand submissions in. Kept under its name they would wait for
 // its lease to end; a peer keeps them instead.
 suite("a member that leaves has a peer keep new submissions", async () => {
