--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,5 +20,8 @@
 export * from "./ownedSubmission.js";
 export * from "./itemRun.js";
 export * from "./itemScheduler.js";
+export * from "./submissionReader.js";
+export * from "./submissionRegistry.js";
 export * from "./submissionService.js";
+export * from "./submissionTakeover.js";
 export * from "./callerServer.js";
--- /dev/null
+++ b/packages/gateway/src/submissionReader.ts
@@ -0,0 +1,242 @@
+import * as protocol from "@boragedale/protocol";
+import * as gatewayLog from "./gatewayLog.js";
+import * as memberDirectory from "./memberDirectory.js";
+import * as ownedSubmission from "./ownedSubmission.js";
+import type * as submissionRegistry from "./submissionRegistry.js";
+import * as submissionStore from "./submissionStore.js";
+import * as types from "./types.js";
+
+export type Answer<T> =
+    { readonly ok: true; readonly value: T } | { readonly ok: false; readonly reason: types.RefusalReason };
+
+/** One page of results at most, in bytes of text: the platform's bound of a megabyte with room for escapes. */
+const PageBytes = 600_000;
+/** Time for a peer to answer: some milliseconds of way, and whatever a busy loop adds. */
+const PeerTimeoutMilliseconds = 600;
+const EndedMarkLimit = 10_000;
+
+/** Answers for all submissions: from the member that runs one, or from what the store has of it. */
+export class SubmissionReader {
+    private readonly endedMarks = new Set<string>();
+    private readonly parts: submissionRegistry.SubmissionServiceParts;
+
+    constructor(private readonly registry: submissionRegistry.SubmissionRegistry) {
+        this.parts = registry.parts;
+        const { network } = this.parts;
+        const kinds = protocol.MessageKind;
+        network.handle(kinds.SubmissionRead, async message => this.servePage(message));
+        network.handle(kinds.SubmissionItemRead, async message => this.serveBody(message));
+        network.handle(kinds.SubmissionEnd, async message => this.serveEnd(message));
+    }
+
+    /** Results from a position on; waits up to a time for one to exist. */
+    async read(submission: string, position: number, waitMilliseconds: number): Promise<Answer<types.ResultPage>> {
+        const own = this.registry.tryGetOwned(submission);
+        if (own !== undefined) {
+            await own.waitForPosition(position, waitMilliseconds);
+            return { ok: true, value: own.getPage(position, PageBytes) };
+        }
+        const kind = protocol.MessageKind.SubmissionRead;
+        const message = { kind, submission, position, waitMilliseconds } as const;
+        const reply = await this.askOwner(submission, message, waitMilliseconds + PeerTimeoutMilliseconds);
+        if (reply?.kind === protocol.MessageKind.SubmissionPage) {
+            return { ok: true, value: toResultPage(reply) };
+        }
+        return this.readFromStore(submission, position);
+    }
+
+    async readBody(submission: string, item: string): Promise<Answer<Uint8Array>> {
+        const own = this.registry.tryGetOwned(submission);
+        if (own !== undefined) {
+            const body = own.tryGetBody(item);
+            return body === undefined
+                ? { ok: false, reason: types.RefusalReason.UnknownItem }
+                : { ok: true, value: body };
+        }
+        const message = { kind: protocol.MessageKind.SubmissionItemRead, submission, item } as const;
+        const reply = await this.askOwner(submission, message, PeerTimeoutMilliseconds);
+        if (reply?.kind === protocol.MessageKind.SubmissionItemBody) {
+            return reply.body === undefined
+                ? { ok: false, reason: types.RefusalReason.UnknownItem }
+                : { ok: true, value: reply.body };
+        }
+        const stored = await this.findHead(submission);
+        if (!stored.ok) {
+            return stored;
+        }
+        if (stored.value.head.isEnded) {
+            return { ok: false, reason: types.RefusalReason.UnknownItem };
+        }
+        const items = await this.parts.submissions.readItems(submission, stored.value.head);
+        if (!items.ok) {
+            return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+        }
+        const found = items.value.find(candidate => candidate.id === item);
+        return found === undefined
+            ? { ok: false, reason: types.RefusalReason.UnknownItem }
+            : { ok: true, value: found.body };
+    }
+
+    /** Ends a submission; repeating it changes nothing. */
+    async end(submission: string): Promise<Answer<undefined>> {
+        const own = this.registry.tryGetOwned(submission);
+        if (own !== undefined) {
+            return this.endOwn(own);
+        }
+        const message = { kind: protocol.MessageKind.SubmissionEnd, submission } as const;
+        const reply = await this.askOwner(submission, message, PeerTimeoutMilliseconds);
+        if (reply?.kind === protocol.MessageKind.SubmissionEnded) {
+            return { ok: true, value: undefined };
+        }
+        return this.endInStore(submission);
+    }
+
+    /** Takes changes under the ended marks: an owner that a caller's front could not reach learns it here. */
+    applyEndedMarks(entries: readonly types.StoreEntry[]): void {
+        for (const entry of entries) {
+            if (!entry.key.startsWith(memberDirectory.EndedPrefix) || entry.value === undefined) {
+                continue;
+            }
+            const id = decodeURIComponent(entry.key.slice(memberDirectory.EndedPrefix.length));
+            if (this.endedMarks.size < EndedMarkLimit) {
+                this.endedMarks.add(id);
+            }
+            this.registry.tryGetOwned(id)?.lose("it was ended elsewhere");
+        }
+    }
+
+    private async endOwn(own: ownedSubmission.OwnedSubmission): Promise<Answer<undefined>> {
+        // Running items stop first: whatever the store says, the caller wants no more of them.
+        this.parts.scheduler.remove(own);
+        if (!(await own.end())) {
+            return this.endInStore(own.getId());
+        }
+        this.parts.log.note(gatewayLog.GatewayEvent.SubmissionEnded, { submission: own.getId() });
+        return { ok: true, value: undefined };
+    }
+
+    private async endInStore(submission: string): Promise<Answer<undefined>> {
+        for (let round = 0; round < 5; round++) {
+            const found = await this.parts.submissions.readHead(submission);
+            if (!found.ok) {
+                return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+            }
+            if (found.value === undefined) {
+                return { ok: false, reason: types.RefusalReason.UnknownSubmission };
+            }
+            if (found.value.head.isEnded) {
+                return { ok: true, value: undefined };
+            }
+            const lease = this.parts.registration.tryGetLease();
+            const key = memberDirectory.EndedPrefix + encodeURIComponent(submission);
+            const outcome = await this.parts.submissions.write({
+                submission,
+                head: { ...found.value.head, nonce: ownedSubmission.createNonce(), isEnded: true },
+                expected: found.value.revision,
+                puts: lease === undefined ? [] : [{ key, value: Buffer.from("1"), lease }],
+            });
+            if (outcome.kind === submissionStore.WriteOutcomeKind.Written) {
+                this.parts.log.note(gatewayLog.GatewayEvent.SubmissionEnded, { submission });
+                return { ok: true, value: undefined };
+            }
+        }
+        return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+    }
+
+    /** Asks the member that runs the submission; undefined where none is known or it doesn't answer. */
+    private async askOwner(
+        submission: string,
+        message: protocol.Message,
+        timeoutMilliseconds: number,
+    ): Promise<protocol.Message | undefined> {
+        let owner = this.registry.tryGetOwner(submission);
+        if (owner === undefined) {
+            const found = await this.parts.submissions.readHead(submission);
+            if (!found.ok || found.value === undefined) {
+                return undefined;
+            }
+            owner = found.value.head.owner;
+            this.registry.setOwner(submission, owner);
+        }
+        if (this.parts.members.tryGet(owner) === undefined) {
+            return undefined;
+        }
+        const reply = await this.parts.network.request(owner, message, {
+            lane: protocol.Lane.Online,
+            timeoutMilliseconds,
+        });
+        if (!reply.ok || reply.message.kind === protocol.MessageKind.Refused) {
+            this.registry.forgetOwner(submission);
+            return undefined;
+        }
+        return reply.message;
+    }
+
+    private async findHead(submission: string): Promise<Answer<submissionStore.StoredHead>> {
+        const found = await this.parts.submissions.readHead(submission);
+        if (!found.ok) {
+            return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+        }
+        return found.value === undefined
+            ? { ok: false, reason: types.RefusalReason.UnknownSubmission }
+            : { ok: true, value: found.value };
+    }
+
+    private async readFromStore(submission: string, position: number): Promise<Answer<types.ResultPage>> {
+        const stored = await this.findHead(submission);
+        if (!stored.ok) {
+            return stored;
+        }
+        const { head } = stored.value;
+        if (head.listed <= position) {
+            return { ok: true, value: { total: head.itemCount, next: position, results: [] } };
+        }
+        const read = await this.parts.submissions.readResults(submission, head, position);
+        if (!read.ok) {
+            return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+        }
+        const results = read.value.results.slice(position - read.value.first);
+        return { ok: true, value: ownedSubmission.createPage(head.itemCount, results, position, PageBytes) };
+    }
+
+    private async servePage(message: protocol.SubmissionRead): Promise<protocol.Message> {
+        const own = this.registry.tryGetOwned(message.submission);
+        if (own === undefined) {
+            return { kind: protocol.MessageKind.Refused, text: "not run here" };
+        }
+        await own.waitForPosition(message.position, message.waitMilliseconds);
+        const page = own.getPage(message.position, PageBytes);
+        return { kind: protocol.MessageKind.SubmissionPage, ...page };
+    }
+
+    private async serveBody(message: protocol.SubmissionItemRead): Promise<protocol.Message> {
+        const own = this.registry.tryGetOwned(message.submission);
+        if (own === undefined) {
+            return { kind: protocol.MessageKind.Refused, text: "not run here" };
+        }
+        const body = own.tryGetBody(message.item);
+        const kind = protocol.MessageKind.SubmissionItemBody;
+        return body === undefined ? { kind } : { kind, body };
+    }
+
+    private async serveEnd(message: protocol.SubmissionEnd): Promise<protocol.Message> {
+        const own = this.registry.tryGetOwned(message.submission);
+        const ended = own === undefined ? undefined : await this.endOwn(own);
+        return ended?.ok === true
+            ? { kind: protocol.MessageKind.SubmissionEnded }
+            : { kind: protocol.MessageKind.Refused, text: "not run here, or not ended" };
+    }
+}
+
+function toResultPage(message: protocol.SubmissionPage): types.ResultPage {
+    return {
+        total: message.total,
+        next: message.next,
+        results: message.results.map(result => ({
+            id: result.id,
+            state:
+                result.state === types.ResultState.Completed ? types.ResultState.Completed : types.ResultState.GivenUp,
+            text: result.text,
+        })),
+    };
+}
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -175,6 +175,23 @@
     assert.ok(fleet.channels.runs.some(run => run.after !== undefined));
 });
 
+// A member has just taken a submission over when it looks through a listing that is seconds old and names the former owner.
+// Giving the submission up would stop all its items, to take it over again a moment later.
+suite("a listing older than what the owner knows changes nothing", async () => {
+    const fleet = await fixtures.createFleet(2, 1);
+    const [owner, other] = fleet.members;
+    fleet.channels.behaviour.eventMilliseconds = 3_000;
+    await fixtures.submit(fleet, owner!, "s", fixtures.createItems(3));
+    const stale = fleet.metadata.list("boragedale/head/");
+    owner!.kill();
+    await fleet.clock.advance(8_000);
+    assert.is(other!.submissions.getOwnedCount(), 1);
+    other!.store.faults.staleListing = stale;
+    await fleet.clock.advance(6_000);
+    const lost = other!.log.notes.filter(note => note.event === gateway.GatewayEvent.SubmissionLost);
+    assert.equal(lost, []);
+});
+
 // Every process loses power at once, with items in the middle of their runs, and nobody is left to hand anything over. Begun
 // anew, the items of all submissions come late together; their owner kept in the store how far they had come, and the
 // next one goes on from there.
