--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -24,7 +24,9 @@
     readonly life: LifeStatus;
     readonly wire: gateway.CallerWire;
     readonly codec: gateway.RegistryCodec;
-    readonly store: platform.PlatformStore;
+    readonly platformStore: platform.PlatformStore;
+    /** The platform's store with its calls counted. */
+    readonly store: gateway.MetadataStore;
     readonly view: gateway.FleetView;
     readonly network: protocol.WebSocketPeerNetwork;
     readonly members: gateway.MemberDirectory;
@@ -60,6 +62,7 @@
         life: awilix.asValue({ isStopping: false }),
         wire: awilix.asFunction(() => new platform.PlatformCallerWire()).singleton(),
         codec: awilix.asFunction(() => new platform.PlatformRegistryCodec()).singleton(),
+        platformStore: awilix.asFunction(createPlatformStore).singleton(),
         store: awilix.asFunction(createStore).singleton(),
         view: awilix.asFunction(createView).singleton(),
         slots: awilix.asFunction(createSlots).singleton(),
@@ -88,7 +91,7 @@
         fleetWatcher: awilix.asFunction(createFleetWatcher).singleton(),
     });
     const parts = container.cradle;
-    owned.use(parts.store);
+    owned.use(parts.platformStore);
     await startNetwork(container, owned);
     owned.use(parts.slots);
     owned.use(parts.channels);
@@ -136,13 +139,32 @@
     container.register({ network: awilix.asValue(network), members: awilix.asValue(members) });
 }
 
-function createStore({ settings }: Parts): platform.PlatformStore {
+function createPlatformStore({ settings }: Parts): platform.PlatformStore {
     return new platform.PlatformStore({
         address: settings.storeAddress,
         callTimeoutMilliseconds: StoreTimeoutMilliseconds,
     });
 }
 
+function createStore({ platformStore, clock, log }: Parts): gateway.MetadataStore {
+    let answeredAt = clock.now();
+    log.metrics.observeGauge("boragedale_store_silent_seconds", {}, () => (clock.now() - answeredAt) / 1_000);
+    return new gateway.CountedStore(
+        platformStore,
+        () => clock.now(),
+        (call, purpose, outcome, milliseconds) => {
+            log.metrics.count("boragedale_store_calls_total", { call, purpose, outcome });
+            if (outcome !== gateway.DoneOutcome) {
+                return;
+            }
+            answeredAt = clock.now();
+            if (call !== gateway.StoreCall.Watch) {
+                log.metrics.recordDuration("boragedale_store_call_seconds", { call }, milliseconds);
+            }
+        },
+    );
+}
+
 function createView({ codec, log }: Parts): gateway.FleetView {
     return new gateway.FleetView(codec, findings =>
         findings.forEach(finding =>
--- /dev/null
+++ b/packages/gateway/test/countedStore.test.ts
@@ -0,0 +1,30 @@
+import * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as standins from "@boragedale/standins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const suite = uvu.suite("countedStore");
+
+// An operator sees the store's calls rise and asks what they are for. A submission's id in the name of a series would make a
+// series for each submission, until the metrics themselves are the load.
+suite("each call is told with its purpose and outcome, and never with an id", async () => {
+    const inner = new standins.MemoryMetadata(new core.VirtualClock()).createClient();
+    const told: string[] = [];
+    const store = new gateway.CountedStore(
+        inner,
+        () => 0,
+        (call, purpose, outcome) => told.push(`${call} ${purpose} ${outcome}`),
+    );
+    await store.transact({
+        preconditions: [],
+        puts: [{ key: "boragedale/head/s1", value: Buffer.from("x") }],
+        deletes: [],
+    });
+    await store.read("boragedale/head/s1");
+    inner.faults.isDown = true;
+    await store.list("upstreams/");
+    assert.equal(told, ["transact boragedale/head Done", "read boragedale/head Done", "list upstreams/ NotDone"]);
+});
+
+suite.run();
