--- a/packages/bench/src/batchHome.ts
+++ b/packages/bench/src/batchHome.ts
@@ -2,7 +2,6 @@
 import * as decisions from "@boragedale/decisions";
 import type * as engines from "./engine.js";
 import * as fleets from "./fleet.js";
-import type * as policyInstance from "./policyInstance.js";
 import type * as workload from "./workload.js";
 
 /** Items of each caller that wait here for a place, so that there is something to choose from. */
@@ -29,6 +28,16 @@
     readonly generated: number;
 }
 
+/** What the batch side shares with the instance that it belongs to. */
+export interface HomeInstance {
+    readonly id: string;
+    readonly placement: decisions.Placement;
+    readonly suspects: decisions.SuspectRegistry;
+    readonly candidates: readonly decisions.PlacementCandidate[];
+    /** An upstream died under one of the batch streams. */
+    onUpstreamDied(upstream: string): void;
+}
+
 /** The batch side of one instance: the gates of the upstreams that it is home of, and the streams it runs there. */
 export class BatchHome {
     private readonly gates = new Map<string, decisions.BatchGate>();
@@ -40,7 +49,7 @@
     private nextStream = 0;
 
     constructor(
-        private readonly instance: policyInstance.PolicyInstance,
+        private readonly instance: HomeInstance,
         private readonly context: fleets.RunContext,
     ) {}
 
--- a/packages/bench/src/policyInstance.ts
+++ b/packages/bench/src/policyInstance.ts
@@ -2,7 +2,6 @@
 import * as decisions from "@boragedale/decisions";
 import * as batchHome from "./batchHome.js";
 import * as fleets from "./fleet.js";
-import type * as policyFleet from "./policyFleet.js";
 import type * as workload from "./workload.js";
 
 /** Time from instance to instance, one way, in milliseconds. */
@@ -29,8 +28,11 @@
     at: number;
 }
 
+/** Delivers a message to a peer after the peers' delay, if both ends still live. */
+export type SendToPeer = (to: string, deliver: (instance: PolicyInstance) => void) => void;
+
 /** One entry instance: the decisions, and between them what the dispatcher does with sockets. */
-export class PolicyInstance {
+export class PolicyInstance implements batchHome.HomeInstance {
     readonly placement: decisions.Placement;
     readonly suspects = new decisions.SuspectRegistry();
     readonly candidates: readonly decisions.PlacementCandidate[];
@@ -47,7 +49,7 @@
         readonly id: string,
         instances: readonly string[],
         private readonly context: fleets.RunContext,
-        private readonly fleet: policyFleet.PolicyFleet,
+        private readonly sendToPeer: SendToPeer,
         private readonly resend: (arrival: workload.OnlineArrival) => void,
     ) {
         const random = (): number => context.random.next();
@@ -143,7 +145,7 @@
 
     onPressure(upstream: string, pressure: decisions.OnlinePressure): void {
         const report = this.home.onPressure(upstream, pressure);
-        this.fleet.send(pressure.instance, instance => instance.onHomeReport(upstream, report));
+        this.sendToPeer(pressure.instance, instance => instance.onHomeReport(upstream, report));
     }
 
     onHomeReport(upstream: string, report: batchHome.HomeReport): void {
@@ -156,7 +158,7 @@
         const reports = this.suspects.onUpstreamDied(upstream, this.context.simulation.now());
         for (const peer of this.view.filter(instance => instance !== this.id)) {
             for (const report of reports) {
-                this.fleet.send(peer, instance => instance.suspects.merge(report, this.context.simulation.now()));
+                this.sendToPeer(peer, instance => instance.suspects.merge(report, this.context.simulation.now()));
             }
         }
     }
@@ -298,7 +300,7 @@
             this.onHomeReport(upstream, this.home.onPressure(upstream, pressure));
         }
         else if (home !== undefined) {
-            this.fleet.send(home, instance => instance.onPressure(upstream, pressure));
+            this.sendToPeer(home, instance => instance.onPressure(upstream, pressure));
         }
     }
 }
