--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -1,5 +1,6 @@
 import * as crypto from "node:crypto";
 import type * as core from "@boragedale/core";
+import * as backoff from "./backoff.js";
 import type * as metadataStore from "./metadataStore.js";
 import * as records from "./submissionRecords.js";
 import * as submissionStore from "./submissionStore.js";
@@ -46,7 +47,9 @@
 const FlushDelayMilliseconds = 1_200;
 /** Bytes of text of one segment. */
 const SegmentBytes = 400_000;
-const RetryMilliseconds = 200;
+/** First and longest pause after a write that failed. */
+const FirstRetryMilliseconds = 200;
+const LongestRetryMilliseconds = 1_000;
 /**
  * How often the progress of items is kept. An item takes five to ten seconds; when every process is killed at once, this
  * much of it is run again instead of all, which else makes the items of a whole fleet late.
@@ -283,6 +286,7 @@
      */
     private async writeUntilKnown(write: submissionStore.HeadWrite, mayLeaveOut = false): Promise<boolean> {
         const events = new Map(this.items.map(owned => [owned.index, owned.texts.length]));
+        const pauses = new backoff.Backoff(FirstRetryMilliseconds, LongestRetryMilliseconds);
         let mayBeDone = false;
         for (let calls = 1; !this.isLost; calls++) {
             const outcome = await this.options.store.write(write);
@@ -304,7 +308,7 @@
                     mayBeDone = true;
                     break;
             }
-            await this.options.clock.sleep(RetryMilliseconds);
+            await this.options.clock.sleep(pauses.next());
         }
         return false;
     }
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as backoff from "./backoff.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as memberDirectory from "./memberDirectory.js";
 import * as metadataStore from "./metadataStore.js";
@@ -7,7 +8,9 @@
 export const LeaseMilliseconds = 4_000;
 /** A third of the lease: two renewals may fail before it ends. */
 const RenewMilliseconds = 1_300;
-const RetryMilliseconds = 300;
+/** First and longest pause after a call that failed; a member is back in the list within the longest one. */
+const FirstRetryMilliseconds = 300;
+const LongestRetryMilliseconds = 1_000;
 const ListingMilliseconds = 500;
 
 /** Keeps this member's entry in the metadata store, under a lease that ends with the process. */
@@ -43,9 +46,13 @@
 
     private async run(whenListed: Promise<void>): Promise<void> {
         await Promise.race([whenListed, this.clock.sleep(ListingMilliseconds, this.stopper.signal)]);
+        const pauses = new backoff.Backoff(FirstRetryMilliseconds, LongestRetryMilliseconds);
         while (!this.stopper.signal.aborted) {
             const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
-            await this.clock.sleep(isKept ? RenewMilliseconds : RetryMilliseconds, this.stopper.signal);
+            if (isKept) {
+                pauses.reset();
+            }
+            await this.clock.sleep(isKept ? RenewMilliseconds : pauses.next(), this.stopper.signal);
         }
     }
 
--- a/packages/gateway/src/storeWatcher.ts
+++ b/packages/gateway/src/storeWatcher.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as backoff from "./backoff.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as metadataStore from "./metadataStore.js";
 import type * as types from "./types.js";
@@ -19,7 +20,7 @@
     readonly applyChanges: (entries: readonly types.StoreEntry[]) => void;
 }
 
-/** First and longest pause after a failed call; doubled in between, so that a store that comes back isn't overrun. */
+/** First and longest pause after a failed call. */
 const FirstPauseMilliseconds = 150;
 const LongestPauseMilliseconds = 1_000;
 
@@ -39,14 +40,14 @@
     /** The task: ends when it is disposed. */
     async run(): Promise<void> {
         let revision: types.Revision | undefined;
-        let pause = FirstPauseMilliseconds;
+        const pauses = new backoff.Backoff(FirstPauseMilliseconds, LongestPauseMilliseconds);
         while (!this.stopper.signal.aborted) {
             const result: metadataStore.StoreResult<types.Revision> =
                 revision === undefined ? await this.list() : await this.watchOnce(revision);
             if (result.ok) {
                 this.noteReachable(true, "");
                 revision = result.value;
-                pause = FirstPauseMilliseconds;
+                pauses.reset();
                 continue;
             }
             if (this.stopper.signal.aborted) {
@@ -58,8 +59,7 @@
             }
             this.noteReachable(false, result.failure.text);
             this.parts.onDoubt();
-            await this.parts.clock.sleep(pause, this.stopper.signal);
-            pause = Math.min(LongestPauseMilliseconds, pause * 2);
+            await this.parts.clock.sleep(pauses.next(), this.stopper.signal);
         }
     }
 
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -192,6 +192,22 @@
     assert.equal(lost, []);
 });
 
+// The store turns a member away for seconds. What it would list waits; asking five times a second would be most of the calls
+// of such a day, each refused and paid for.
+suite("an owner that the store turns away asks less and less often", async () => {
+    const fleet = await fixtures.createFleet(1);
+    const member = fleet.members[0]!;
+    await fixtures.submit(fleet, member, "s", fixtures.createItems(3));
+    member.store.faults.isDown = true;
+    const before = fleet.metadata.calls.get("transact") ?? 0;
+    await fleet.clock.advance(9_000);
+    const calls = (fleet.metadata.calls.get("transact") ?? 0) - before;
+    assert.ok(calls > 0 && calls <= 15, `${calls} writes in 9 s`);
+    member.store.faults.isDown = false;
+    await fleet.clock.advance(3_000);
+    assert.is((await fixtures.readAll(fleet, member, "s"))?.length, 3);
+});
+
 // Every process loses power at once, with items in the middle of their runs, and nobody is left to hand anything over. Begun
 // anew, the items of all submissions come late together; their owner kept in the store how far they had come, and the
 // next one goes on from there.
