--- a/packages/gateway/src/submissionRegistry.ts
+++ b/packages/gateway/src/submissionRegistry.ts
@@ -123,8 +123,10 @@
     }
 
     /** A linked peer that does not stop, for what this member can't keep. */
-    chooseStayingPeer(): core.InstanceId | undefined {
-        const peers = this.parts.network.getConnectedPeers().filter(peer => !this.leavingPeers.has(peer));
+    chooseStayingPeer(except: ReadonlySet<core.InstanceId> = new Set()): core.InstanceId | undefined {
+        const peers = this.parts.network
+            .getConnectedPeers()
+            .filter(peer => !this.leavingPeers.has(peer) && !except.has(peer));
         return peers[Math.floor(Math.random() * peers.length)];
     }
 
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -106,6 +106,30 @@
     assert.is((await fixtures.readAll(fleet, cutOff!, "s"))?.length, 3);
 });
 
+// The store is silent towards one member and serves the others. Its caller, who expects to hear within half a second, waited
+// until the connection was given up before a peer was asked, and got its 202 too late to count.
+suite("a member towards which the store is silent has a peer keep the submission at once", async () => {
+    const fleet = await fixtures.createFleet(2);
+    const [cutOff, other] = fleet.members;
+    cutOff!.store.faults.isSilent = true;
+    const startedAt = fleet.clock.now();
+    assert.equal(await fixtures.submit(fleet, cutOff!, "s", fixtures.createItems(3)), { ok: true });
+    assert.ok(fleet.clock.now() - startedAt <= 250, `${fleet.clock.now() - startedAt} ms`);
+    assert.is(other!.submissions.getOwnedCount(), 1);
+});
+
+// The peer that was asked to keep the submission does, and its reply is lost. Both the own store and the peer seem to have
+// failed; a refusal that says "not run" is a lie, since the peer runs the items.
+suite("a submission that a peer may have kept is not refused as not run", async () => {
+    const fleet = await fixtures.createFleet(2);
+    const [cutOff, other] = fleet.members;
+    cutOff!.store.faults.isDown = true;
+    fleet.hub.deaf.add(cutOff!.id);
+    const outcome = await fixtures.submit(fleet, cutOff!, "s", fixtures.createItems(3));
+    assert.is(other!.submissions.getOwnedCount(), 1);
+    assert.is(!outcome.ok && outcome.refusal.reason, gateway.RefusalReason.OutcomeUnknown);
+});
+
 // While the store is down nothing can be kept, so nothing may be promised: the caller is told that nothing ran and when to
 // come back.
 suite("a submission is refused as not run while the store is down", async () => {
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -138,6 +138,7 @@
         waitMilliseconds: count,
     }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionKept) }),
+    zod.object({ kind: zod.literal(types.MessageKind.SubmissionNotKept), isCertain: zod.boolean() }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -46,6 +46,7 @@
     SubmissionHandover = "SubmissionHandover",
     SubmissionForward = "SubmissionForward",
     SubmissionKept = "SubmissionKept",
+    SubmissionNotKept = "SubmissionNotKept",
     Refused = "Refused",
 }
 
@@ -271,6 +272,13 @@
     readonly kind: MessageKind.SubmissionKept;
 }
 
+/** The submission could not be kept in time. */
+export interface SubmissionNotKept {
+    readonly kind: MessageKind.SubmissionNotKept;
+    /** Whether it is certain that it will not be kept either: a write without an answer may be carried out late. */
+    readonly isCertain: boolean;
+}
+
 /** The peer could not serve a request; `text` says why. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -310,6 +318,7 @@
     | SubmissionHandover
     | SubmissionForward
     | SubmissionKept
+    | SubmissionNotKept
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
