--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -252,9 +252,25 @@
         });
     }
 
+    /**
+     * Items that are done, but not listed yet, without their last event: the next owner asks for that one, and sees the end of
+     * the item as of any other.
+     */
+    private getProgressOfPending(results: readonly types.BatchResult[]): records.ItemProgress[] {
+        const wanted = new Set(
+            results.filter(result => result.state === types.ResultState.Completed).map(result => result.id),
+        );
+        return this.items.flatMap((owned): records.ItemProgress[] =>
+            wanted.has(owned.item.id) && owned.lastEventId !== undefined && owned.texts.length > 1
+                ? [[owned.index, owned.lastEventId - 1, owned.texts.slice(0, -1)]]
+                : [],
+        );
+    }
+
     private countUnkeptEvents(): number {
+        const listed = new Set(this.listed.map(result => result.id));
         return this.items
-            .filter(owned => owned.state !== ItemState.Finished)
+            .filter(owned => !listed.has(owned.item.id))
             .reduce((sum, owned) => sum + owned.texts.length - (this.keptEvents.get(owned.index) ?? 0), 0);
     }
 
@@ -268,7 +284,9 @@
     ): submissionStore.HeadWrite {
         const key = records.getProgressKey(this.options.id);
         const isOver = change.isEnded === true || change.listed === this.items.length;
-        const progress = isOver ? [] : takeProgressWithin(this.getProgress(), CheckpointBytes);
+        const unlisted = this.pending.slice((change.listed ?? this.listed.length) - this.listed.length);
+        const known = [...this.getProgress(), ...this.getProgressOfPending(unlisted)];
+        const progress = isOver ? [] : takeProgressWithin(known, CheckpointBytes);
         const hasProgress = progress.length > 0;
         return {
             submission: this.options.id,
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -199,6 +199,28 @@
     assert.ok(fleet.channels.runs.some(run => run.after !== undefined));
 });
 
+// One item of a submission has ended and waits to be listed with others, while the rest goes on. The owner is killed then: the
+// item had all its events, and only the last one may be asked for again.
+suite("an item that is done but not listed is not begun anew", async () => {
+    const fleet = await fixtures.createFleet(1, 1);
+    fleet.channels.behaviour.eventMilliseconds = 400;
+    await fixtures.submit(fleet, fleet.members[0]!, "s", fixtures.createItems(14));
+    await fleet.clock.advance(2_900);
+    const done = fleet.channels.runs.slice(0, 7).map(run => run.item);
+    fleet.members[0]!.kill();
+    const killedAt = fleet.clock.now();
+    fleet.addMember();
+    await fleet.clock.advance(20_000);
+    const results = await fixtures.readAll(fleet, fleet.members.at(-1)!, "s");
+    assert.is(results?.length, 14);
+    results?.forEach(result => assert.is(result.text, fixtures.getExpectedText(result.id)));
+    const again = fleet.channels.runs.filter(run => run.at > killedAt && done.includes(run.item));
+    assert.equal(
+        again.map(run => run.after),
+        new Array(7).fill("4"),
+    );
+});
+
 // A member has just taken a submission over when it looks through a listing that is seconds old and names the former owner.
 // Giving the submission up would stop all its items, to take it over again a moment later.
 suite("a listing older than what the owner knows changes nothing", async () => {
