--- a/packages/gateway/test/requestForwarder.test.ts
+++ b/packages/gateway/test/requestForwarder.test.ts
@@ -4,6 +4,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as gateway from "@boragedale/gateway";
 import * as standins from "@boragedale/standins";
+import * as fastCheck from "fast-check";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as fixtures from "./fixtures.js";
@@ -354,4 +355,86 @@
     assert.is(scene.response.status, 200);
 });
 
+/** How the upstreams of the property end their attempts. */
+enum End {
+    /** Full; proves that it did not run the request. */
+    Refuses = "Refuses",
+    /** No connection stood. */
+    Unreachable = "Unreachable",
+    /** The connection breaks after the request was sent: it may have run. */
+    Breaks = "Breaks",
+    /** It ran and failed. */
+    Fails = "Fails",
+    Answers = "Answers",
+}
+
+/** Reasons of refusals that promise nothing. */
+const UncertainReasons: readonly string[] = [
+    gateway.RefusalReason.UpstreamFailed,
+    gateway.RefusalReason.DeadlinePassed,
+];
+
+function finishAttempt(attempt: Attempt, end: End): void {
+    const { handler } = attempt;
+    if (end === End.Unreachable) {
+        handler.onFailure({ kind: gateway.ExchangeFailureKind.NotSent, text: "refused" });
+        return;
+    }
+    handler.onSent();
+    switch (end) {
+        case End.Refuses:
+            handler.onHeaders(503, ["attempt", "r", "not-run", "1"], "");
+            handler.onComplete();
+            return;
+        case End.Breaks:
+            handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "reset" });
+            return;
+        case End.Fails:
+            handler.onHeaders(500, ownHeaders, "");
+            handler.onComplete();
+            return;
+        case End.Answers:
+            handler.onHeaders(200, ownHeaders, "OK");
+            handler.onData(Buffer.from("answer"));
+            handler.onComplete();
+            return;
+    }
+}
+
+// Upstreams are full, unreachable, break off, fail and answer, in any order. What the caller relies on: what may run once is
+// never sent again after it may have run, nothing reaches more upstreams than its route allows, a refusal that promises that
+// it has not run is true, and a success is the upstream's whole answer.
+suite("whatever order attempts end in, nothing runs more often than its route allows", async () => {
+    const kinds = [
+        { kind: gateway.RouteKind.Safe, isResumable: false },
+        { kind: gateway.RouteKind.Unsafe, isResumable: false },
+        { kind: gateway.RouteKind.Stream, isResumable: false },
+    ];
+    const property = fastCheck.asyncProperty(
+        fastCheck.constantFrom(...kinds),
+        fastCheck.integer({ min: 1, max: 3 }),
+        fastCheck.array(fastCheck.constantFrom(...Object.values(End)), { minLength: 8, maxLength: 8 }),
+        async (kind, attempts, ends) => {
+            const scene = await createScene({ ...kind, attempts });
+            let mayHaveRun = 0;
+            for (let turn = 0; turn < scene.channels.attempts.length; turn++) {
+                const end = ends[turn] ?? End.Answers;
+                mayHaveRun += end === End.Refuses || end === End.Unreachable ? 0 : 1;
+                finishAttempt(scene.channels.attempts[turn]!, end);
+                await scene.clock.advance(50);
+            }
+            await scene.done;
+            assert.ok(mayHaveRun <= (kind.kind === gateway.RouteKind.Safe ? attempts : 1), `${mayHaveRun} runs`);
+            const reason = fixtures.findHeader(scene.response.headers, "reason");
+            if (reason !== undefined && !UncertainReasons.includes(reason)) {
+                assert.is(mayHaveRun, 0, reason);
+            }
+            if (scene.response.status === 200 && kind.kind !== gateway.RouteKind.Stream) {
+                assert.is(scene.response.body, "answer");
+            }
+        },
+    );
+    await fastCheck.assert(property, { seed: 7, numRuns: 400 });
+});
+
 suite.run();
