--- a/packages/gateway/src/submissionRecords.ts
+++ b/packages/gateway/src/submissionRecords.ts
@@ -47,7 +47,8 @@
     listed: zod.number(),
     isEnded: zod.boolean(),
     failures: zod.array(zod.tuple([zod.number(), zod.number()])),
-    hasProgress: zod.boolean(),
+    // Absent in heads of the version before: an upgrade, instance by instance, must not make their submissions unknown.
+    hasProgress: zod.boolean().default(false),
 });
 
 const ProgressSchema = zod.array(zod.tuple([zod.number(), zod.number(), zod.array(zod.string())]));
