--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -310,9 +310,11 @@
             const outcome = await this.options.store.write(write);
             switch (outcome.kind) {
                 case submissionStore.WriteOutcomeKind.Written:
+                    if (write.head.listed > this.stored.head.listed) {
+                        this.options.onListed(write.head.listed, calls);
+                    }
                     this.stored = { head: write.head, revision: outcome.revision };
                     this.keptEvents = events;
-                    this.options.onListed(write.head.listed, calls);
                     return true;
                 case submissionStore.WriteOutcomeKind.Conflict:
                     this.resolveConflict(outcome.current);
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -218,6 +218,8 @@
     await fleet.clock.advance(20_000);
     const results = await fixtures.readAll(fleet, fleet.members.at(-1)!, "s");
     assertWhole(results, 14);
+    const listed = fleet.members[0]!.log.notes.filter(note => note.event === gateway.GatewayEvent.ResultsListed);
+    assert.equal(listed, [], "keeping progress lists nothing");
     const again = fleet.channels.runs.filter(run => run.at > killedAt && done.includes(run.item));
     assert.equal(
         again.map(run => run.after),
