--- /dev/null
+++ b/packages/gateway/test/storeReturn.test.ts
@@ -0,0 +1,147 @@
+import * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as standins from "@boragedale/standins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as fixtures from "./fixtures.js";
+
+const suite = uvu.suite("storeReturn");
+
+const WaitMilliseconds = 15_000;
+/** Time in which a change must be known, and a member be listed again. */
+const KnownMilliseconds = 2_000;
+
+interface Scene extends AsyncDisposable {
+    readonly clock: core.VirtualClock;
+    readonly metadata: standins.MemoryMetadata;
+    /** The member's way to the store. */
+    readonly faults: standins.MetadataFaults;
+    readonly store: gateway.MetadataStore;
+    readonly view: gateway.FleetView;
+    readonly isListed: () => boolean;
+}
+
+/** One member that follows the configuration and the upstreams and keeps its own entry; it has no peers. */
+async function createMember(): Promise<Scene> {
+    const clock = new core.VirtualClock();
+    const metadata = new standins.MemoryMetadata(clock);
+    const client = metadata.createClient();
+    const log = new fixtures.QuietLog();
+    const view = new gateway.FleetView(new fixtures.TestCodec(), () => undefined);
+    const store = new gateway.CountedStore(
+        client,
+        () => clock.now(),
+        (call, purpose, outcome, milliseconds) => view.noteStoreCall(outcome, clock.now() - milliseconds, clock.now()),
+    );
+    const watchers = ["configuration", "upstreams/"].map(
+        prefix =>
+            new gateway.StoreWatcher(
+                { store, clock, log },
+                {
+                    prefix,
+                    waitMilliseconds: WaitMilliseconds,
+                    longestGatherMilliseconds: 0,
+                    applyListing: listing => void view.applyListing(prefix, listing, clock.now()),
+                    applyChanges: entries => void view.apply(entries, clock.now()),
+                },
+            ),
+    );
+    const self = { id: gateway.createMemberId("self", "1"), dataCentre: "a", peerAddress: "127.0.0.1:1" };
+    const registration = new gateway.Registration(store, new gateway.MemberDirectory(self), clock, log, () =>
+        watchers.forEach(watcher => watcher.restart()),
+    );
+    metadata.put("configuration", JSON.stringify(fixtures.createConfiguration(1)));
+    metadata.put("upstreams/a", JSON.stringify(fixtures.createUpstream("a")));
+    watchers.forEach(watcher => void watcher.run());
+    registration.start(Promise.resolve());
+    await clock.advance(100);
+    const isListed = (): boolean => metadata.get(gateway.MemberPrefix + self.id) !== undefined;
+    const dispose = async (): Promise<void> => {
+        await Promise.all(watchers.map(watcher => watcher[Symbol.asyncDispose]()));
+        const ended = registration[Symbol.asyncDispose]();
+        await clock.advance(2_000);
+        await ended;
+    };
+    return { clock, metadata, faults: client.faults, store, view, isListed, [Symbol.asyncDispose]: dispose };
+}
+
+// Callers saw their requests handled by a configuration that had been replaced three seconds before, and go to an upstream that had
+// said two seconds before that it was leaving. The store had been silent for nine seconds. A watch whose time ended meanwhile was
+// begun anew while the store was still silent: that call was never answered, and was waited for until its own time was over. All
+// members had begun their watches at the same change, so all lost them together and none could tell the others.
+for (const arePausedLeases of [true, false]) {
+    const leases = arePausedLeases ? "pause" : "run out";
+    suite(`changes right after a silent store's return are known in time, where leases ${leases}`, async () => {
+        for (let phase = 0; phase < 2_500; phase += 100) {
+            await using scene = await createMember();
+            scene.metadata.arePausedLeases = arePausedLeases;
+            await scene.clock.advance(12_000);
+            scene.faults.isSilent = true;
+            await scene.clock.advance(8_000 + phase);
+            scene.faults.isSilent = false;
+            scene.metadata.put("configuration", JSON.stringify(fixtures.createConfiguration(2)));
+            const leaving = fixtures.createUpstream("a", { state: gateway.UpstreamState.Draining });
+            scene.metadata.put("upstreams/a", JSON.stringify(leaving));
+            await scene.clock.advance(KnownMilliseconds);
+            const place = `outage of ${8_000 + phase} ms`;
+            assert.is(scene.view.getConfiguration()?.version, 2, place);
+            assert.equal(scene.view.getUsable("service", scene.clock.now()), [], place);
+            assert.ok(scene.isListed(), place);
+        }
+    });
+}
+
+// Connections go silent all at once. The first to notice is a write of a submission, whose answer doesn't come; the lease's renewal
+// then goes over a new connection and succeeds. The watches wait on the silent connections while an upstream leaves.
+suite("a watch on a silent connection begins anew when any call has found the silence", async () => {
+    await using scene = await createMember();
+    scene.faults.areWatchesLost = true;
+    scene.metadata.put("configuration", JSON.stringify(fixtures.createConfiguration(2)));
+    scene.metadata.put("upstreams/b", JSON.stringify(fixtures.createUpstream("b")));
+    await scene.clock.advance(500);
+    scene.faults.areWatchesLost = false;
+    scene.faults.lostAnswers = 1;
+    await scene.store.transact({ preconditions: [], puts: [], deletes: ["submission"] });
+    const leaving = fixtures.createUpstream("a", { state: gateway.UpstreamState.Draining });
+    scene.metadata.put("upstreams/a", JSON.stringify(leaving));
+    scene.metadata.put("configuration", JSON.stringify(fixtures.createConfiguration(3)));
+    await scene.clock.advance(KnownMilliseconds);
+    assert.is(scene.view.getConfiguration()?.version, 3);
+    assert.equal(
+        scene.view.getUsable("service", scene.clock.now()).map(upstream => upstream.entry.id),
+        ["b"],
+    );
+});
+
+/** Time after which a machine that was cut off must have caught up. */
+const CatchUpMilliseconds = 4_700;
+
+// Operators order a machine with a disk to be emptied, right after the store was silent. Its process does nothing but watch for that
+// order, and no other call of its own tells it that the store is back.
+suite("a watch that is a process's only call is answered soon after the store's return", async () => {
+    const clock = new core.VirtualClock();
+    const metadata = new standins.MemoryMetadata(clock);
+    const store = metadata.createClient();
+    const seen: string[] = [];
+    const take = (entries: readonly gateway.StoreEntry[]): void => void seen.push(...entries.map(entry => entry.key));
+    await using watcher = new gateway.StoreWatcher(
+        { store, clock, log: new fixtures.QuietLog() },
+        {
+            prefix: "retire/",
+            waitMilliseconds: WaitMilliseconds,
+            longestGatherMilliseconds: 0,
+            applyListing: listing => take(listing.entries),
+            applyChanges: take,
+        },
+    );
+    void watcher.run();
+    await clock.advance(12_000);
+    store.faults.isSilent = true;
+    await clock.advance(8_000);
+    store.faults.isSilent = false;
+    metadata.put("retire/self", "1");
+    await clock.advance(CatchUpMilliseconds);
+    assert.equal(seen, ["retire/self"]);
+});
+
+suite.run();
