--- a/packages/gateway/src/storeWatcher.ts
+++ b/packages/gateway/src/storeWatcher.ts
@@ -30,6 +30,8 @@
 /** First and longest pause after a failed call. */
 const FirstPauseMilliseconds = 150;
 const LongestPauseMilliseconds = 1_000;
+/** Wait of a watch that follows a failed call. */
+const ProbeWaitMilliseconds = 100;
 
 /** Follows a prefix of the metadata store: lists it, then takes changes; lists again when history was dropped. */
 export class StoreWatcher implements AsyncDisposable {
@@ -98,12 +100,16 @@
         return { ok: true, value: result.value.revision };
     }
 
+    /**
+     * A store that answers nobody never answers what was begun meanwhile either: a whole watch would be waited for long after
+     * its return, while changes pass unseen. So the first one after a failure is short, until one is answered.
+     */
     private async watchOnce(revision: types.Revision): Promise<metadataStore.StoreResult<types.Revision>> {
         this.current = new AbortController();
         const result = await this.parts.store.watch(
             this.watched.prefix,
             revision,
-            this.watched.waitMilliseconds,
+            this.isReachable ? this.watched.waitMilliseconds : ProbeWaitMilliseconds,
             this.current.signal,
         );
         if (!result.ok) {
