--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -28,6 +28,7 @@
     /** The platform's store with its calls counted. */
     readonly store: gateway.MetadataStore;
     readonly view: gateway.FleetView;
+    readonly storeReturn: gateway.StoreReturn;
     readonly network: protocol.WebSocketPeerNetwork;
     readonly members: gateway.MemberDirectory;
     readonly homes: gateway.HomeDirectory;
@@ -47,9 +48,9 @@
 /** Time for an answer of the store; it takes milliseconds, and some hundred when it is slow. */
 export const StoreTimeoutMilliseconds = 1_000;
 /**
- * How long one watch waits. A connection that went silent is noticed by the lease's renewal, which then has the watches begin
- * anew; the wait itself only bounds how often they are asked for nothing, which is a call each time. Shorter than the store's
- * history, or a watch that saw no change would end with a whole listing.
+ * How long one watch waits. A connection that went silent is noticed by the other calls, the lease's renewal at the latest, and
+ * the watches then begin anew; the wait itself only bounds how often they are asked for nothing, which is a call each time.
+ * Shorter than the store's history, or a watch that saw no change would end with a whole listing.
  */
 const WatchMilliseconds = 15_000;
 /**
@@ -77,6 +78,9 @@
         platformStore: awilix.asFunction(createPlatformStore).singleton(),
         store: awilix.asFunction(createStore).singleton(),
         view: awilix.asFunction(createView).singleton(),
+        storeReturn: awilix
+            .asFunction(({ view, clock, log }: Parts) => new gateway.StoreReturn(view, clock, log))
+            .singleton(),
         homes: awilix
             .asFunction(({ members, view, clock }: Parts) => new gateway.HomeDirectory(members, view, clock))
             .singleton(),
@@ -116,7 +120,10 @@
     owned.use(parts.registration);
     owned.use(parts.submissions);
     owned.use(parts.server);
-    [...parts.watchers, parts.fleetWatcher].forEach(watcher => owned.use(watcher));
+    for (const watcher of [...parts.watchers, parts.fleetWatcher]) {
+        owned.use(watcher);
+        parts.storeReturn.follow(watcher);
+    }
     return parts;
 }
 
@@ -164,7 +171,7 @@
     });
 }
 
-function createStore({ platformStore, clock, log, view }: Parts): gateway.MetadataStore {
+function createStore({ platformStore, clock, log, storeReturn }: Parts): gateway.MetadataStore {
     let answeredAt = clock.now();
     log.metrics.observeGauge("boragedale_store_silent_seconds", {}, () => (clock.now() - answeredAt) / 1_000);
     return new gateway.CountedStore(
@@ -172,7 +179,7 @@
         () => clock.now(),
         (call, purpose, outcome, milliseconds) => {
             log.metrics.count("boragedale_store_calls_total", { call, purpose, outcome });
-            view.noteStoreCall(outcome, clock.now() - milliseconds, clock.now());
+            storeReturn.noteStoreCall(call, outcome, milliseconds);
             if (outcome !== gateway.DoneOutcome) {
                 return;
             }
@@ -208,11 +215,8 @@
     return slots;
 }
 
-function createRegistration(parts: Parts): gateway.Registration {
-    const { store, members, clock, log } = parts;
-    return new gateway.Registration(store, members, clock, log, () =>
-        [...parts.watchers, parts.fleetWatcher].forEach(watcher => watcher.restart()),
-    );
+function createRegistration({ store, members, clock, log }: Parts): gateway.Registration {
+    return new gateway.Registration(store, members, clock, log);
 }
 
 function createScheduler(parts: Parts): gateway.ItemScheduler {
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -15,6 +15,7 @@
 const GatewayEvents: Readonly<Record<gateway.GatewayEvent, telemetry.events.EventDefinition>> = {
     [gateway.GatewayEvent.StoreLost]: telemetry.events.StoreLost,
     [gateway.GatewayEvent.StoreRegained]: telemetry.events.StoreRegained,
+    [gateway.GatewayEvent.StoreReturned]: telemetry.events.StoreReturned,
     [gateway.GatewayEvent.ConfigurationTaken]: telemetry.events.ConfigurationTaken,
     [gateway.GatewayEvent.UpstreamDied]: telemetry.events.UpstreamDied,
     [gateway.GatewayEvent.UpstreamChanged]: telemetry.events.UpstreamChanged,
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -133,32 +133,35 @@
         this.forEachHeld(now, known => (known.heldUntil = this.doubtUntil + LapseHoldMilliseconds));
     }
 
-    /** The store answered; after a failure that is its return, from which on the time of living upstreams to be back runs. */
-    noteAnswered(now: core.MonotonicMilliseconds): void {
+    /**
+     * The store answered; after a failure that is its return, from which on the time of living upstreams to be back runs.
+     * Returns whether it is.
+     */
+    noteAnswered(now: core.MonotonicMilliseconds): boolean {
         if (this.returnedAt !== undefined) {
-            return;
+            return false;
         }
         this.returnedAt = now;
         this.doubtUntil = now + ReturnDoubtMilliseconds;
         this.forEachHeld(now, known => (known.heldUntil = Math.min(known.heldUntil ?? Infinity, this.doubtUntil)));
+        return true;
     }
 
-    /** Learns from the end of a call whether the store is to be believed. */
-    noteStoreCall(outcome: string, startedAt: core.MonotonicMilliseconds, now: core.MonotonicMilliseconds): void {
+    /** Learns from the end of a call whether the store is to be believed; returns whether it is the store's return. */
+    noteStoreCall(outcome: string, startedAt: core.MonotonicMilliseconds, now: core.MonotonicMilliseconds): boolean {
         switch (outcome) {
             case metadataStore.StoreFailureKind.NotDone:
             case metadataStore.StoreFailureKind.Unknown:
                 this.noteDoubt(now, startedAt);
-                break;
+                return false;
             case metadataStore.StoreFailureKind.BrokenOff:
-                break;
+                return false;
             case metadataStore.StoreFailureKind.LeaseGone:
                 // The store answers, but has let leases run out, and not only this one.
                 this.noteDoubt(now);
-                this.noteAnswered(now);
-                break;
+                return this.noteAnswered(now);
             default:
-                this.noteAnswered(now);
+                return this.noteAnswered(now);
         }
     }
 
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -43,6 +43,7 @@
 export enum GatewayEvent {
     StoreLost = "StoreLost",
     StoreRegained = "StoreRegained",
+    StoreReturned = "StoreReturned",
     ConfigurationTaken = "ConfigurationTaken",
     UpstreamDied = "UpstreamDied",
     UpstreamChanged = "UpstreamChanged",
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./memberDirectory.js";
 export * from "./registration.js";
 export * from "./storeWatcher.js";
+export * from "./storeReturn.js";
 export * from "./homeDirectory.js";
 export * from "./slotLending.js";
 export * from "./slotSharing.js";
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -24,11 +24,6 @@
         private readonly members: memberDirectory.MemberDirectory,
         private readonly clock: core.Clock,
         private readonly log: gatewayLog.GatewayLog,
-        /**
-         * Told when the store answers again after a call that failed: what else waits for the store may wait on a connection
-         * that went silent meanwhile.
-         */
-        private readonly onReturn: () => void,
     ) {}
 
     /** Registers once the former lives of this instance are known, or the time for that is up. */
@@ -51,16 +46,11 @@
     private async run(whenListed: Promise<void>): Promise<void> {
         await Promise.race([whenListed, this.clock.sleep(ListingMilliseconds, this.stopper.signal)]);
         const pauses = new backoff.Backoff(FirstRetryMilliseconds, LongestRetryMilliseconds);
-        let wasKept = true;
         while (!this.stopper.signal.aborted) {
             const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
             if (isKept) {
                 pauses.reset();
             }
-            if (isKept && !wasKept) {
-                this.onReturn();
-            }
-            wasKept = isKept;
             await this.clock.sleep(isKept ? RenewMilliseconds : pauses.next(), this.stopper.signal);
         }
     }
--- a/packages/gateway/src/storeWatcher.ts
+++ b/packages/gateway/src/storeWatcher.ts
@@ -36,6 +36,7 @@
 /** Follows a prefix of the metadata store: lists it, then takes changes; lists again when history was dropped. */
 export class StoreWatcher implements AsyncDisposable {
     private readonly stopper = new AbortController();
+    /** Aborted to end the call or the pause that goes on. */
     private current = new AbortController();
     private gatherMilliseconds = 0;
     private changedAt: core.MonotonicMilliseconds = -Infinity;
@@ -54,6 +55,7 @@
         let revision: types.Revision | undefined;
         const pauses = new backoff.Backoff(FirstPauseMilliseconds, LongestPauseMilliseconds);
         while (!this.stopper.signal.aborted) {
+            this.current = new AbortController();
             const result: metadataStore.StoreResult<types.Revision> =
                 revision === undefined ? await this.list() : await this.watchOnce(revision);
             if (result.ok) {
@@ -73,14 +75,11 @@
                 continue;
             }
             this.noteReachable(false, result.failure.text);
-            await this.parts.clock.sleep(pauses.next(), this.stopper.signal);
+            await this.parts.clock.sleep(pauses.next(), this.current.signal);
         }
     }
 
-    /**
-     * Begins the watch anew on another connection. Called when another call got no answer: connections may have gone silent
-     * together, and a watch that waits would be the last to notice.
-     */
+    /** Begins the watch anew, on another connection, and ends the pause after a failure. */
     restart(): void {
         this.current.abort();
     }
@@ -105,7 +104,6 @@
      * its return, while changes pass unseen. So the first one after a failure is short, until one is answered.
      */
     private async watchOnce(revision: types.Revision): Promise<metadataStore.StoreResult<types.Revision>> {
-        this.current = new AbortController();
         const result = await this.parts.store.watch(
             this.watched.prefix,
             revision,
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -142,6 +142,12 @@
 );
 export const StoreLost = define(710, "StoreLost", EventLevel.Warn, "A watch of the metadata store failed.");
 export const StoreRegained = define(711, "StoreRegained", EventLevel.Info, "The watch works again.");
+export const StoreReturned = define(
+    733,
+    "StoreReturned",
+    EventLevel.Info,
+    "The metadata store answered a call after one that failed; the watches begin anew.",
+);
 export const ConfigurationTaken = define(
     712,
     "ConfigurationTaken",
