--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -8,11 +8,21 @@
 export const LeaseMilliseconds = 4_000;
 /** A third of the lease: two renewals may fail before it ends. */
 const RenewMilliseconds = 1_300;
-/** First and longest pause after a call that failed; a member is back in the list within the longest one. */
+/**
+ * First and longest pause after a call that failed. This is the call by which a member without work finds that the store is back:
+ * with the time of a call that began just before, it must stay well under the two seconds in which changes are to be known.
+ */
 const FirstRetryMilliseconds = 300;
-const LongestRetryMilliseconds = 1_000;
+const LongestRetryMilliseconds = 500;
 const ListingMilliseconds = 500;
 
+enum RenewalOutcome {
+    Renewed = "Renewed",
+    /** The lease has run out, and the entry went with it. */
+    Ended = "Ended",
+    Unknown = "Unknown",
+}
+
 /** Keeps this member's entry in the metadata store, under a lease that ends with the process. */
 export class Registration implements AsyncDisposable {
     private readonly stopper = new AbortController();
@@ -47,7 +57,7 @@
         await Promise.race([whenListed, this.clock.sleep(ListingMilliseconds, this.stopper.signal)]);
         const pauses = new backoff.Backoff(FirstRetryMilliseconds, LongestRetryMilliseconds);
         while (!this.stopper.signal.aborted) {
-            const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
+            const isKept = await this.keep();
             if (isKept) {
                 pauses.reset();
             }
@@ -55,6 +65,19 @@
         }
     }
 
+    /** Renews the lease, or registers anew; returns whether the entry stands. */
+    private async keep(): Promise<boolean> {
+        if (this.lease !== undefined) {
+            const outcome = await this.renew(this.lease);
+            if (outcome !== RenewalOutcome.Ended) {
+                return outcome === RenewalOutcome.Renewed;
+            }
+            // The store answers; without an entry others take this member for gone, so the new one doesn't wait for a pause.
+            this.lease = undefined;
+        }
+        return this.register();
+    }
+
     private async register(): Promise<boolean> {
         const granted = await this.store.grantLease(LeaseMilliseconds);
         if (!granted.ok) {
@@ -76,14 +99,13 @@
         return true;
     }
 
-    private async renew(lease: string): Promise<boolean> {
+    private async renew(lease: string): Promise<RenewalOutcome> {
         const renewed = await this.store.renewLease(lease);
         if (renewed.ok) {
-            return true;
-        }
-        if (renewed.failure.kind === metadataStore.StoreFailureKind.LeaseGone) {
-            this.lease = undefined;
+            return RenewalOutcome.Renewed;
         }
-        return false;
+        return renewed.failure.kind === metadataStore.StoreFailureKind.LeaseGone
+            ? RenewalOutcome.Ended
+            : RenewalOutcome.Unknown;
     }
 }
