--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -150,6 +150,7 @@
         createHeartbeat: () => ({
             kind: protocol.MessageKind.Heartbeat,
             generation: view.getRevision(),
+            digest: view.getDigest(),
             logicalTime: 0,
             state: life.isStopping ? core.LifeState.Leaving : core.LifeState.Live,
         }),
--- a/packages/daemon/src/peers.ts
+++ b/packages/daemon/src/peers.ts
@@ -53,7 +53,7 @@
             entries: view.getEntriesAfter(message.revision).map(toWire),
         }));
         network.handle(protocol.MessageKind.Heartbeat, async (message, from) => {
-            await this.catchUp(from, message.generation);
+            await this.catchUp(from, message);
             return undefined;
         });
     }
@@ -73,14 +73,14 @@
         }
     }
 
-    private async catchUp(peer: core.InstanceId, revision: gateway.Revision): Promise<void> {
+    private async catchUp(peer: core.InstanceId, heartbeat: protocol.Heartbeat): Promise<void> {
         const now = this.clock.now();
-        const known = this.view.isWhole() ? this.view.getRevision() : 0;
-        if (revision <= known || now - this.askedAt < CatchUpMilliseconds) {
+        const lacked = this.tryGetLackedAfter(heartbeat, now);
+        if (lacked === undefined || now - this.askedAt < CatchUpMilliseconds) {
             return;
         }
         this.askedAt = now;
-        const message = { kind: protocol.MessageKind.RegistryRequest, revision: known } as const;
+        const message = { kind: protocol.MessageKind.RegistryRequest, revision: lacked } as const;
         const reply = await this.network.request(peer, message, {
             lane: protocol.Lane.Bulk,
             timeoutMilliseconds: CatchUpTimeoutMilliseconds,
@@ -90,6 +90,27 @@
         }
     }
 
+    /**
+     * The revision after which the peer may know entries that this member lacks; undefined where it knows none. The highest
+     * revision alone doesn't tell: a peer's watches bring changes out of their order, and one that it heard of late would stay
+     * unknown here for as long as the store turns this member away. Asked for from the settled revision on, it comes along.
+     */
+    private tryGetLackedAfter(
+        heartbeat: protocol.Heartbeat,
+        now: core.MonotonicMilliseconds,
+    ): gateway.Revision | undefined {
+        if (!this.view.isWhole()) {
+            return heartbeat.generation > 0 ? 0 : undefined;
+        }
+        const known = this.view.getRevision();
+        const isAhead = heartbeat.generation > known;
+        const differs =
+            heartbeat.generation === known &&
+            heartbeat.digest !== undefined &&
+            heartbeat.digest !== this.view.getDigest();
+        return isAhead || differs ? this.view.getSettledRevision(now) : undefined;
+    }
+
     private take(message: protocol.RegistryEntries): void {
         const entries = message.entries.map(({ key, revision, value }) => ({ key, revision, value }));
         this.view.apply(entries, this.clock.now());
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -1,6 +1,8 @@
 import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
 import * as metadataStore from "./metadataStore.js";
 import * as routeTable from "./routeTable.js";
+import * as settledRevision from "./settledRevision.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
 
@@ -48,6 +50,8 @@
     private configuration: types.Configuration | undefined;
     private routes: routeTable.RouteTable | undefined;
     private revision: types.Revision = 0;
+    private readonly settled = new settledRevision.SettledRevision();
+    private digest = 0;
     private doubtUntil: core.MonotonicMilliseconds = -Infinity;
     /** When the store answered again after it had failed; undefined while it fails. */
     private returnedAt: core.MonotonicMilliseconds | undefined = -Infinity;
@@ -57,7 +61,9 @@
         readonly key: string;
     }[] = [];
     private readonly listeners = new Set<() => void>();
-    private readonly wholePrefixes = new Set<string>();
+    /** Revisions of the whole listings, by prefix. */
+    private readonly listedRevisions = new Map<string, types.Revision>();
+    private isWholeByPeer = false;
 
     constructor(
         private readonly codec: wire.RegistryCodec,
@@ -72,23 +78,35 @@
         return this.routes;
     }
 
-    /** Highest revision that this view has seen all of; peers compare it to find what the other lacks. */
+    /** Highest revision that this view has seen; of earlier ones some may be missing. */
     getRevision(): types.Revision {
         return this.revision;
     }
 
+    /** The revision up to which nothing is missing here, as far as time tells. */
+    getSettledRevision(now: core.MonotonicMilliseconds): types.Revision {
+        return this.settled.get(now);
+    }
+
+    /**
+     * A 32 bit sum over the entries that stand. Views of the same highest revision may differ, since watches bring changes out
+     * of their order; then their digests do.
+     */
+    getDigest(): number {
+        return this.digest;
+    }
+
     /**
      * Whether everything that the store had was seen, here or at a peer. A notice of one late change raises the revision
      * though all before it is missing.
      */
     isWhole(): boolean {
-        return this.wholePrefixes.has(this.codec.configurationKey) && this.wholePrefixes.has(this.codec.upstreamPrefix);
+        return this.isWholeByPeer || this.tryGetListedRevision() !== undefined;
     }
 
     /** A peer that has seen everything sent all its entries. */
     noteWhole(): void {
-        this.wholePrefixes.add(this.codec.configurationKey);
-        this.wholePrefixes.add(this.codec.upstreamPrefix);
+        this.isWholeByPeer = true;
     }
 
     onChange(listener: () => void): void {
@@ -175,7 +193,8 @@
         listing: { entries: readonly types.StoreEntry[]; revision: types.Revision },
         now: core.MonotonicMilliseconds,
     ): types.StoreEntry[] {
-        this.wholePrefixes.add(prefix);
+        this.listedRevisions.set(prefix, listing.revision);
+        this.settled.noteWhole(this.tryGetListedRevision() ?? 0);
         const present = new Set(listing.entries.map(entry => entry.key));
         const missing = [...this.entries.values()]
             .map(known => known.entry)
@@ -196,12 +215,20 @@
         for (const entry of entries) {
             this.revision = Math.max(this.revision, entry.revision);
         }
+        this.settled.note(this.revision, now);
         if (news.length > 0) {
             this.listeners.forEach(listener => listener());
         }
         return news;
     }
 
+    /** The revision up to which listings showed everything; undefined until there was one of each prefix. */
+    private tryGetListedRevision(): types.Revision | undefined {
+        const configuration = this.listedRevisions.get(this.codec.configurationKey);
+        const upstreams = this.listedRevisions.get(this.codec.upstreamPrefix);
+        return configuration === undefined || upstreams === undefined ? undefined : Math.min(configuration, upstreams);
+    }
+
     private forEachHeld(now: core.MonotonicMilliseconds, action: (known: KnownEntry) => void): void {
         for (const known of this.entries.values()) {
             if (known.heldUntil !== undefined && now < known.heldUntil) {
@@ -215,14 +242,16 @@
         if (known !== undefined && known.entry.revision >= entry.revision) {
             return false;
         }
+        const isOurs = entry.key === this.codec.configurationKey || entry.key.startsWith(this.codec.upstreamPrefix);
+        if (!isOurs) {
+            return false;
+        }
+        this.digest = (this.digest - digestEntry(known?.entry) + digestEntry(entry)) >>> 0;
         if (entry.key === this.codec.configurationKey) {
             this.entries.set(entry.key, { entry, upstream: undefined, heldUntil: undefined });
             this.applyConfiguration(entry);
             return true;
         }
-        if (!entry.key.startsWith(this.codec.upstreamPrefix)) {
-            return false;
-        }
         if (entry.value === undefined) {
             this.applyRemoval(entry, known, now);
             return true;
@@ -295,6 +324,11 @@
     }
 }
 
+/** What an entry adds to the digest; removed ones add nothing, since who lists later never hears of them. */
+function digestEntry(entry: types.StoreEntry | undefined): number {
+    return entry?.value === undefined ? 0 : decisions.hashText(`${entry.key}@${entry.revision}`);
+}
+
 function isPresent(known: KnownEntry, now: core.MonotonicMilliseconds): boolean {
     return known.entry.value !== undefined || (known.heldUntil !== undefined && now < known.heldUntil);
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./metadataStore.js";
 export * from "./countedStore.js";
 export * from "./gatewayLog.js";
+export * from "./settledRevision.js";
 export * from "./fleetView.js";
 export * from "./routeTable.js";
 export * from "./memberDirectory.js";
--- a/packages/gateway/test/fleetView.test.ts
+++ b/packages/gateway/test/fleetView.test.ts
@@ -43,6 +43,7 @@
             doubled.forEach(({ value }) => shuffled.apply([value], 0));
             // Holds of vanished entries depend on the order; what they end in does not.
             assert.equal(getIds(shuffled, 60_000), getIds(straight, 60_000));
+            assert.is(shuffled.getDigest(), straight.getDigest());
         },
     );
     fastCheck.assert(property, { seed: 5, numRuns: 300 });
@@ -160,4 +161,20 @@
     assert.equal(getIds(view, 10_000), ["b"]);
 });
 
+// Changes come out of their order for seconds. What a peer is asked for must reach back before them, or the late one stays unknown.
+suite("the settled revision is the one that was known seconds ago, or listed whole", () => {
+    const view = createView();
+    view.apply([createReady("a", 5)], 0);
+    view.apply([createReady("b", 7)], 3_000);
+    assert.is(view.getSettledRevision(4_900), 0);
+    assert.is(view.getSettledRevision(5_000), 5);
+    view.apply([createReady("c", 9)], 6_000);
+    assert.is(view.getSettledRevision(10_000), 5);
+    assert.is(view.getSettledRevision(11_000), 9);
+    for (const prefix of ["configuration", "upstreams/"]) {
+        view.applyListing(prefix, { entries: [], revision: 12 }, 11_000);
+    }
+    assert.is(view.getSettledRevision(11_000), 12);
+});
+
 suite.run();
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -59,6 +59,7 @@
     zod.object({
         kind: zod.literal(types.MessageKind.Heartbeat),
         generation: zod.int().min(0),
+        digest: zod.int().min(0).optional(),
         logicalTime: count,
         state: zod.enum(core.LifeState),
     }),
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -75,6 +75,8 @@
 export interface Heartbeat {
     readonly kind: MessageKind.Heartbeat;
     readonly generation: core.Generation;
+    /** Of the sender's registry entries, where it keeps any: a 32 bit sum that differs where they do. */
+    readonly digest?: number;
     /** Time-line clock of the sender. */
     readonly logicalTime: number;
     /** Whether the sender takes new duties. */
--- a/packages/protocol/test/codec.test.ts
+++ b/packages/protocol/test/codec.test.ts
@@ -14,6 +14,7 @@
         fastCheck.record({
             kind: fastCheck.constant(protocol.MessageKind.Heartbeat as const),
             generation: fastCheck.nat(),
+            digest: fastCheck.nat(0xffff_ffff),
             logicalTime: fastCheck.nat(),
             state: fastCheck.constantFrom(...Object.values(core.LifeState)),
         }),
