--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import * as gatewayLog from "./gatewayLog.js";
 import * as ownedSubmission from "./ownedSubmission.js";
@@ -15,6 +16,23 @@
 const HandOverLookMilliseconds = 150;
 /** Kept beyond the retention, since callers count from their own clocks. */
 const RetentionSlackMilliseconds = 30_000;
+/**
+ * Members that look through the heads when another is gone. With every member looking, each restart in a fleet of hundreds
+ * would be hundreds of whole listings.
+ */
+const LookerCount = 2;
+/** The second one looks this much later, for the case that the first one is gone too; mostly it finds nothing left to do. */
+const SecondLookMilliseconds = 700;
+/** Ranks the members: all work the same lookers out. */
+const LookerKey = "takeover";
+
+/** Which submissions without an owner a look through the heads is for. */
+enum LookScope {
+    /** Those whose heir is this member. */
+    Own = "Own",
+    /** All; those of others are passed on to their heirs. */
+    All = "All",
+}
 
 /** Sees to it that each submission has one member that runs it: takes over from those that are gone, hands over at a stop. */
 export class SubmissionTakeover implements AsyncDisposable {
@@ -34,7 +52,7 @@
     async run(): Promise<void> {
         while (!this.stopper.signal.aborted) {
             await this.parts.clock.sleep(ScanIntervalMilliseconds, this.stopper.signal);
-            await this.scan(true);
+            await this.scan(LookScope.Own);
         }
     }
 
@@ -61,20 +79,54 @@
         }
         this.registry.forgetOwners(gone);
         const isReplaced = gone.every(id => this.parts.members.hasNewerLife(id));
-        const delay = isReplaced ? ReplacedDelayMilliseconds : TakeoverDelayMilliseconds;
-        this.parts.clock.schedule(delay, () => void this.scan(false));
+        void this.lookForOrphans(isReplaced ? ReplacedDelayMilliseconds : TakeoverDelayMilliseconds);
+    }
+
+    private async lookForOrphans(delay: number): Promise<void> {
+        await this.parts.clock.sleep(delay, this.stopper.signal);
+        const members = this.parts.members.getMembers().map(member => member.id);
+        const rank = decisions.chooseSubset(LookerKey, members, LookerCount).indexOf(this.parts.members.self.id);
+        if (rank < 0) {
+            return;
+        }
+        await this.parts.clock.sleep(rank * SecondLookMilliseconds, this.stopper.signal);
+        await this.scan(LookScope.All);
     }
 
-    private async scan(allowStale: boolean): Promise<void> {
+    private async scan(scope: LookScope): Promise<void> {
         if (this.registry.isLeaving || !this.parts.members.isListed() || this.stopper.signal.aborted) {
             return;
         }
-        const listed = await this.parts.submissions.listHeads(allowStale);
+        const listed = await this.parts.submissions.listHeads(scope === LookScope.Own);
         if (!listed.ok) {
             return;
         }
+        const passedOn: Promise<void>[] = [];
         for (const [id, stored] of listed.value) {
             await this.tend(id, stored);
+            const heir = scope === LookScope.All ? this.tryGetOtherHeir(id, stored.head) : undefined;
+            if (heir !== undefined) {
+                passedOn.push(this.passOn(id, heir));
+            }
+        }
+        await Promise.all(passedOn);
+    }
+
+    /** The other member that is to run a submission which nobody runs; undefined where there is none to run. */
+    private tryGetOtherHeir(id: string, head: records.SubmissionHead): core.InstanceId | undefined {
+        const { members } = this.parts;
+        const isOver = head.isEnded || head.listed >= head.itemCount;
+        if (isOver || members.tryGet(head.owner) !== undefined) {
+            return undefined;
+        }
+        const heir = members.chooseHeir(id);
+        return heir === members.self.id ? undefined : heir;
+    }
+
+    private async passOn(id: string, heir: core.InstanceId): Promise<void> {
+        const isKept = await this.handOverTo(heir, id, []);
+        if (!isKept && !this.stopper.signal.aborted) {
+            await this.adopt(id);
         }
     }
 
@@ -162,19 +214,24 @@
         if (heir === undefined || !submission.isActive()) {
             return;
         }
-        const message = {
-            kind: protocol.MessageKind.SubmissionHandover,
-            submission: submission.getId(),
-            progress: submission.getProgress(),
-        } as const;
+        if (await this.handOverTo(heir, submission.getId(), submission.getProgress())) {
+            submission.lose(`${heir} took it over`);
+            this.registry.setOwner(submission.getId(), heir);
+        }
+    }
+
+    /** Has another member take a submission over; returns whether it runs it now. */
+    private async handOverTo(
+        heir: core.InstanceId,
+        submission: string,
+        progress: readonly records.ItemProgress[],
+    ): Promise<boolean> {
+        const message = { kind: protocol.MessageKind.SubmissionHandover, submission, progress } as const;
         const reply = await this.parts.network.request(heir, message, {
             lane: protocol.Lane.Bulk,
             timeoutMilliseconds: submissionRegistry.ForwardMilliseconds,
         });
-        if (reply.ok && reply.message.kind === protocol.MessageKind.SubmissionKept) {
-            submission.lose(`${heir} took it over`);
-            this.registry.setOwner(submission.getId(), heir);
-        }
+        return reply.ok && reply.message.kind === protocol.MessageKind.SubmissionKept;
     }
 
     private async serveHandover(message: protocol.SubmissionHandover): Promise<protocol.Message> {
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -94,6 +94,58 @@
     assert.is(new Set(after?.map(result => result.id)).size, 150);
 });
 
+/** How many listings the store serves in a time. */
+async function countListings(fleet: fixtures.TestFleet, milliseconds: number): Promise<number> {
+    const before = fleet.metadata.calls.get("list") ?? 0;
+    await fleet.clock.advance(milliseconds);
+    return (fleet.metadata.calls.get("list") ?? 0) - before;
+}
+
+/** Covers the lease of a killed member and the takeover, and as many regular looks through the heads each time. */
+const TakeoverWindowMilliseconds = 10_000;
+
+// One of twenty members is killed. Each of the others looked through all heads for what it has to take over: on a day of restarts
+// most of the store's calls, hundreds of kilobytes each. Two that look, the second in case the first one dies too, are enough.
+suite("a killed member costs the store few listings, and its submissions go on", async () => {
+    const fleet = await fixtures.createFleet(20, 4);
+    fleet.channels.behaviour.eventMilliseconds = 1_500;
+    const [owner, reader] = fleet.members;
+    const ids = ["first", "second", "third", "fourth"];
+    for (const id of ids) {
+        await fixtures.submit(fleet, owner!, id, fixtures.createItems(3));
+    }
+    const usual = await countListings(fleet, TakeoverWindowMilliseconds);
+    for (const id of ids) {
+        await fixtures.submit(fleet, owner!, `${id}-late`, fixtures.createItems(3));
+    }
+    owner!.kill();
+    const listings = await countListings(fleet, TakeoverWindowMilliseconds);
+    assert.ok(listings - usual <= 2, `${listings} listings, ${usual} without the kill`);
+    await fleet.clock.advance(10_000);
+    for (const id of ids) {
+        assert.is((await fixtures.readAll(fleet, reader!, `${id}-late`))?.length, 3);
+    }
+    const owners = fleet.getAlive().filter(member => member.submissions.getOwnedCount() > 0);
+    assert.ok(owners.length > 1, `${owners.length} members took over`);
+});
+
+// The member that looks through the heads passes some submissions on. The link to the one that should run them is cut: it runs them
+// itself, where their callers would else wait for the next regular look.
+suite("an orphan whose heir can't be reached is taken over by who found it", async () => {
+    const fleet = await fixtures.createFleet(3, 4);
+    fleet.channels.behaviour.eventMilliseconds = 1_500;
+    const [owner, cutOff, other] = fleet.members;
+    const ids = Array.from({ length: 8 }, (unused, index) => `s-${index}`);
+    for (const id of ids) {
+        await fixtures.submit(fleet, owner!, id, fixtures.createItems(1));
+    }
+    owner!.kill();
+    fleet.hub.cutOff.add(cutOff!.id);
+    await fleet.clock.advance(7_000);
+    const owned = [cutOff!, other!].map(member => member.submissions.getOwnedCount());
+    assert.is(owned[0]! + owned[1]!, 8, `owned ${owned.join(" and ")}`);
+});
+
 // The caller's submission is written, but the store's answer is lost. A refusal that promises "not run" would be a lie,
 // since the items run; sending the same write again finds it done.
 suite("a write whose answer is lost counts as accepted", async () => {
