--- a/packages/bench/src/slots/simulatedNetwork.ts
+++ b/packages/bench/src/slots/simulatedNetwork.ts
@@ -99,7 +99,7 @@
 
     /** Both ends pay for a message: one packs and sends it, the other receives and reads it. */
     private count(frame: protocol.Frame, lane: protocol.Lane, target: SimulatedNetwork): void {
-        const packed = protocol.encodeFrame(frame, lane);
+        const packed = protocol.encodeFrame(frame, lane, protocol.FrameForm.Packed);
         const bytes = (packed.ok ? packed.bytes.byteLength : 0) + FrameHeaderBytes;
         for (const traffic of [this.traffic, target.traffic]) {
             traffic.messages++;
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -1,6 +1,7 @@
 import * as core from "@boragedale/core";
 import * as msgpackr from "msgpackr";
 import * as zod from "zod";
+import * as packedForm from "./packedForm.js";
 import * as types from "./types.js";
 
 /** What goes over a connection: a message, and how it belongs to a request. */
@@ -11,6 +12,14 @@
     readonly message: types.Message;
 }
 
+/** How a frame is written; both are read. */
+export enum FrameForm {
+    /** With names, as every version reads it. */
+    Named = "Named",
+    /** Without names, for a peer that says that it reads it. */
+    Packed = "Packed",
+}
+
 export enum FrameFindingKind {
     TooLarge = "TooLarge",
     NotMessagePack = "NotMessagePack",
@@ -55,6 +64,7 @@
         lane: zod.enum(types.Lane),
         challenge: name,
         proof: name,
+        readsPacked: zod.boolean().optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.Heartbeat),
@@ -164,12 +174,27 @@
 
 const packer = new msgpackr.Packr({ useRecords: false, encodeUndefinedAsNil: false });
 
+/** Fields of each kind in the order of its schema, in which the packed form has them; new ones go to the end. */
+const FieldNames: ReadonlyMap<string, readonly string[]> = new Map(
+    MessageSchema.options.map(option => {
+        const [kind] = option.shape.kind.values;
+        return [String(kind), Object.keys(option.shape).filter(field => field !== "kind")];
+    }),
+);
+
+export function getPackedFields(kind: string): readonly string[] {
+    return FieldNames.get(kind) ?? [];
+}
+
 /** Packs a frame, or tells why its lane can't carry it. */
 export function encodeFrame(
     frame: Frame,
     lane: types.Lane,
+    form = FrameForm.Named,
 ): { readonly ok: true; readonly bytes: Uint8Array } | { readonly ok: false; readonly finding: FrameFinding } {
-    const bytes = packer.pack(dropUndefined(frame));
+    const isPacked = form === FrameForm.Packed;
+    const value = isPacked ? packedForm.packFrame(frame, getPackedFields(frame.message.kind)) : dropUndefined(frame);
+    const bytes = packer.pack(value);
     const limit = getFrameLimit(lane);
     if (bytes.byteLength > limit) {
         const text = `${frame.message.kind} of ${bytes.byteLength} bytes is over the lane's limit of ${limit}`;
@@ -190,7 +215,8 @@
     catch (error) {
         return createFailure(FrameFindingKind.NotMessagePack, String(error));
     }
-    const parsed = FrameSchema.safeParse(value);
+    const named = Array.isArray(value) ? packedForm.tryUnpackFrame(value, getPackedFields) : value;
+    const parsed = FrameSchema.safeParse(named);
     return parsed.success
         ? { ok: true, frame: parsed.data }
         : createFailure(FrameFindingKind.Shape, parsed.error.issues[0]?.message ?? "unknown");
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 /** The inner protocol: messages, codec, peer links. */
 export * from "./types.js";
+export * from "./packedForm.js";
 export * from "./codec.js";
 export * from "./handshake.js";
 export * from "./webSocketPeerNetwork.js";
--- a/packages/protocol/src/introduction.ts
+++ b/packages/protocol/src/introduction.ts
@@ -42,7 +42,8 @@
             return undefined;
         }
         sendOne(connection, this.createHello(handshake.Side.Server, terms, serverChallenge));
-        return new peerLinks.PeerLink(hello.instance, hello.lane, connection, false, this.options.clock);
+        const form = chooseForm(hello);
+        return new peerLinks.PeerLink(hello.instance, hello.lane, connection, false, form, this.options.clock);
     }
 
     /**
@@ -81,7 +82,8 @@
         if (expected.instance === this.options.instance) {
             return undefined;
         }
-        return new peerLinks.PeerLink(expected.instance, lane, connection, true, this.options.clock);
+        const form = chooseForm(hello);
+        return new peerLinks.PeerLink(expected.instance, lane, connection, true, form, this.options.clock);
     }
 
     private createHello(side: handshake.Side, terms: handshake.HandshakeTerms, challenge: string): types.Hello {
@@ -94,6 +96,7 @@
             lane: terms.lane,
             challenge,
             proof: handshake.createProof(key, side, own),
+            readsPacked: true,
         };
     }
 
@@ -113,6 +116,10 @@
     }
 }
 
+function chooseForm(hello: types.Hello): codec.FrameForm {
+    return hello.readsPacked === true ? codec.FrameForm.Packed : codec.FrameForm.Named;
+}
+
 function sendOne(connection: connections.Connection, message: types.Message): void {
     const encoded = codec.encodeFrame({ message }, types.Lane.Control);
     core.Debug.assert(encoded.ok, "a handshake message fits its lane");
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -17,6 +17,7 @@
 export class PeerLink {
     lastHeard: core.MonotonicMilliseconds;
     lastUsed: core.MonotonicMilliseconds;
+    lastSent: core.MonotonicMilliseconds;
     private nextCorrelation = 0;
     private readonly pending = new Map<number, PendingRequest>();
 
@@ -26,10 +27,13 @@
         readonly connection: connections.Connection,
         /** Whether this end opened it; only that end may let it go as idle, since the other can't know its plans. */
         readonly isDialled: boolean,
+        /** The form that the peer reads. */
+        readonly form: codec.FrameForm,
         private readonly clock: core.Clock,
     ) {
         this.lastHeard = clock.now();
         this.lastUsed = clock.now();
+        this.lastSent = clock.now();
     }
 
     async request(message: types.Message, timeoutMilliseconds: number): Promise<types.PeerResult> {
@@ -57,10 +61,11 @@
         return this.beat(message);
     }
 
-    /** Sends a notice that was packed once for many links. */
-    notifyPacked(bytes: Uint8Array): void {
+    /** Sends a notice that was encoded once for many links of the same form. */
+    notifyEncoded(bytes: Uint8Array): void {
         this.lastUsed = this.clock.now();
         if (this.connection.getBacklog() < LargestBacklogBytes) {
+            this.lastSent = this.clock.now();
             this.connection.send(bytes);
         }
     }
@@ -116,10 +121,11 @@
     }
 
     private send(frame: codec.Frame): string | undefined {
-        const encoded = codec.encodeFrame(frame, this.lane);
+        const encoded = codec.encodeFrame(frame, this.lane, this.form);
         if (!encoded.ok) {
             return encoded.finding.text;
         }
+        this.lastSent = this.clock.now();
         return this.connection.send(encoded.bytes) ? undefined : `the link to ${this.peer} is closed`;
     }
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -69,6 +69,8 @@
     readonly challenge: string;
     /** Proof of the shared key over both ends' challenges, in hexadecimal. */
     readonly proof: string;
+    /** Whether the sender reads frames in the packed form; absent: it doesn't. */
+    readonly readsPacked?: boolean;
 }
 
 /** Sent both ways on the control lane; a link without one for three intervals is taken as silent and replaced. */
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -135,12 +135,13 @@
     }
 
     override notifyAll(message: types.Message, lane: types.Lane): void {
-        const encoded = codec.encodeFrame({ message }, lane);
-        if (!encoded.ok) {
-            return;
-        }
-        for (const peer of this.getConnectedPeers()) {
-            this.tryGetLink(peer, lane)?.notifyPacked(encoded.bytes);
+        const links = this.getConnectedPeers().flatMap(peer => this.tryGetLink(peer, lane) ?? []);
+        for (const form of Object.values(codec.FrameForm)) {
+            const readers = links.filter(link => link.form === form);
+            const encoded = readers.length === 0 ? undefined : codec.encodeFrame({ message }, lane, form);
+            if (encoded?.ok === true) {
+                readers.forEach(link => link.notifyEncoded(encoded.bytes));
+            }
         }
     }
 
@@ -319,8 +320,9 @@
     }
 
     /**
-     * Every lane beats: something between the ends may lose track of one connection while others work, and only
-     * traffic in that very connection shows it.
+     * Every lane carries something each interval: something between the ends may lose track of one connection while others
+     * work, and only traffic in that very connection shows it. The control lane always beats, since its heartbeats tell
+     * what the sender knows; the others only where nothing else was sent.
      */
     private tend(link: peerLinks.PeerLink, interval: number, kept: ReadonlySet<core.InstanceId>): void {
         const now = this.options.clock.now();
@@ -334,7 +336,9 @@
             link.connection.abandon();
             return;
         }
-        link.beat(this.options.createHeartbeat());
+        if (link.lane === types.Lane.Control || now - link.lastSent >= interval) {
+            link.beat(this.options.createHeartbeat());
+        }
     }
 
     private forget(connection: connections.Connection): void {
--- a/packages/tools/src/slopes/linkSlopes.ts
+++ b/packages/tools/src/slopes/linkSlopes.ts
@@ -62,7 +62,7 @@
 }
 
 function encode(message: protocol.Message): number {
-    const encoded = protocol.encodeFrame({ message }, protocol.Lane.Control);
+    const encoded = protocol.encodeFrame({ message }, protocol.Lane.Control, protocol.FrameForm.Packed);
     core.Debug.assert(encoded.ok, "a notice fits its lane");
     return encoded.bytes.byteLength;
 }
