--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -20,9 +20,9 @@
  * Members that look through the heads when another is gone. With every member looking, each restart in a fleet of hundreds
  * would be hundreds of whole listings.
  */
-const LookerCount = 2;
-/** The second one looks this much later, for the case that the first one is gone too; mostly it finds nothing left to do. */
-const SecondLookMilliseconds = 700;
+const LookerCount = 3;
+/** Each looks this much after the one before, which may be gone or turned away by the store; mostly it finds nothing left. */
+const NextLookMilliseconds = 700;
 /** Ranks the members: all work the same lookers out. */
 const LookerKey = "takeover";
 
@@ -89,7 +89,7 @@
         if (rank < 0) {
             return;
         }
-        await this.parts.clock.sleep(rank * SecondLookMilliseconds, this.stopper.signal);
+        await this.parts.clock.sleep(rank * NextLookMilliseconds, this.stopper.signal);
         await this.scan(LookScope.All);
     }
 
