--- /dev/null
+++ b/packages/gateway/test/testEngines.ts
@@ -0,0 +1,114 @@
+import type * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as fixtures from "./fixtures.js";
+
+/** How an engine of the tests treats an item. */
+export interface EngineBehaviour {
+    /** Status instead of a stream, by item id. */
+    readonly statuses: Map<string, number>;
+    /** Items whose runs break off after this many events, once each. */
+    readonly breaks: Map<string, number>;
+    /** Time between two events of a run. */
+    eventMilliseconds: number;
+}
+
+export const EventsOfItem = 6;
+const EventMilliseconds = 20;
+
+/** Engines in virtual time: a run yields its events one by one, and goes on after the last event id. */
+export class TestChannels extends gateway.Channels {
+    readonly behaviour: EngineBehaviour = {
+        statuses: new Map(),
+        breaks: new Map(),
+        eventMilliseconds: EventMilliseconds,
+    };
+    /** Runs that reached an engine, by item id. */
+    readonly runs: { readonly item: string; readonly after: string | undefined; readonly at: number }[] = [];
+    active = 0;
+
+    constructor(private readonly clock: core.Clock) {
+        super();
+    }
+
+    override get(): gateway.Channel {
+        return new TestChannel(this, this.clock);
+    }
+
+    override hasIdleConnection(): boolean {
+        return true;
+    }
+}
+
+class TestChannel extends gateway.Channel {
+    constructor(
+        private readonly owner: TestChannels,
+        private readonly clock: core.Clock,
+    ) {
+        super();
+    }
+
+    override renew(): void {}
+
+    override hasIdleConnection(): boolean {
+        return true;
+    }
+
+    override start(request: gateway.ExchangeRequest, handler: gateway.ExchangeHandler): gateway.RunningExchange {
+        const item = fixtures.findHeader(request.headers, "attempt") ?? "";
+        const after = fixtures.findHeader(request.headers, "last");
+        this.owner.runs.push({ item, after, at: this.clock.now() });
+        this.owner.active++;
+        let isOver = false;
+        let next = after === undefined ? 0 : Number(after) + 1;
+        let stop = (): void => undefined;
+        const finish = (action: () => void): void => {
+            isOver = true;
+            this.owner.active--;
+            action();
+        };
+        const step = (): void => {
+            const status = this.owner.behaviour.statuses.get(item);
+            if (status !== undefined) {
+                finish(() => {
+                    handler.onHeaders(status, ["attempt", item, "stamp", "x"], "");
+                    handler.onComplete();
+                });
+                return;
+            }
+            if (next === (this.owner.behaviour.breaks.get(item) ?? -1)) {
+                this.owner.behaviour.breaks.delete(item);
+                finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "broken" }));
+                return;
+            }
+            if (next === EventsOfItem) {
+                finish(() => handler.onComplete());
+                return;
+            }
+            handler.onData(Buffer.from(`id: ${next}\ndata: ${item}/${next}\n\n`));
+            next++;
+            if (!isOver) {
+                stop = this.clock.schedule(this.owner.behaviour.eventMilliseconds, step);
+            }
+        };
+        stop = this.clock.schedule(1, () => {
+            handler.onSent();
+            if (this.owner.behaviour.statuses.get(item) === undefined) {
+                handler.onHeaders(200, ["attempt", item, "stamp", "x"], "");
+            }
+            step();
+        });
+        return {
+            resume: () => undefined,
+            abort: () => {
+                if (!isOver) {
+                    stop();
+                    finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Aborted, text: "stopped" }));
+                }
+            },
+        };
+    }
+}
+
+export function getExpectedText(item: string): string {
+    return [...new Array(EventsOfItem).keys()].map(index => `${item}/${index}`).join("\n");
+}
--- /dev/null
+++ b/packages/gateway/test/testFleet.ts
@@ -0,0 +1,196 @@
+import * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as gateway from "@boragedale/gateway";
+import * as standins from "@boragedale/standins";
+import * as fixtures from "./fixtures.js";
+import * as testEngines from "./testEngines.js";
+
+/** One member of a fleet in virtual time, without sockets. */
+export interface TestMember {
+    readonly id: string;
+    readonly store: standins.MemoryMetadataStore;
+    readonly submissions: gateway.SubmissionService;
+    readonly scheduler: gateway.ItemScheduler;
+    readonly view: gateway.FleetView;
+    readonly log: fixtures.QuietLog;
+    /** Ends it as a kill does: nothing is written or told any more. */
+    readonly kill: () => void;
+}
+
+export interface TestFleet {
+    readonly clock: core.VirtualClock;
+    readonly metadata: standins.MemoryMetadata;
+    readonly channels: testEngines.TestChannels;
+    readonly hub: standins.MemoryPeerHub;
+    readonly members: TestMember[];
+    readonly addMember: () => TestMember;
+    readonly getAlive: () => TestMember[];
+}
+
+/** A fleet of members over one store, with a batch route and some engines. */
+export async function createFleet(memberCount: number, engineCount = 2): Promise<TestFleet> {
+    const clock = new core.VirtualClock();
+    const metadata = new standins.MemoryMetadata(clock);
+    const hub = new standins.MemoryPeerHub();
+    const channels = new testEngines.TestChannels(clock);
+    metadata.put("configuration", JSON.stringify(fixtures.createConfiguration(1)));
+    for (let index = 0; index < engineCount; index++) {
+        metadata.put(`upstreams/engine-${index}`, JSON.stringify(fixtures.createUpstream(`engine-${index}`)));
+    }
+    const members: TestMember[] = [];
+    const alive = new Set<TestMember>();
+    const addMember = (): TestMember => {
+        const member = createMember(`member-${members.length}`, clock, metadata, hub, channels, () =>
+            alive.delete(member),
+        );
+        members.push(member);
+        alive.add(member);
+        return member;
+    };
+    for (let index = 0; index < memberCount; index++) {
+        addMember();
+    }
+    await clock.advance(200);
+    return { clock, metadata, channels, hub, members, addMember, getAlive: () => [...alive] };
+}
+
+function createMember(
+    name: string,
+    clock: core.VirtualClock,
+    metadata: standins.MemoryMetadata,
+    hub: standins.MemoryPeerHub,
+    channels: gateway.Channels,
+    onKill: () => void,
+): TestMember {
+    const id = gateway.createMemberId(name, "1");
+    const store = metadata.createClient();
+    const log = new fixtures.QuietLog();
+    const network = hub.createNetwork(id);
+    const directory = new gateway.MemberDirectory({ id, dataCentre: "a", peerAddress: "127.0.0.1:1" });
+    const view = new gateway.FleetView(new fixtures.TestCodec(), () => undefined);
+    const homes = new gateway.HomeDirectory(directory, view, clock);
+    const slots = fixtures.createSlots({
+        board: fixtures.createBoard(upstream => decisions.hashToUnit(`${id}/${upstream}`)),
+        network,
+        clock,
+        homes,
+    });
+    directory.onChange(gone => slots.forget(gone));
+    const storeReturn = new gateway.StoreReturn(view, clock, log);
+    const counted = createCountedStore(store, storeReturn, clock);
+    const registration = new gateway.Registration(counted, directory, clock, log);
+    const wire = new fixtures.TestWire();
+    const scheduler = new gateway.ItemScheduler({ wire, view, channels, slots, clock, log, dataCentre: "a" });
+    const submissions = new gateway.SubmissionService({
+        store: counted,
+        submissions: new gateway.SubmissionStore(counted),
+        members: directory,
+        registration,
+        network,
+        scheduler,
+        clock,
+        log,
+        retentionMilliseconds: 120_000,
+    });
+    slots.connect(
+        upstream => scheduler.yieldPlace(upstream),
+        () => scheduler.dispatch(),
+    );
+    const parts = { store: counted, clock, log };
+    const watchers = ["configuration", "upstreams/"].map(
+        prefix =>
+            new gateway.StoreWatcher(parts, {
+                prefix,
+                waitMilliseconds: 5_000,
+                longestGatherMilliseconds: 600,
+                applyListing: listing => void view.applyListing(prefix, listing, clock.now()),
+                applyChanges: entries => void view.apply(entries, clock.now()),
+            }),
+    );
+    const fleetWatcher = new gateway.StoreWatcher(parts, {
+        prefix: gateway.FleetPrefix,
+        waitMilliseconds: 5_000,
+        longestGatherMilliseconds: 1_000,
+        applyListing: listing => {
+            directory.applyListing(
+                listing.entries.filter(entry => entry.key.startsWith(gateway.MemberPrefix)),
+                listing.revision,
+            );
+            submissions.applyEndedMarks(listing.entries);
+        },
+        applyChanges: entries => {
+            directory.apply(entries);
+            submissions.applyEndedMarks(entries);
+        },
+    });
+    [...watchers, fleetWatcher].forEach(watcher => storeReturn.follow(watcher));
+    registration.start(fleetWatcher.whenListed);
+    [...watchers, fleetWatcher].forEach(watcher => void watcher.run());
+    void slots.run();
+    void submissions.run();
+    const kill = (): void => {
+        onKill();
+        store.faults.isDown = true;
+        hub.remove(id);
+        [...watchers, fleetWatcher].forEach(watcher => void watcher[Symbol.asyncDispose]());
+        void slots[Symbol.asyncDispose]();
+        void submissions[Symbol.asyncDispose]();
+        void registration[Symbol.asyncDispose]();
+        scheduler.stop();
+    };
+    return { id, store, submissions, scheduler, view, log, kill };
+}
+
+/** A member's store as its process composes it: each call's end is told to what follows the store's return. */
+export function createCountedStore(
+    store: gateway.MetadataStore,
+    storeReturn: gateway.StoreReturn,
+    clock: core.Clock,
+): gateway.MetadataStore {
+    return new gateway.CountedStore(
+        store,
+        () => clock.now(),
+        (call, purpose, outcome, milliseconds) => storeReturn.noteStoreCall(call, outcome, milliseconds),
+    );
+}
+
+/** Hands a submission in at a member, as a caller that waits for four seconds. */
+export async function submit(
+    fleet: TestFleet,
+    member: TestMember,
+    id: string,
+    items: readonly gateway.BatchItem[],
+): Promise<gateway.AcceptOutcome> {
+    const deadline = fleet.clock.now() + 4_000;
+    const outcome = member.submissions.accept({ id, host: "host", target: "/a/x", items, deadline });
+    return settle(fleet.clock, outcome);
+}
+
+/** Lets virtual time pass until a promise has its value. */
+export async function settle<T>(clock: core.VirtualClock, value: Promise<T>, limit = 20_000): Promise<T> {
+    let result: { readonly value: T } | undefined;
+    void value.then(settled => (result = { value: settled }));
+    for (let passed = 0; result === undefined && passed < limit; passed += 10) {
+        await clock.advance(10);
+    }
+    return core.Debug.checkDefined(result, "the promise settles in virtual time").value;
+}
+
+/** All results that a member shows, page by page. */
+export async function readAll(
+    fleet: TestFleet,
+    member: TestMember,
+    id: string,
+): Promise<readonly gateway.BatchResult[] | undefined> {
+    const results: gateway.BatchResult[] = [];
+    for (;;) {
+        const page = await settle(fleet.clock, member.submissions.read(id, results.length, 0));
+        if (!page.ok) {
+            return undefined;
+        }
+        if (page.value.results.length === 0) {
+            return results;
+        }
+        results.push(...page.value.results);
+    }
+}
