--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,4 @@
-/** Scenarios over `decisions`, and the deployed sharing of slots, in virtual time (development). */
+/** Scenarios over `decisions`, and the deployed sharing of slots and membership, in virtual time (development). */
 export * from "./engine.js";
 export * from "./measures.js";
 export * from "./quantiles.js";
@@ -8,3 +8,4 @@
 export * from "./simulation.js";
 export { Sharing } from "./slots/slotsFleet.js";
 export * from "./slots/slotsRun.js";
+export * from "./membership/membershipRun.js";
