--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -80,3 +80,5 @@
 }
 
 export const RegistryEntryUnusable = createMessage(6001, "the entry is not usable: {0}");
+export const CustomerDuplicate = createMessage(6002, "the customer '{0}' is listed twice");
+export const CustomerKeyShared = createMessage(6003, "a key of the customer '{0}' belongs to another customer too");
--- /dev/null
+++ b/packages/customers/test/quotas.test.ts
@@ -0,0 +1,133 @@
+import * as customers from "@boragedale/customers";
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const suite = uvu.suite("quotas");
+
+const Terms: customers.QuotaTerms = { windowMilliseconds: 5_000, overShare: 0.1, slack: 20 };
+const Limit: customers.RateLimit = { requestsPerSecond: 10, burst: 20 };
+
+function createClaim(change: Partial<customers.QuotaClaim> = {}): customers.QuotaClaim {
+    return { customer: "c", limit: Limit, uncounted: 0, share: 1, known: 1, ...change };
+}
+
+/** Claims as fast as `times` says; returns the times of those that were granted. */
+function claimAll(
+    ledger: customers.QuotaLedger,
+    times: readonly number[],
+    change: Partial<customers.QuotaClaim> = {},
+): number[] {
+    return times.filter(at => ledger.claim(createClaim(change), at).isGranted);
+}
+
+function createTimes(count: number, gap: number, from = 0): number[] {
+    return [...new Array(count).keys()].map(index => from + index * gap);
+}
+
+function countMostInWindow(times: readonly number[]): number {
+    return Math.max(0, ...times.map(start => times.filter(at => at >= start && at < start + 5_000).length));
+}
+
+suite("in no window more than rate and burst allow is granted, whatever is asked", () => {
+    const gaps = fastCheck.array(fastCheck.integer({ min: 0, max: 400 }), { minLength: 50, maxLength: 300 });
+    const property = fastCheck.property(gaps, all => {
+        let now = 0;
+        const times = all.map(gap => (now += gap));
+        const granted = claimAll(new customers.QuotaLedger(Terms), times);
+        assert.ok(countMostInWindow(granted) <= 5 * Limit.requestsPerSecond + Limit.burst);
+    });
+    fastCheck.assert(property, { seed: 11, numRuns: 100 });
+});
+
+suite("a customer below its limit is never refused", () => {
+    const times = createTimes(500, 110);
+    assert.is(claimAll(new customers.QuotaLedger(Terms), times).length, 500);
+});
+
+suite("refused callers come back one after the other at the limit's rate", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    claimAll(ledger, createTimes(20, 0));
+    const returns = createTimes(5, 0).map(at => Math.round(ledger.claim(createClaim(), at).retryAfterMilliseconds));
+    assert.equal(returns, [100, 200, 300, 400, 500]);
+});
+
+suite("a customer far over its limit runs evenly, not all at once and then nothing", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    const granted = claimAll(ledger, createTimes(2_000, 10));
+    for (let from = 5_000; from < 20_000; from += 1_000) {
+        const count = granted.filter(at => at >= from && at < from + 1_000).length;
+        assert.ok(Math.abs(count - Limit.requestsPerSecond) <= 1, `${count} in the second from ${from} on`);
+    }
+});
+
+suite("a token that nobody used is given out again", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    claimAll(ledger, createTimes(20, 0));
+    assert.is(ledger.claim(createClaim(), 0).isGranted, false);
+    ledger.giveBack("c", 1);
+    assert.is(ledger.claim(createClaim(), 0).isGranted, true);
+});
+
+suite("a new keeper does not give out again what members have used", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    const granted = createTimes(30, 1).filter(
+        at => ledger.claim(createClaim({ uncounted: at < 10 ? 6 : 0 }), at).isGranted,
+    );
+    assert.ok(granted.length <= 10, `${granted.length} granted`);
+});
+
+suite("a new keeper leaves room for what half of the members ran before they were killed", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    const large = { requestsPerSecond: 100, burst: 100 };
+    const granted = claimAll(ledger, createTimes(2_000, 2), { limit: large, known: 0.5 });
+    const bound = 600 * (1 + Terms.overShare) + Terms.slack;
+    assert.ok(granted.length + 300 <= bound, `${granted.length} granted`);
+    assert.ok(granted.length > 300);
+});
+
+suite("what members out of reach may use is not given out", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    const granted = claimAll(ledger, createTimes(1_000, 5), { share: 0.5 });
+    assert.is(granted.length, 35);
+});
+
+suite("a lower limit holds at once, a raised one too", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    const low = { requestsPerSecond: 1, burst: 1 };
+    claimAll(ledger, createTimes(5, 0));
+    assert.is(claimAll(ledger, createTimes(10, 10, 10), { limit: low }).length, 1);
+    const high = { requestsPerSecond: 1_000, burst: 1_000 };
+    assert.is(claimAll(ledger, createTimes(100, 10, 2_000), { limit: high }).length, 100);
+});
+
+suite("idle customers cost no memory", () => {
+    const ledger = new customers.QuotaLedger(Terms);
+    createTimes(1_000, 1).forEach(at => ledger.claim(createClaim({ customer: `c${at}` }), at));
+    assert.is(ledger.getAccountCount(), 1_000);
+    ledger.claim(createClaim(), 60_000);
+    assert.is(ledger.getAccountCount(), 1);
+});
+
+suite("members that all decide by themselves stay within the terms", () => {
+    for (const memberCount of [8, 70, 165, 400]) {
+        let draw = 0;
+        const random = (): number => (draw = (draw + 0.618_034) % 1);
+        const fallbacks = createTimes(memberCount, 1).map(() => new customers.QuotaFallback(Terms, random));
+        let granted = 0;
+        for (let at = 0; at < 5_000; at += 100) {
+            granted += fallbacks.filter(one => one.claim("c", Limit, memberCount, at).isGranted).length;
+        }
+        const bound = (5 * Limit.requestsPerSecond + Limit.burst) * (1 + Terms.overShare) + Terms.slack;
+        assert.ok(granted <= bound, `${memberCount} members: ${granted} of ${bound}`);
+        assert.ok(granted > 0);
+    }
+});
+
+suite("a member that decides by itself goes on with its share of the rate", () => {
+    const fallback = new customers.QuotaFallback(Terms, () => 0.99);
+    const granted = createTimes(600, 100).filter(at => fallback.claim("c", Limit, 10, at).isGranted);
+    assert.ok(granted.length >= 55 && granted.length <= 70, `${granted.length} in a minute at one a second`);
+});
+
+suite.run();
--- a/packages/entry/src/operatorFace/server.ts
+++ b/packages/entry/src/operatorFace/server.ts
@@ -1,12 +1,12 @@
 import * as fastify from "fastify";
 import * as zod from "zod";
 import type * as core from "@boragedale/core";
+import * as customers from "@boragedale/customers";
 import type * as protocol from "@boragedale/protocol";
 import * as release from "@boragedale/release";
 import type * as telemetry from "@boragedale/telemetry";
 import type * as work from "@boragedale/work";
 import * as answers from "../callerFace/answers.js";
-import * as authentication from "../callerFace/authentication.js";
 
 export interface OperatorFaceOptions {
     readonly instance: core.InstanceDescription;
@@ -61,8 +61,8 @@
 export function createOperatorFace(options: OperatorFaceOptions): fastify.FastifyInstance {
     const server = fastify.fastify({ bodyLimit: NoteLimitBytes, forceCloseConnections: "idle" });
     server.addHook("onRequest", async (request, reply) => {
-        const token = authentication.tryGetBearerToken(request.headers.authorization);
-        if (token === undefined || !authentication.isSameSecret(token, options.operatorToken)) {
+        const token = customers.tryGetBearerToken(request.headers.authorization);
+        if (token === undefined || !customers.isSameSecret(token, options.operatorToken)) {
             return reply.code(401).send({ error: { code: "not_authorized", message: "the operator token is wrong" } });
         }
         return undefined;
