--- a/deploy/instance.tpl
+++ b/deploy/instance.tpl
@@ -9,5 +9,8 @@
     "metricsAddress": "{{Ip}}:9464",
     "peerKey": "replace-this-key-before-opening-the-network",
     "graceMilliseconds": {{Bounds.GraceS}}000,
-    "retentionMilliseconds": {{Bounds.StatusS}}000
+    "retentionMilliseconds": {{Bounds.StatusS}}000,
+    "quotaWindowSeconds": "{{Bounds.QuotaWindowS}}",
+    "quotaOverShare": "{{Bounds.QuotaOver}}",
+    "quotaSlack": "{{Bounds.QuotaSlack}}"
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -9,3 +9,6 @@
 export { Sharing } from "./slots/slotsFleet.js";
 export * from "./slots/slotsRun.js";
 export * from "./membership/membershipRun.js";
+export { QuotaScene } from "./quotas/quotaScenes.js";
+export { QuotaWay } from "./quotas/quotasFleet.js";
+export * from "./quotas/quotasRun.js";
--- a/packages/bench/src/slots/simulatedNetwork.ts
+++ b/packages/bench/src/slots/simulatedNetwork.ts
@@ -6,6 +6,9 @@
 /** Header of a WebSocket frame under 126 bytes, and the mask of a client's. */
 const FrameHeaderBytes = 6;
 
+/** Time after which an instance notices that a linked one is silent: heartbeats come each second. */
+const UnheardMilliseconds = 1_800;
+
 type AnyHandler = (message: protocol.Message, from: core.InstanceId) => Promise<protocol.Message | undefined>;
 
 /** What one instance has sent and received. */
@@ -18,8 +21,33 @@
 export class SimulatedHub {
     readonly networks = new Map<core.InstanceId, SimulatedNetwork>();
 
+    /** The side of a cut on which an instance is; nothing passes between two sides, and no link closes. */
+    private readonly sides = new Map<core.InstanceId, number>();
+    private cutAt: core.MonotonicMilliseconds = 0;
+
     constructor(readonly clock: core.Clock) {}
 
+    /** Cuts the named instances off from all others; an empty list heals the cut. */
+    cut(instances: readonly core.InstanceId[]): void {
+        this.sides.clear();
+        this.cutAt = this.clock.now();
+        instances.forEach(instance => this.sides.set(instance, 1));
+    }
+
+    /** Ends an instance as a kill does: its links close. */
+    remove(instance: core.InstanceId): void {
+        this.networks.delete(instance);
+        this.networks.forEach(network => network.linked.delete(instance));
+    }
+
+    isCut(left: core.InstanceId, right: core.InstanceId): boolean {
+        return this.sides.get(left) !== this.sides.get(right);
+    }
+
+    isKnownCut(left: core.InstanceId, right: core.InstanceId): boolean {
+        return this.isCut(left, right) && this.clock.now() - this.cutAt > UnheardMilliseconds;
+    }
+
     createNetwork(instance: core.InstanceId): SimulatedNetwork {
         const network = new SimulatedNetwork(this, instance);
         this.networks.set(instance, network);
@@ -97,6 +125,10 @@
         return [...this.linked];
     }
 
+    override getSilentPeers(): readonly core.InstanceId[] {
+        return [...this.linked].filter(peer => this.hub.isKnownCut(this.instance, peer));
+    }
+
     /** Both ends pay for a message: one packs and sends it, the other receives and reads it. */
     private count(frame: protocol.Frame, lane: protocol.Lane, target: SimulatedNetwork): void {
         const packed = protocol.encodeFrame(frame, lane, protocol.FrameForm.Packed);
@@ -108,6 +140,9 @@
     }
 
     private async deliver(message: protocol.Message, from: core.InstanceId): Promise<protocol.Message | undefined> {
+        if (this.hub.isCut(this.instance, from) || !this.hub.networks.has(this.instance)) {
+            return undefined;
+        }
         return this.handlers.get(message.kind)?.(message, from);
     }
 }
--- /dev/null
+++ b/packages/bench/test/quotas.test.ts
@@ -0,0 +1,65 @@
+import * as bench from "@boragedale/bench";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const suite = uvu.suite("quotas");
+
+const Seconds = 20;
+/** The aim in calm: requests refused below their customer's limit. */
+const MostRefusedInCalm = 0.01;
+
+function play(instances: number, options: Partial<bench.QuotasOptions> = {}): Promise<bench.QuotasResult> {
+    return bench.runQuotas({
+        way: bench.QuotaWay.Keeper,
+        scene: bench.QuotaScene.Calm,
+        instances,
+        customers: 84,
+        seconds: Seconds,
+        seed: 1,
+        ...options,
+    });
+}
+
+for (const instances of [8, 68, 70]) {
+    suite(`${instances} members: customers below their limits are served`, async () => {
+        const result = await play(instances);
+        assert.ok(result.refusedBelow <= MostRefusedInCalm, `${result.refusedBelow} refused`);
+        assert.ok(result.worstOverLimit <= 0, `${result.worstOverLimit} over`);
+    });
+
+    suite(`${instances} members: a hot customer is held to its limit and costs the others nothing`, async () => {
+        const result = await play(instances, { scene: bench.QuotaScene.Hot });
+        assert.ok(result.worstOverLimit <= 0, `${result.worstOverLimit} over`);
+        assert.ok(result.refusedBelow <= MostRefusedInCalm, `${result.refusedBelow} refused`);
+        // Rate times window of rate times window and burst, which was used up before.
+        assert.ok(result.hotShare >= 0.8, `${result.hotShare} of the limit`);
+    });
+
+    const faults = [
+        ["a sixth of the members is cut off from the others", bench.QuotaScene.CutSixth],
+        ["the members are cut in halves", bench.QuotaScene.CutHalves],
+        ["half of the members are killed at once", bench.QuotaScene.KillHalf],
+        ["members are added by three quarters", bench.QuotaScene.AddThreeQuarters],
+    ] as const;
+    for (const [name, scene] of faults) {
+        suite(`${instances} members: a hot customer stays within the terms while ${name}`, async () => {
+            const result = await play(instances, { scene });
+            assert.ok(result.worstOver <= 0, `${result.worstOver} over the terms`);
+        });
+    }
+}
+
+// Guards against a hot customer's requests as a load that its keeper can't bear.
+suite("a customer at a hundred times its usual asks its keeper no more than one at ten times", async () => {
+    const hot = await play(20, { scene: bench.QuotaScene.Hot, hotFactor: 100, seconds: 8 });
+    const warm = await play(20, { scene: bench.QuotaScene.Hot, hotFactor: 10, seconds: 8 });
+    assert.ok(hot.mostMessages <= 2 * warm.mostMessages, `${hot.mostMessages} beside ${warm.mostMessages}`);
+    assert.ok(hot.worstOverLimit <= 0);
+});
+
+suite("even shares refuse customers that are below their limits", async () => {
+    const result = await play(70, { way: bench.QuotaWay.Shares, seconds: 8 });
+    assert.ok(result.refusedBelow > MostRefusedInCalm);
+});
+
+suite.run();
--- a/packages/customers/src/quotaLedger.ts
+++ b/packages/customers/src/quotaLedger.ts
@@ -75,6 +75,11 @@
         account?.bucket.giveBack(count);
     }
 
+    /** Whether the customer had requests in the last window. */
+    hasAccount(customer: string): boolean {
+        return this.accounts.has(customer);
+    }
+
     /** Customers that had requests in the last window. */
     getAccountCount(): number {
         return this.accounts.size;
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -33,6 +33,8 @@
     readonly members: gateway.MemberDirectory;
     readonly homes: gateway.HomeDirectory;
     readonly slots: gateway.SlotSharing;
+    readonly quotaKeepers: gateway.QuotaKeepers;
+    readonly quotas: gateway.CustomerQuotas;
     readonly channels: gateway.ChannelDirectory;
     readonly crashes: gateway.CrashWatch;
     readonly registration: gateway.Registration;
@@ -70,6 +72,8 @@
             .asFunction(({ members, view, clock }: Parts) => new gateway.HomeDirectory(members, view, clock))
             .singleton(),
         slots: awilix.asFunction(createSlots).singleton(),
+        quotaKeepers: awilix.asFunction(({ members }: Parts) => new gateway.QuotaKeepers(members)).singleton(),
+        quotas: awilix.asFunction(createQuotas).singleton(),
         channels: awilix.asFunction(({ clock }: Parts) => new gateway.ChannelDirectory(clock)).singleton(),
         crashes: awilix
             .asFunction(({ network, clock, log }: Parts) => new gateway.CrashWatch(network, clock, log))
@@ -118,9 +122,7 @@
         host: face.host,
         port: face.port,
         getNeighbours: () =>
-            late.members === undefined
-                ? []
-                : peers.chooseNeighbours(late.members, late.registry?.duty.getWatchers() ?? []),
+            late.members === undefined ? [] : peers.chooseNeighbours(late.members, getHubs(parts, late.registry)),
         getSeeds: () => {
             const seeds = getSettings().peerSeeds.filter(seed => seed !== settings.peerAddress);
             return seeds.map(seed => `ws://${seed}`);
@@ -146,6 +148,15 @@
     late.registry = parts.registry;
 }
 
+/** Members that every other one, or every one of their data centre, stays linked to. */
+function getHubs(parts: Parts, registry: gateway.FleetRegistry | undefined): readonly core.InstanceId[] {
+    if (registry === undefined) {
+        return [];
+    }
+    const hasLimits = parts.view.getConfiguration()?.customers?.some(customer => customer.limit !== undefined);
+    return [...registry.duty.getWatchers(), ...(hasLimits === true ? parts.quotaKeepers.getAll() : [])];
+}
+
 function createPlatformStore({ settings }: Parts): platform.PlatformStore {
     return new platform.PlatformStore({
         address: settings.storeAddress,
@@ -197,6 +208,24 @@
     return slots;
 }
 
+function createQuotas({ members, quotaKeepers, network, view, clock, settings, log }: Parts): gateway.CustomerQuotas {
+    const quotas = new gateway.CustomerQuotas({
+        self: members.self.id,
+        keepers: quotaKeepers,
+        network,
+        getCustomers: () => view.getCustomers(),
+        clock,
+        terms: {
+            windowMilliseconds: settings.quotaWindowSeconds * 1_000,
+            overShare: settings.quotaOverShare,
+            slack: settings.quotaSlack,
+        },
+        random: Math.random,
+    });
+    log.metrics.observeGauge("boragedale_quota_accounts", {}, () => quotas.getAccountCount());
+    return quotas;
+}
+
 function createRegistration({ store, members, clock, log }: Parts): gateway.Registration {
     return new gateway.Registration(store, members, clock, log);
 }
@@ -225,9 +254,13 @@
 }
 
 function createServer(parts: Parts): gateway.CallerServer {
-    const { wire, view, forwarder, submissions, clock, log, life } = parts;
+    const { wire, view, forwarder, submissions, quotas, registry, clock, log, life } = parts;
     const isReady = (): boolean => view.getConfiguration() !== undefined && !life.isStopping;
-    return new gateway.CallerServer({ wire, view, forwarder, submissions, clock, log, isReady });
+    const identity = new gateway.CallerIdentity({
+        view,
+        refreshConfiguration: () => registry.refreshConfiguration(),
+    });
+    return new gateway.CallerServer({ wire, view, forwarder, submissions, identity, quotas, clock, log, isReady });
 }
 
 function createRegistry(parts: Parts): gateway.FleetRegistry {
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -36,6 +36,8 @@
     [gateway.GatewayEvent.ItemStarted]: telemetry.events.ItemStarted,
     [gateway.GatewayEvent.ItemYielded]: telemetry.events.ItemYielded,
     [gateway.GatewayEvent.RequestUnroutable]: telemetry.events.GatewayUnroutable,
+    [gateway.GatewayEvent.RequestUnauthorized]: telemetry.events.GatewayUnauthorized,
+    [gateway.GatewayEvent.QuotaExceeded]: telemetry.events.GatewayQuotaExceeded,
     [gateway.GatewayEvent.Defect]: telemetry.events.InternalDefect,
 };
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -27,6 +27,10 @@
     balancerMilliseconds: zod.number().min(0).default(2_300),
     /** How long results stay readable after their submission. */
     retentionMilliseconds: zod.number().min(1_000).default(120_000),
+    /** What operators and callers agreed on about customers' limits. */
+    quotaWindowSeconds: zod.coerce.number().positive().default(5),
+    quotaOverShare: zod.coerce.number().min(0).default(0.1),
+    quotaSlack: zod.coerce.number().min(0).default(20),
     metricsAddress: Address.optional(),
     logLevel: zod.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
 });
--- a/packages/daemon/test/fixtures.ts
+++ b/packages/daemon/test/fixtures.ts
@@ -68,6 +68,9 @@
         graceMilliseconds: 8_000,
         balancerMilliseconds: 100,
         retentionMilliseconds: 120_000,
+        quotaWindowSeconds: 5,
+        quotaOverShare: 0.1,
+        quotaSlack: 20,
         logLevel: "silent",
     };
     const done = daemon.runGatewayProcess({ getSettings: () => settings, clock, log, stop, onStarted: announce });
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,5 +1,8 @@
 import * as http from "node:http";
 import type * as core from "@boragedale/core";
+import type * as customers from "@boragedale/customers";
+import * as callerIdentity from "./callerIdentity.js";
+import type * as customerQuotas from "./customerQuotas.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as requestForwarder from "./requestForwarder.js";
@@ -12,11 +15,22 @@
     readonly view: fleetView.FleetView;
     readonly forwarder: requestForwarder.RequestForwarder;
     readonly submissions: submissionService.SubmissionService;
+    readonly identity: callerIdentity.CallerIdentity;
+    readonly quotas: customerQuotas.CustomerQuotas;
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
     readonly isReady: () => boolean;
 }
 
+/** A submission that was read whole. */
+interface SentSubmission {
+    readonly raw: types.RawRequest;
+    readonly head: types.RequestHead;
+    readonly body: Buffer;
+    readonly arrivedAt: core.MonotonicMilliseconds;
+    readonly customer: string | undefined;
+}
+
 /** Over any configured bound; the bound itself is checked for each request, since it changes with the configuration. */
 const LargestHeaderBytes = 131_072;
 /** Bodies that are being read, over all requests: a quarter of the memory of a small instance. */
@@ -128,7 +142,7 @@
         const call = this.parts.wire.tryReadCall(raw);
         if (call !== undefined) {
             request.resume();
-            await this.serveCall(call, response);
+            await this.serveCall(call, raw, response);
             return;
         }
         const configuration = this.parts.view.getConfiguration();
@@ -153,28 +167,101 @@
             this.refuse(request, response, { reason: types.RefusalReason.NoRoute });
             return;
         }
+        const head = this.parts.wire.readRequest(raw.rawHeaders);
+        const identity = await this.parts.identity.identify(raw.rawHeaders, route.isPublic);
+        if (!callerIdentity.isAccepted(identity)) {
+            this.recordUnauthorized(head.attemptId, identity);
+            this.refuse(request, response, { reason: types.RefusalReason.Unauthorized });
+            return;
+        }
+        const customer = callerIdentity.tryGetCustomer(identity);
+        if (route.kind === types.RouteKind.Batch) {
+            const body = await this.readBody(request, response, configuration.limits.bodyBytes);
+            if (body !== undefined) {
+                await this.acceptSubmission({ raw, head, body, arrivedAt, customer: customer?.name }, response);
+            }
+            return;
+        }
+        const claimed = customer === undefined ? undefined : this.parts.quotas.claim(customer);
         const body = await this.readBody(request, response, configuration.limits.bodyBytes);
+        const quota = await claimed;
         if (body === undefined) {
+            this.giveBack(quota);
             return;
         }
-        const head = this.parts.wire.readRequest(raw.rawHeaders);
-        if (route.kind === types.RouteKind.Batch) {
-            await this.acceptSubmission(raw, head, body, arrivedAt, response);
+        if (quota?.isGranted === false) {
+            this.refuseOverQuota(head, quota, response);
             return;
         }
         const timeout = Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity);
         const deadline = arrivedAt + timeout;
-        await this.parts.forwarder.forward({ raw, head, route, body, arrivedAt, deadline }, response);
+        const read = { raw, head, route, body, arrivedAt, deadline, customer: customer?.name };
+        const mayHaveRun = await this.parts.forwarder.forward(read, response);
+        if (!mayHaveRun) {
+            this.giveBack(quota);
+        }
+    }
+
+    private giveBack(quota: customerQuotas.QuotaDecision | undefined): void {
+        if (quota !== undefined) {
+            this.parts.quotas.giveBack(quota);
+        }
+    }
+
+    private recordUnauthorized(request: string, identity: customers.Identity): void {
+        this.parts.log.note(gatewayLog.GatewayEvent.RequestUnauthorized, {
+            request,
+            text: identity.kind,
+            version: this.parts.view.getConfiguration()?.version,
+        });
     }
 
-    private async serveCall(call: types.GatewayCall, response: http.ServerResponse): Promise<void> {
+    private refuseOverQuota(
+        head: types.RequestHead,
+        quota: customerQuotas.QuotaDecision,
+        response: http.ServerResponse,
+    ): void {
+        const { customer, decider, keeper, retryAfterMilliseconds } = quota;
+        const milliseconds = Math.round(retryAfterMilliseconds);
+        const fields = { request: head.attemptId, customer, decider, keeper, milliseconds };
+        this.parts.log.note(gatewayLog.GatewayEvent.QuotaExceeded, fields);
+        const refusal = { reason: types.RefusalReason.QuotaExceeded, retryAfterMilliseconds };
+        requestForwarder.sendRefusal(this.parts.wire, response, refusal);
+    }
+
+    private async serveCall(
+        call: types.GatewayCall,
+        raw: types.RawRequest,
+        response: http.ServerResponse,
+    ): Promise<void> {
+        if (call.kind === types.CallKind.Readiness) {
+            sendEmpty(response, this.parts.isReady() ? 200 : 503);
+            return;
+        }
+        if (this.parts.view.getConfiguration() === undefined) {
+            this.refuseCall(response, types.RefusalReason.NoConfiguration);
+            return;
+        }
+        const isPublic = this.parts.view.getRoutes()?.hasPublicBatchRoute(raw.host) ?? false;
+        const identity = await this.parts.identity.identify(raw.rawHeaders, isPublic);
+        if (!callerIdentity.isAccepted(identity)) {
+            this.recordUnauthorized(call.submission, identity);
+            this.refuseCall(response, types.RefusalReason.Unauthorized);
+            return;
+        }
+        const name = { id: call.submission, customer: callerIdentity.tryGetCustomer(identity)?.name };
+        await this.serveSubmissionCall(call, name, response);
+    }
+
+    private async serveSubmissionCall(
+        call: types.SubmissionCall,
+        name: submissionService.SubmissionName,
+        response: http.ServerResponse,
+    ): Promise<void> {
         switch (call.kind) {
-            case types.CallKind.Readiness:
-                sendEmpty(response, this.parts.isReady() ? 200 : 503);
-                return;
             case types.CallKind.ReadResults: {
                 const wait = Math.min(LongestReadWaitMilliseconds, call.waitMilliseconds);
-                const page = await this.parts.submissions.read(call.submission, call.position, wait);
+                const page = await this.parts.submissions.read(name, call.position, wait);
                 if (!page.ok) {
                     this.refuseCall(response, page.reason);
                     return;
@@ -183,7 +270,7 @@
                 return;
             }
             case types.CallKind.ReadItemBody: {
-                const body = await this.parts.submissions.readBody(call.submission, call.item);
+                const body = await this.parts.submissions.readBody(name, call.item);
                 if (!body.ok) {
                     this.refuseCall(response, body.reason);
                     return;
@@ -192,7 +279,7 @@
                 return;
             }
             case types.CallKind.EndSubmission: {
-                const ended = await this.parts.submissions.end(call.submission);
+                const ended = await this.parts.submissions.end(name);
                 if (!ended.ok) {
                     this.refuseCall(response, ended.reason);
                     return;
@@ -203,13 +290,8 @@
         }
     }
 
-    private async acceptSubmission(
-        raw: types.RawRequest,
-        head: types.RequestHead,
-        body: Buffer,
-        arrivedAt: core.MonotonicMilliseconds,
-        response: http.ServerResponse,
-    ): Promise<void> {
+    private async acceptSubmission(sent: SentSubmission, response: http.ServerResponse): Promise<void> {
+        const { raw, head, body, arrivedAt, customer } = sent;
         const decoded = this.parts.wire.decodeSubmission(body);
         if (!decoded.ok || head.attemptId === "") {
             this.parts.log.note(gatewayLog.GatewayEvent.SubmissionRefused, {
@@ -224,6 +306,7 @@
             host: raw.host,
             target: raw.target,
             items: decoded.items,
+            customer,
             deadline: arrivedAt + (head.timeoutMilliseconds ?? SubmissionTimeoutMilliseconds) - 200,
         });
         if (outcome.ok) {
--- a/packages/gateway/src/fleetRegistry.ts
+++ b/packages/gateway/src/fleetRegistry.ts
@@ -1,5 +1,6 @@
 import type * as core from "@boragedale/core";
 import type * as protocol from "@boragedale/protocol";
+import * as configurationRefresh from "./configurationRefresh.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as memberDirectory from "./memberDirectory.js";
@@ -56,6 +57,7 @@
     readonly duty: watchDuty.WatchDuty;
     private readonly relay: registryRelay.RegistryRelay;
     private readonly fleetWatcher: storeWatcher.StoreWatcher;
+    private readonly configurationRefresh: configurationRefresh.ConfigurationRefresh;
     private readonly stopper = new AbortController();
     private reason: watchDuty.WatchReason | undefined;
 
@@ -71,6 +73,12 @@
             apply: entries => void this.apply(entries),
             onUnusable: text => log.note(gatewayLog.GatewayEvent.EntryUnusable, { text }),
         });
+        this.configurationRefresh = new configurationRefresh.ConfigurationRefresh({
+            store: parts.store,
+            clock,
+            configurationKey: codec.configurationKey,
+            apply: entries => this.publish(view.apply(entries, clock.now())),
+        });
         this.fleetWatcher = this.createWatcher(memberDirectory.FleetPrefix, MemberGatherMilliseconds);
         this.watchers = [
             this.createWatcher(codec.configurationKey, ConfigurationGatherMilliseconds),
@@ -94,6 +102,11 @@
         return this.isWatching() ? 0 : this.duty.getUnheardMilliseconds(this.parts.clock.now());
     }
 
+    /** Looks whether the store has a later configuration; how often is bounded. */
+    async refreshConfiguration(): Promise<void> {
+        await this.configurationRefresh.refresh();
+    }
+
     /** The task: lists, then watches or follows until it is disposed. */
     async run(): Promise<void> {
         const { clock, members } = this.parts;
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as customers from "@boragedale/customers";
 import * as decisions from "@boragedale/decisions";
 import * as memberDirectory from "./memberDirectory.js";
 import * as metadataStore from "./metadataStore.js";
@@ -51,6 +52,7 @@
     private readonly entries = new Map<string, KnownEntry>();
     private configuration: types.Configuration | undefined;
     private routes: routeTable.RouteTable | undefined;
+    private customers: customers.CustomerDirectory | undefined;
     private revision: types.Revision = 0;
     private readonly settled = new settledRevision.SettledRevision();
     private digest = 0;
@@ -80,6 +82,11 @@
         return this.routes;
     }
 
+    /** Undefined: no customers are configured. */
+    getCustomers(): customers.CustomerDirectory | undefined {
+        return this.customers;
+    }
+
     /** Highest revision that this view has seen; of earlier ones some may be missing. */
     getRevision(): types.Revision {
         return this.revision;
@@ -301,6 +308,10 @@
         if (this.configuration === undefined || decoded.value.version > this.configuration.version) {
             this.configuration = decoded.value;
             this.routes = new routeTable.RouteTable(decoded.value);
+            this.customers =
+                decoded.value.customers === undefined
+                    ? undefined
+                    : new customers.CustomerDirectory(decoded.value.customers, this.customers);
         }
     }
 
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -64,5 +64,7 @@
     ItemStarted = "ItemStarted",
     ItemYielded = "ItemYielded",
     RequestUnroutable = "RequestUnroutable",
+    RequestUnauthorized = "RequestUnauthorized",
+    QuotaExceeded = "QuotaExceeded",
     Defect = "Defect",
 }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -290,9 +290,12 @@
         const run = new itemRun.ItemRun(owned, this.parts.wire, watchSilence);
         this.running.set(owned, { upstream: upstream.id, run });
         this.parts.slots.take(upstream.id, true, isCounted);
-        const headers = this.parts.wire.createItemHeaders(owned.item, owned.submission.getHead().host, {
+        const { host, customer } = owned.submission.getHead();
+        const headers = this.parts.wire.createItemHeaders(owned.item, host, {
             upstream: upstream.id,
             remainingMilliseconds: undefined,
+            customer,
+            passesCredentials: customer === undefined && this.parts.view.getCustomers() === undefined,
             lastEventId: owned.lastEventId === undefined ? undefined : String(owned.lastEventId),
         });
         const request = {
--- a/packages/gateway/src/memberDirectory.ts
+++ b/packages/gateway/src/memberDirectory.ts
@@ -71,6 +71,19 @@
         return this.getMembers().some(member => member.id !== id && getInstanceName(member.id) === instance);
     }
 
+    /** The life of each instance that was listed last, by the store's revisions; all members work the same answer out. */
+    getCurrentLives(): readonly core.InstanceId[] {
+        const lives = new Map<string, core.InstanceId>();
+        for (const { id } of this.getMembers()) {
+            const instance = getInstanceName(id);
+            const other = lives.get(instance);
+            if (other === undefined || this.getRevision(id) > this.getRevision(other)) {
+                lives.set(instance, id);
+            }
+        }
+        return [...lives.values()];
+    }
+
     /** Former lives of this member's instance that are still listed. */
     getFormerLives(): readonly core.InstanceId[] {
         const instance = getInstanceName(this.self.id);
@@ -105,6 +118,10 @@
             this.listeners.forEach(listener => listener(gone));
         }
     }
+
+    private getRevision(id: core.InstanceId): types.Revision {
+        return this.revisions.get(MemberPrefix + id) ?? 0;
+    }
 }
 
 /** Names one life of an instance: a restart is another member. */
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -31,6 +31,8 @@
     readonly body: Buffer;
     readonly arrivedAt: core.MonotonicMilliseconds;
     readonly deadline: core.MonotonicMilliseconds;
+    /** Name of the customer whose request it is; undefined where it needed no key. */
+    readonly customer: string | undefined;
 }
 
 interface Progress {
@@ -87,7 +89,8 @@
 
     constructor(private readonly parts: ForwarderParts) {}
 
-    async forward(request: ReadRequest, response: http.ServerResponse): Promise<void> {
+    /** Resolves when the request is over, to whether an upstream may have run it. */
+    async forward(request: ReadRequest, response: http.ServerResponse): Promise<boolean> {
         const delivery = { response, isStarted: false, lastEventId: undefined, firstByteAt: undefined };
         const progress: Progress = {
             request,
@@ -120,6 +123,7 @@
             stopTimer();
             response.off("close", onClose);
         }
+        return progress.runs > 0;
     }
 
     private async run(progress: Progress): Promise<void> {
@@ -245,6 +249,8 @@
             upstream: upstream.id,
             remainingMilliseconds: request.deadline - startedAt,
             lastEventId,
+            customer: request.customer,
+            passesCredentials: request.customer === undefined && this.parts.view.getCustomers() === undefined,
         });
         const exchange = this.parts.channels
             .get(upstream)
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -1,5 +1,5 @@
 import * as decisions from "@boragedale/decisions";
-import type * as types from "./types.js";
+import * as types from "./types.js";
 
 /** Finds the route of a request: by host, then the longest prefix that begins the path. */
 export class RouteTable {
@@ -13,9 +13,15 @@
         }
     }
 
+    /** Whether submissions to the host may need no key. */
+    hasPublicBatchRoute(host: string): boolean {
+        const routes = this.findHost(host)?.values() ?? [];
+        return [...routes].some(route => route.isPublic && route.kind === types.RouteKind.Batch);
+    }
+
     /** One lookup for each slash of the path, longest first, however many routes there are. */
     tryFind(host: string, target: string): types.Route | undefined {
-        const routes = this.byHost.get(host.toLowerCase()) ?? this.byHost.get(stripPort(host.toLowerCase()));
+        const routes = this.findHost(host);
         if (routes === undefined) {
             return undefined;
         }
@@ -29,6 +35,11 @@
         }
         return undefined;
     }
+
+    private findHost(host: string): ReadonlyMap<string, types.Route> | undefined {
+        const lower = host.toLowerCase();
+        return this.byHost.get(lower) ?? this.byHost.get(stripPort(lower));
+    }
 }
 
 function stripPort(host: string): string {
--- a/packages/gateway/src/submissionRecords.ts
+++ b/packages/gateway/src/submissionRecords.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import * as customers from "@boragedale/customers";
 import * as msgpackr from "msgpackr";
 import * as zod from "zod";
 import * as types from "./types.js";
@@ -30,6 +31,8 @@
     readonly failures: readonly (readonly [item: number, count: number])[];
     /** Whether the progress of items is kept beside it. */
     readonly hasProgress: boolean;
+    /** Whose it is; undefined where its route needed no key. */
+    readonly customer?: string | undefined;
 }
 
 /** Index of an item, id of its last event, data of its events so far. */
@@ -49,6 +52,7 @@
     failures: zod.array(zod.tuple([zod.number(), zod.number()])),
     // Absent in heads of the version before: an upgrade, instance by instance, must not make their submissions unknown.
     hasProgress: zod.boolean().default(false),
+    customer: zod.string().optional(),
 });
 
 const ProgressSchema = zod.array(zod.tuple([zod.number(), zod.number(), zod.array(zod.string())]));
@@ -72,6 +76,23 @@
 /** Keys are limited to 200 bytes; an id that makes a longer one names no submission that could exist. */
 export const LongestIdBytes = 120;
 
+/** Between the customer's and the submission's part of an id; a header can't hold it, so no caller's id does. */
+const ScopeSeparator = "\u001f";
+const ScopeLength = 16;
+
+/**
+ * The id under which a customer's submission is kept. Another customer that uses the same id means another submission: it neither
+ * reads nor ends this one, nor learns that it exists.
+ */
+export function scopeId(id: string, customer: string | undefined): string {
+    return customer === undefined ? id : customers.digestKey(customer).slice(0, ScopeLength) + ScopeSeparator + id;
+}
+
+/** Whether a caller can have submitted under the id. */
+export function isCallerId(id: string): boolean {
+    return !id.includes(ScopeSeparator);
+}
+
 export function getHeadKey(submission: string): string {
     return HeadPrefix + encodeURIComponent(submission);
 }
--- a/packages/gateway/src/submissionService.ts
+++ b/packages/gateway/src/submissionService.ts
@@ -15,10 +15,18 @@
     readonly host: string;
     readonly target: string;
     readonly items: readonly types.BatchItem[];
+    /** Undefined where the route needs no key. */
+    readonly customer: string | undefined;
     /** Until when the caller waits. */
     readonly deadline: core.MonotonicMilliseconds;
 }
 
+/** A submission as its caller names it; two customers may use the same id. */
+export interface SubmissionName {
+    readonly id: string;
+    readonly customer: string | undefined;
+}
+
 export type AcceptOutcome = { readonly ok: true } | { readonly ok: false; readonly refusal: types.GatewayRefusal };
 
 const ItemPartBytes = 500_000;
@@ -68,8 +76,9 @@
         parts.network.handle(protocol.MessageKind.SubmissionForward, async message => this.serveForward(message));
     }
 
-    /** Makes a submission durable and runs it; accepted once, however often it comes. */
-    async accept(submission: NewSubmission): Promise<AcceptOutcome> {
+    /** Makes a submission durable and runs it; accepted once, however often its customer sends it. */
+    async accept(requested: NewSubmission): Promise<AcceptOutcome> {
+        const submission = { ...requested, id: records.scopeId(requested.id, requested.customer) };
         if (this.registry.isKnown(submission.id)) {
             return { ok: true };
         }
@@ -85,20 +94,20 @@
 
     /** Results from a position on; waits up to a time for one to exist. */
     async read(
-        submission: string,
+        submission: SubmissionName,
         position: number,
         waitMilliseconds: number,
     ): Promise<submissionReader.Answer<types.ResultPage>> {
-        return this.reader.read(submission, position, waitMilliseconds);
+        return this.lookUp(submission, id => this.reader.read(id, position, waitMilliseconds));
     }
 
-    async readBody(submission: string, item: string): Promise<submissionReader.Answer<Uint8Array>> {
-        return this.reader.readBody(submission, item);
+    async readBody(submission: SubmissionName, item: string): Promise<submissionReader.Answer<Uint8Array>> {
+        return this.lookUp(submission, id => this.reader.readBody(id, item));
     }
 
     /** Ends a submission; repeating it changes nothing. */
-    async end(submission: string): Promise<submissionReader.Answer<undefined>> {
-        return this.reader.end(submission);
+    async end(submission: SubmissionName): Promise<submissionReader.Answer<undefined>> {
+        return this.lookUp(submission, id => this.reader.end(id));
     }
 
     /** Takes changes under the ended marks. */
@@ -130,6 +139,19 @@
         this.registry.getAllOwned().forEach(submission => submission.lose("this member stops"));
     }
 
+    /** A submission of no customer, from before there were any or of a route without keys, is open to all. */
+    private async lookUp<T>(
+        { id, customer }: SubmissionName,
+        look: (id: string) => Promise<submissionReader.Answer<T>>,
+    ): Promise<submissionReader.Answer<T>> {
+        if (!records.isCallerId(id)) {
+            return { ok: false, reason: types.RefusalReason.UnknownSubmission };
+        }
+        const found = await look(records.scopeId(id, customer));
+        const isUnknown = !found.ok && found.reason === types.RefusalReason.UnknownSubmission;
+        return isUnknown && customer !== undefined ? look(id) : found;
+    }
+
     /** A member that stops keeps nothing itself while a peer does: its own would wait for somebody to take it over. */
     private async keepAtPeerOrHere(submission: NewSubmission, record: SubmissionRecord): Promise<KeepOutcome> {
         const atPeer = await this.keepAtPeer(submission);
@@ -222,6 +244,7 @@
             target: submission.target,
             items: records.encodeItems(submission.items),
             waitMilliseconds,
+            ...(submission.customer === undefined ? {} : { customer: submission.customer }),
         } as const;
         const reply = await this.parts.network.request(peer, message, {
             lane: protocol.Lane.Bulk,
@@ -244,9 +267,9 @@
 
     private async serveForward(message: protocol.SubmissionForward): Promise<protocol.Message> {
         const items = records.tryDecodeItems(message.items);
-        const { submission: id, host, target } = message;
+        const { submission: id, host, target, customer } = message;
         const deadline = this.parts.clock.now() + message.waitMilliseconds;
-        const submission = items === undefined ? undefined : { id, host, target, items, deadline };
+        const submission = items === undefined ? undefined : { id, host, target, items, customer, deadline };
         const record = submission === undefined ? undefined : this.tryCreateRecord(submission);
         if (submission === undefined || record === undefined) {
             return { kind: protocol.MessageKind.SubmissionNotKept, isCertain: true };
@@ -283,6 +306,7 @@
             isEnded: false,
             failures: [],
             hasProgress: false,
+            ...(submission.customer === undefined ? {} : { customer: submission.customer }),
         };
     }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import type * as customers from "@boragedale/customers";
 
 /**
  * The vocabulary of the gateway: what the operators configure, which upstreams live, what a caller asks for and what
@@ -38,6 +39,8 @@
     readonly attempts: number;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Needs no customer's key. */
+    readonly isPublic: boolean;
     readonly isResumable: boolean;
     /** Batch only: time from the submission until all results are due. */
     readonly runTargetMilliseconds: number;
@@ -67,6 +70,8 @@
     readonly routes: readonly Route[];
     readonly services: readonly ServiceDefinition[];
     readonly limits: CallerLimits;
+    /** Undefined: no customers are configured, and requests need no key. */
+    readonly customers?: readonly customers.Customer[];
 }
 
 export enum UpstreamState {
@@ -128,6 +133,10 @@
     readonly remainingMilliseconds: number | undefined;
     /** Set where a stream goes on after an event that the caller has. */
     readonly lastEventId: string | undefined;
+    /** Name of the customer whose request it is; undefined where it needed no key. */
+    readonly customer: string | undefined;
+    /** Whether the caller's credentials are meant for the upstream; where customers are configured they are the gateway's. */
+    readonly passesCredentials: boolean;
 }
 
 /** What an answer's headers tell. */
@@ -147,6 +156,10 @@
 export enum RefusalReason {
     NoConfiguration = "NoConfiguration",
     NoRoute = "NoRoute",
+    /** No customer has the key, or there is none. */
+    Unauthorized = "Unauthorized",
+    /** The customer is over its limit; proved not to have run. */
+    QuotaExceeded = "QuotaExceeded",
     BodyTooLarge = "BodyTooLarge",
     HeaderTooLarge = "HeaderTooLarge",
     BodyInvalid = "BodyInvalid",
@@ -211,8 +224,10 @@
 }
 
 /** A call to the gateway itself, as opposed to a request that it forwards. */
-export type GatewayCall =
-    | { readonly kind: CallKind.Readiness }
+export type GatewayCall = { readonly kind: CallKind.Readiness } | SubmissionCall;
+
+/** A call about a submission. */
+export type SubmissionCall =
     | {
           readonly kind: CallKind.ReadResults;
           readonly submission: string;
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -114,6 +114,7 @@
         latencyTargetMilliseconds: 300,
         attempts: 2,
         priority: 0,
+        isPublic: false,
         isResumable: true,
         runTargetMilliseconds: 18_000,
         keepMilliseconds: 60_000,
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -169,9 +169,23 @@
         target: zod.string(),
         items: payload,
         waitMilliseconds: count,
+        customer: name.optional(),
     }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionKept) }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionNotKept), isCertain: zod.boolean() }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.QuotaClaim),
+        customer: name,
+        requestsPerSecond: zod.number().positive(),
+        burst: count,
+        uncounted: count,
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.QuotaReply),
+        isGranted: zod.boolean(),
+        retryAfterMilliseconds: count,
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.QuotaReturn), customer: name, count }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/packedForm.ts
+++ b/packages/protocol/src/packedForm.ts
@@ -46,6 +46,9 @@
     [types.MessageKind.SubmissionKept]: 35,
     [types.MessageKind.SubmissionNotKept]: 36,
     [types.MessageKind.Refused]: 37,
+    [types.MessageKind.QuotaClaim]: 38,
+    [types.MessageKind.QuotaReply]: 39,
+    [types.MessageKind.QuotaReturn]: 40,
 };
 
 const KindsByNumber = new Map(Object.entries(KindNumbers).map(([kind, number]) => [number, kind]));
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -52,6 +52,9 @@
     SubmissionKept = "SubmissionKept",
     SubmissionNotKept = "SubmissionNotKept",
     Refused = "Refused",
+    QuotaClaim = "QuotaClaim",
+    QuotaReply = "QuotaReply",
+    QuotaReturn = "QuotaReturn",
 }
 
 /** First frame of the accepting end: what the other end's proof must cover, so that an old proof is worth nothing. */
@@ -311,6 +314,8 @@
     /** Packed by the gateway. */
     readonly items: Uint8Array;
     readonly waitMilliseconds: number;
+    /** Absent: its route needed no key, or no customers are configured. */
+    readonly customer?: string;
 }
 
 /** The submission is durable. */
@@ -325,6 +330,31 @@
     readonly isCertain: boolean;
 }
 
+/** Asks the keeper of a customer's limit whether a request of the customer may run. */
+export interface QuotaClaim {
+    readonly kind: MessageKind.QuotaClaim;
+    readonly customer: string;
+    /** The limit as the sender knows it. */
+    readonly requestsPerSecond: number;
+    readonly burst: number;
+    /** Requests of the customer that the sender ran in the last window and that the receiver has not counted. */
+    readonly uncounted: number;
+}
+
+export interface QuotaReply {
+    readonly kind: MessageKind.QuotaReply;
+    readonly isGranted: boolean;
+    /** When the caller may come back, where it was not granted. */
+    readonly retryAfterMilliseconds: number;
+}
+
+/** Requests that the receiver granted and that no upstream ran. */
+export interface QuotaReturn {
+    readonly kind: MessageKind.QuotaReturn;
+    readonly customer: string;
+    readonly count: number;
+}
+
 /** The peer could not serve a request; `text` says why. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -369,6 +399,9 @@
     | SubmissionForward
     | SubmissionKept
     | SubmissionNotKept
+    | QuotaClaim
+    | QuotaReply
+    | QuotaReturn
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
@@ -408,6 +441,8 @@
     abstract handle<K extends MessageKind>(kind: K, handler: MessageHandler<K>): void;
     /** Peers with an open link. */
     abstract getConnectedPeers(): readonly core.InstanceId[];
+    /** Peers whose link went silent without being closed, as across a cut: they may be at work out of reach. */
+    abstract getSilentPeers(): readonly core.InstanceId[];
 }
 
 /** Who is in the fleet, and who holds which duty. Soft state: a duty is never safe only because of it. */
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -46,6 +46,10 @@
 const IdleMilliseconds = 20_000;
 /** Silent intervals after which a link is given up: one lost packet or a pause for garbage costs less than that. */
 const SilentIntervals = 3;
+/** Silent intervals after which a peer counts as out of reach, though its link is kept: one heartbeat is missing. */
+const UnheardIntervals = 1.8;
+/** A peer that was given up as silent is gone from the fleet by then, or linked again. */
+const SilencedMilliseconds = 10_000;
 const OpenMilliseconds = 1_500;
 
 /**
@@ -58,6 +62,8 @@
     private readonly links = new Map<string, peerLinks.PeerLink[]>();
     /** Peers that were found by a seed: other lanes to them are dialled at the same address. */
     private readonly seedUrls = new Map<core.InstanceId, string>();
+    /** Peers whose links were given up as silent, and when. */
+    private readonly silenced = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     private readonly dials = new Map<string, Promise<peerLinks.PeerLink | undefined>>();
     private readonly tasks = new Set<Promise<void>>();
     private readonly open = new Set<connections.Connection>();
@@ -154,6 +160,21 @@
         return [...new Set(peers)];
     }
 
+    override getSilentPeers(): readonly core.InstanceId[] {
+        const now = this.options.clock.now();
+        const limit = UnheardIntervals * (this.options.heartbeatMilliseconds ?? HeartbeatMilliseconds);
+        const unheard = this.getConnectedPeers().filter(peer => {
+            const link = this.tryGetLink(peer, types.Lane.Control);
+            return link !== undefined && now - link.lastHeard > limit;
+        });
+        for (const [peer, at] of this.silenced) {
+            if (now - at > SilencedMilliseconds) {
+                this.silenced.delete(peer);
+            }
+        }
+        return [...new Set([...unheard, ...this.silenced.keys()])];
+    }
+
     /** Tells every linked peer that this instance leaves. */
     announceLeaving(): void {
         const message: types.Leaving = { kind: types.MessageKind.Leaving, instance: this.options.instance };
@@ -223,6 +244,7 @@
     private async runLink(link: peerLinks.PeerLink, onRegistered?: () => void): Promise<void> {
         const key = getLinkKey(link.peer, link.lane);
         this.links.set(key, [...(this.links.get(key) ?? []), link]);
+        this.silenced.delete(link.peer);
         this.options.telemetry.record(telemetry.events.PeerConnected, { text: `${link.peer} ${link.lane}` });
         if (link.lane === types.Lane.Control) {
             link.beat(this.options.createHeartbeat());
@@ -328,6 +350,7 @@
         const now = this.options.clock.now();
         if (now - link.lastHeard > SilentIntervals * interval) {
             link.connection.abandon();
+            this.silenced.set(link.peer, now);
             this.options.onUnreachable?.(link.peer);
             return;
         }
--- a/packages/standins/src/memoryPeers.ts
+++ b/packages/standins/src/memoryPeers.ts
@@ -78,6 +78,10 @@
         return others.filter(peer => this.hub.isReachable(this.instance, peer));
     }
 
+    override getSilentPeers(): readonly core.InstanceId[] {
+        return [...this.hub.networks.keys()].filter(peer => this.hub.cutOff.has(peer) && peer !== this.instance);
+    }
+
     private async deliver(message: protocol.Message, from: core.InstanceId): Promise<protocol.Message | undefined> {
         return this.handlers.get(message.kind)?.(message, from);
     }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -140,6 +140,18 @@
     EventLevel.Info,
     "No route of the configuration in force matches the request.",
 );
+export const GatewayUnauthorized = define(
+    704,
+    "GatewayUnauthorized",
+    EventLevel.Info,
+    "No customer of the configuration in force has the request's key; whether a key was sent, and the version.",
+);
+export const GatewayQuotaExceeded = define(
+    705,
+    "GatewayQuotaExceeded",
+    EventLevel.Info,
+    "A customer's request was over its limit; who counted it, and when the caller may come back.",
+);
 export const StoreLost = define(710, "StoreLost", EventLevel.Warn, "A watch of the metadata store failed.");
 export const StoreRegained = define(711, "StoreRegained", EventLevel.Info, "The watch works again.");
 export const StoreReturned = define(
