--- a/packages/customers/src/quotaFallback.ts
+++ b/packages/customers/src/quotaFallback.ts
@@ -5,10 +5,25 @@
 
 /** Part of the tolerance that members without a keeper use; a keeper that is new relies on another. */
 const ToleranceShare = 0.5;
+/**
+ * Where the keepers have ended, as after a kill of everything, their counts are gone and new ones are known within seconds: members share
+ * the rate of so long, and the slack so many times.
+ */
+const EndedRateSeconds = 2;
+const EndedSlackFactor = 2;
 /** Until then the keeper may not know that it can't hear this member, and gives out its share of the rate. */
 const UnknownMilliseconds = 1_800;
 const RetryMilliseconds = 250;
 
+/** A request of a customer whose keeper can't be asked. */
+export interface FallbackClaim {
+    readonly customer: string;
+    readonly limit: types.RateLimit;
+    readonly memberCount: number;
+    /** Whether the keepers' processes have ended; else they are slow, or cut off with members that they serve. */
+    readonly hasEnded: boolean;
+}
+
 interface Account {
     readonly bucket: tokenBucket.TokenBucket;
     usedAt: core.MonotonicMilliseconds;
@@ -29,14 +44,10 @@
         private readonly random: () => number,
     ) {}
 
-    claim(
-        customer: string,
-        limit: types.RateLimit,
-        memberCount: number,
-        now: core.MonotonicMilliseconds,
-    ): quotaLedger.QuotaVerdict {
+    claim(claim: FallbackClaim, now: core.MonotonicMilliseconds): quotaLedger.QuotaVerdict {
         this.evictIdle(now);
-        const account = this.accounts.get(customer) ?? this.open(customer, limit, memberCount, now);
+        const { customer } = claim;
+        const account = this.accounts.get(customer) ?? this.open(claim, now);
         account.usedAt = now;
         // Kept in the order of use, so that idle ones come first.
         this.accounts.delete(customer);
@@ -45,15 +56,11 @@
         return { isGranted, retryAfterMilliseconds: isGranted ? 0 : RetryMilliseconds * (1 + this.random()) };
     }
 
-    private open(
-        customer: string,
-        limit: types.RateLimit,
-        memberCount: number,
-        now: core.MonotonicMilliseconds,
-    ): Account {
+    private open({ limit, memberCount, hasEnded }: FallbackClaim, now: core.MonotonicMilliseconds): Account {
         const { overShare, slack } = this.terms;
-        const allowed = quotaLedger.getWindowLimit(limit, this.terms);
-        const start = (ToleranceShare * (allowed * overShare + slack)) / memberCount;
+        const tolerance = ToleranceShare * (quotaLedger.getWindowLimit(limit, this.terms) * overShare + slack);
+        const ended = EndedRateSeconds * limit.requestsPerSecond + EndedSlackFactor * slack;
+        const start = (hasEnded ? ended : tolerance) / memberCount;
         const share = {
             requestsPerSecond: limit.requestsPerSecond / memberCount,
             burst: Math.max(start, limit.burst / memberCount),
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -9,11 +9,15 @@
 enum Role {
     Gateway = "gateway",
     Storage = "storage",
+    /** Loads all modules and ends: the build keeps the code that this compiles. */
+    Load = "load",
 }
 
 const UsageExitCode = 2;
 
-await main(process.argv[2]);
+if (process.argv[2] !== Role.Load) {
+    await main(process.argv[2]);
+}
 
 async function main(role: string | undefined): Promise<void> {
     const settings = settingsReader.readSettings(process.env);
@@ -42,7 +46,7 @@
             await storageProcess.runStorageProcess(settings.value, clock, log, stop);
             break;
         default:
-            process.stderr.write(`usage: boragedale-daemon ${Object.values(Role).join(" | ")}\n`);
+            process.stderr.write(`usage: boragedale-daemon ${Role.Gateway} | ${Role.Storage}\n`);
             process.exitCode = UsageExitCode;
             return;
     }
--- a/packages/gateway/src/customerQuotas.ts
+++ b/packages/gateway/src/customerQuotas.ts
@@ -167,7 +167,11 @@
 
     private claimFromFallback(customer: string, limit: customers.RateLimit): QuotaDecision {
         const { clock, keepers } = this.parts;
-        const verdict = this.fallback.claim(customer, limit, keepers.getMemberCount(), clock.now());
+        const now = clock.now();
+        const { silent } = this.reach.get(false);
+        const hasEnded = keepers.rank(customer, silent).every(keeper => now < (this.goneUntil.get(keeper) ?? 0));
+        const claim = { customer, limit, memberCount: keepers.getMemberCount(), hasEnded };
+        const verdict = this.fallback.claim(claim, now);
         return { ...verdict, customer, decider: QuotaDecider.Fallback, keeper: undefined };
     }
 
--- a/packages/gateway/src/quotaKeepers.ts
+++ b/packages/gateway/src/quotaKeepers.ts
@@ -6,8 +6,8 @@
 /** Members for each keeper in a large fleet: all members stay linked to every keeper. */
 const MembersPerKeeper = 16;
 const FewestKeepers = 3;
-/** Keepers that are tried for one customer: the one that has the duty, and the one that has it next. */
-const MostKeepersTried = 2;
+/** Keepers that are tried for one customer: the one that has the duty, and those that have it next. */
+const MostKeepersTried = 3;
 /** Ranks the members; all of them compute the same order. */
 const RankKey = "quota";
 
