--- a/packages/tools/src/platformDemo.ts
+++ b/packages/tools/src/platformDemo.ts
@@ -17,6 +17,8 @@
 const ItemCount = 20;
 const Program = "packages/daemon/dist/src/main.js";
 const LookMilliseconds = 50;
+/** Requests of a window that the demo's limited customer may send. */
+const LimitedRequests = 4;
 
 interface Gateway {
     readonly process: processes.StartedProcess;
@@ -42,6 +44,7 @@
     await showSubmission(world);
     await showFullEngines(world);
     await showBrokenStream(world);
+    await showCustomers(world);
     await showKill(world);
     await showStop(world);
     console.log(failures === 0 ? "every promise held" : `${failures} promises broken`);
@@ -139,6 +142,39 @@
     report("a stream that can't be finished doesn't look finished", !answer.isComplete, "after three engines");
 }
 
+/** Keys and limits of customers at all gateways, then none any more. */
+async function showCustomers(world: World): Promise<void> {
+    const limited = { name: "limited", keys: ["limited-key"], requestsPerSecond: 0.2, burst: LimitedRequests - 1 };
+    const customers = [limited, { name: "plain", keys: ["old-key", "kept-key"] }];
+    const statuses = (key: string, prefix: string): Promise<number[]> =>
+        Promise.all(
+            world.gateways.map(async ({ caller }, index) => {
+                const answer = await send(caller, "/stream/x", "POST", `${prefix}-${index}`, "prompt", key);
+                return answer.status;
+            }),
+        );
+    standins.writeConfiguration(world.store.metadata, { version: 2, customers });
+    await waitFor(async () => (await statuses("no-key", "c0")).every(status => status === 401));
+    const known = await statuses("old-key", "c1");
+    const withoutOld = [limited, { name: "plain", keys: ["kept-key"] }];
+    standins.writeConfiguration(world.store.metadata, { version: 3, customers: withoutOld });
+    const takenAt = performance.now();
+    await waitFor(async () => (await statuses("old-key", "c2")).every(status => status === 401));
+    const milliseconds = Math.round(performance.now() - takenAt);
+    const kept = await statuses("kept-key", "c3");
+    const isTakenAway = [...known, ...kept].every(status => status === 200);
+    report("a key that is taken away stops at every gateway", isTakenAway, `after ${milliseconds} ms`);
+    const answers: number[] = [];
+    for (let round = 0; round < LimitedRequests; round++) {
+        answers.push(...(await statuses("limited-key", `c4-${round}`)));
+    }
+    const granted = answers.filter(status => status === 200).length;
+    const isHeld = granted === LimitedRequests && answers.every(status => status === 200 || status === 429);
+    report("a limit holds over all gateways", isHeld, `${granted} of ${answers.length} ran`);
+    standins.writeConfiguration(world.store.metadata, { version: 4 });
+    await waitFor(async () => (await statuses("no-key", "c5")).every(status => status === 200));
+}
+
 function hasReceived(engine: standins.UpstreamServer, attempt: string): boolean {
     return engine.received.some(request => request.attempt === attempt);
 }
@@ -193,8 +229,19 @@
     readonly isComplete: boolean;
 }
 
-async function send(address: string, target: string, method: string, attempt = "x", body = ""): Promise<Answer> {
-    const headers = { Host: standins.DemoHost, [platform.names.AttemptIdHeader]: attempt };
+async function send(
+    address: string,
+    target: string,
+    method: string,
+    attempt = "x",
+    body = "",
+    key?: string,
+): Promise<Answer> {
+    const headers = {
+        Host: standins.DemoHost,
+        [platform.names.AttemptIdHeader]: attempt,
+        ...(key === undefined ? {} : { Authorization: `Bearer ${key}` }),
+    };
     return new Promise<Answer>((resolve, reject) => {
         const request = http.request(`http://${address}${target}`, { method, headers, agent: false }, response => {
             let text = "";
