--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -19,6 +19,8 @@
     lastUsed: core.MonotonicMilliseconds;
     lastSent: core.MonotonicMilliseconds;
     private nextCorrelation = 0;
+    /** The peer's last heartbeat as it came: most repeat the one before, and are not decoded again. */
+    private lastBeat: { readonly bytes: Uint8Array; readonly decoded: codec.DecodedFrame } | undefined;
     private readonly pending = new Map<number, PendingRequest>();
 
     constructor(
@@ -64,6 +66,11 @@
     /** Sends a notice that was encoded once for many links of the same form. */
     notifyEncoded(bytes: Uint8Array): void {
         this.lastUsed = this.clock.now();
+        this.beatEncoded(bytes);
+    }
+
+    /** The same for what only keeps the link alive, which is no use of it. */
+    beatEncoded(bytes: Uint8Array): void {
         if (this.connection.getBacklog() < LargestBacklogBytes) {
             this.lastSent = this.clock.now();
             this.connection.send(bytes);
@@ -83,7 +90,7 @@
                 if (bytes === undefined) {
                     return;
                 }
-                const decoded = codec.decodeFrame(bytes, this.lane);
+                const decoded = this.decode(bytes);
                 if (!decoded.ok) {
                     return;
                 }
@@ -96,6 +103,17 @@
         }
     }
 
+    private decode(bytes: Uint8Array): codec.DecodedFrame {
+        if (this.lastBeat !== undefined && Buffer.compare(this.lastBeat.bytes, bytes) === 0) {
+            return this.lastBeat.decoded;
+        }
+        const decoded = codec.decodeFrame(bytes, this.lane);
+        if (decoded.ok && decoded.frame.message.kind === types.MessageKind.Heartbeat) {
+            this.lastBeat = { bytes, decoded };
+        }
+        return decoded;
+    }
+
     private take(frame: codec.Frame, dispatch: Dispatch): void {
         if (frame.isReply === true) {
             // A reply that comes after its time-out has no waiter any more and is dropped.
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -142,13 +142,7 @@
 
     override notifyAll(message: types.Message, lane: types.Lane): void {
         const links = this.getConnectedPeers().flatMap(peer => this.tryGetLink(peer, lane) ?? []);
-        for (const form of Object.values(codec.FrameForm)) {
-            const readers = links.filter(link => link.form === form);
-            const encoded = readers.length === 0 ? undefined : codec.encodeFrame({ message }, lane, form);
-            if (encoded?.ok === true) {
-                readers.forEach(link => link.notifyEncoded(encoded.bytes));
-            }
-        }
+        encodeOnce(links, message, lane).forEach(({ link, bytes }) => link.notifyEncoded(bytes));
     }
 
     override handle<K extends types.MessageKind>(kind: K, handler: types.MessageHandler<K>): void {
@@ -334,9 +328,9 @@
             }
             this.dialSeeds();
             const kept = new Set(neighbours.map(peer => peer.id));
-            for (const link of [...this.links.values()].flat()) {
-                this.tend(link, interval, kept);
-            }
+            const due = [...this.links.values()].flat().filter(link => this.tend(link, interval, kept));
+            const heartbeat = this.options.createHeartbeat();
+            encodeOnce(due, heartbeat, types.Lane.Control).forEach(({ link, bytes }) => link.beatEncoded(bytes));
             await this.options.clock.sleep(interval, signal);
         }
     }
@@ -344,24 +338,22 @@
     /**
      * Every lane carries something each interval: something between the ends may lose track of one connection while others
      * work, and only traffic in that very connection shows it. The control lane always beats, since its heartbeats tell
-     * what the sender knows; the others only where nothing else was sent.
+     * what the sender knows; the others only where nothing else was sent. Returns whether a heartbeat is due.
      */
-    private tend(link: peerLinks.PeerLink, interval: number, kept: ReadonlySet<core.InstanceId>): void {
+    private tend(link: peerLinks.PeerLink, interval: number, kept: ReadonlySet<core.InstanceId>): boolean {
         const now = this.options.clock.now();
         if (now - link.lastHeard > SilentIntervals * interval) {
             link.connection.abandon();
             this.silenced.set(link.peer, now);
             this.options.onUnreachable?.(link.peer);
-            return;
+            return false;
         }
         const isKept = !link.isDialled || (kept.has(link.peer) && link.lane === types.Lane.Control);
         if (!isKept && now - link.lastUsed > (this.options.idleMilliseconds ?? IdleMilliseconds)) {
             link.connection.abandon();
-            return;
-        }
-        if (link.lane === types.Lane.Control || now - link.lastSent >= interval) {
-            link.beat(this.options.createHeartbeat());
+            return false;
         }
+        return link.lane === types.Lane.Control || now - link.lastSent >= interval;
     }
 
     private forget(connection: connections.Connection): void {
@@ -383,3 +375,16 @@
 function getLinkKey(peer: core.InstanceId, lane: types.Lane): string {
     return `${lane}/${peer}`;
 }
+
+/** A message for many links, encoded once for all links of a form. */
+function encodeOnce(
+    links: readonly peerLinks.PeerLink[],
+    message: types.Message,
+    lane: types.Lane,
+): readonly { readonly link: peerLinks.PeerLink; readonly bytes: Uint8Array }[] {
+    return Object.values(codec.FrameForm).flatMap(form => {
+        const readers = links.filter(link => link.form === form);
+        const encoded = readers.length === 0 ? undefined : codec.encodeFrame({ message }, lane, form);
+        return encoded?.ok === true ? readers.map(link => ({ link, bytes: encoded.bytes })) : [];
+    });
+}
