--- a/packages/gateway/src/quotaKeepers.ts
+++ b/packages/gateway/src/quotaKeepers.ts
@@ -36,9 +36,15 @@
         return decisions.chooseSubset(customer, reachable, MostKeepersTried);
     }
 
-    /** Instances of the fleet, this one included. */
+    /**
+     * Instances of the fleet, this one included. A member that has not seen itself listed may know few of them: it doesn't take itself for
+     * one of a small fleet.
+     */
     getMemberCount(): number {
-        this.memberCount ??= this.members.countOtherInstances() + 1;
+        this.memberCount ??= Math.max(
+            this.members.countOtherInstances() + 1,
+            this.members.isListed() ? 1 : homeDirectory.NeighbourCount + 1,
+        );
         return this.memberCount;
     }
 
