--- a/packages/gateway/src/customerQuotas.ts
+++ b/packages/gateway/src/customerQuotas.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as customers from "@boragedale/customers";
 import * as protocol from "@boragedale/protocol";
+import * as quotaAdmissions from "./quotaAdmissions.js";
 import type * as quotaKeepers from "./quotaKeepers.js";
 import * as quotaReach from "./quotaReach.js";
 
@@ -10,8 +11,9 @@
 const GoneMilliseconds = 1_000;
 /** A keeper that gave no answer in time is not asked for this long: each request would wait for nothing. */
 const SilentMilliseconds = 500;
-/** A member that was refused a customer's request refuses further ones by itself for this long: a hot customer's would flood the keeper. */
+/** A member whose question was refused refuses by itself for this long: a customer far over its limit would flood the keeper. */
 const HeldMilliseconds = 100;
+
 export interface CustomerQuotasParts {
     readonly self: core.InstanceId;
     readonly keepers: quotaKeepers.QuotaKeepers;
@@ -41,12 +43,6 @@
     readonly keeper: core.InstanceId | undefined;
 }
 
-/** A request of a customer that this member ran, and who counted it. */
-interface Admission {
-    readonly at: core.MonotonicMilliseconds;
-    readonly keeper: core.InstanceId | undefined;
-}
-
 /**
  * Holds customers to their limits over all members: one keeper counts all requests of a customer and is asked before each. A member
  * that can't reach it falls back to its own share.
@@ -54,8 +50,7 @@
 export class CustomerQuotas {
     private readonly ledger: customers.QuotaLedger;
     private readonly fallback: customers.QuotaFallback;
-    /** By customer, oldest first; only those of the last window. */
-    private readonly admissions = new Map<string, Admission[]>();
+    private readonly admissions: quotaAdmissions.QuotaAdmissions;
     private readonly goneUntil = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     private readonly silentUntil = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     /** By customer: until when requests are refused without asking, and when the last refused caller comes back. */
@@ -65,6 +60,7 @@
     constructor(private readonly parts: CustomerQuotasParts) {
         const { network, terms, random } = parts;
         this.ledger = new customers.QuotaLedger(terms);
+        this.admissions = new quotaAdmissions.QuotaAdmissions(terms.windowMilliseconds);
         this.reach = new quotaReach.QuotaReach(parts);
         this.fallback = new customers.QuotaFallback(terms, random);
         network.handle(protocol.MessageKind.QuotaClaim, async message => this.serveClaim(message));
@@ -86,7 +82,7 @@
             (await this.claimFromKeeper(name, limit)) ??
             this.claimFromFallback(name, limit);
         if (decision.isGranted) {
-            this.recordAdmission(decision);
+            this.admissions.record(name, decision.keeper, this.parts.clock.now());
         }
         else if (decision.decider === QuotaDecider.Keeper) {
             this.hold(decision);
@@ -94,6 +90,26 @@
         return decision;
     }
 
+    /** The request was granted, and no upstream ran it. */
+    giveBack(decision: QuotaDecision): void {
+        const { customer, keeper } = decision;
+        if (!decision.isGranted || keeper === undefined) {
+            return;
+        }
+        this.admissions.forget(customer, keeper);
+        if (keeper === this.parts.self) {
+            this.ledger.giveBack(customer, 1);
+            return;
+        }
+        const message = { kind: protocol.MessageKind.QuotaReturn, customer, count: 1 } as const;
+        this.parts.network.notify(keeper, message, protocol.Lane.Control);
+    }
+
+    /** Customers of which this member keeps a count. */
+    getAccountCount(): number {
+        return this.ledger.getAccountCount();
+    }
+
     private hold({ customer, retryAfterMilliseconds }: QuotaDecision): void {
         const now = this.parts.clock.now();
         const until = now + Math.min(HeldMilliseconds, retryAfterMilliseconds);
@@ -116,26 +132,6 @@
         return { isGranted: false, retryAfterMilliseconds, customer, decider: QuotaDecider.Held, keeper: undefined };
     }
 
-    /** The request was granted, and no upstream ran it. */
-    giveBack(decision: QuotaDecision): void {
-        const { customer, keeper } = decision;
-        if (!decision.isGranted || keeper === undefined) {
-            return;
-        }
-        this.forgetAdmission(decision);
-        if (keeper === this.parts.self) {
-            this.ledger.giveBack(customer, 1);
-            return;
-        }
-        const message = { kind: protocol.MessageKind.QuotaReturn, customer, count: 1 } as const;
-        this.parts.network.notify(keeper, message, protocol.Lane.Control);
-    }
-
-    /** Customers of which this member keeps a count. */
-    getAccountCount(): number {
-        return this.ledger.getAccountCount();
-    }
-
     /** Undefined where no keeper can be reached. */
     private async claimFromKeeper(customer: string, limit: customers.RateLimit): Promise<QuotaDecision | undefined> {
         const decider = QuotaDecider.Keeper;
@@ -148,14 +144,14 @@
             if (now < (this.silentUntil.get(keeper) ?? 0)) {
                 return undefined;
             }
-            const uncounted = this.countAdmissions(customer, keeper, now);
+            const uncounted = this.admissions.countUncounted(customer, keeper, now);
             if (keeper === this.parts.self) {
-                this.settleAdmissions(customer, keeper);
+                this.admissions.settle(customer, keeper);
                 return { ...this.count(customer, limit, uncounted), customer, decider, keeper };
             }
             const verdict = await this.ask(keeper, { customer, ...limit, uncounted });
             if (verdict !== undefined) {
-                this.settleAdmissions(customer, keeper);
+                this.admissions.settle(customer, keeper);
                 return { ...verdict, customer, decider, keeper };
             }
             if (!this.goneUntil.has(keeper)) {
@@ -208,57 +204,4 @@
         const { share, known } = this.reach.get(!this.ledger.hasAccount(customer));
         return this.ledger.claim({ customer, limit, uncounted, share, known }, this.parts.clock.now());
     }
-
-    /** Requests of the last window that the keeper has not counted. */
-    private countAdmissions(customer: string, keeper: core.InstanceId, now: core.MonotonicMilliseconds): number {
-        const recent = this.pruneAdmissions(customer, now);
-        return recent.filter(admission => admission.keeper !== keeper).length;
-    }
-
-    /** The keeper has counted all of the customer's requests now. */
-    private settleAdmissions(customer: string, keeper: core.InstanceId): void {
-        const recent = this.admissions.get(customer);
-        if (recent?.some(admission => admission.keeper !== keeper) === true) {
-            this.admissions.set(
-                customer,
-                recent.map(({ at }) => ({ at, keeper })),
-            );
-        }
-    }
-
-    private recordAdmission(decision: QuotaDecision): void {
-        const now = this.parts.clock.now();
-        const recent = this.pruneAdmissions(decision.customer, now);
-        recent.push({ at: now, keeper: decision.keeper });
-        // Kept in the order of use, so that customers whose window is over come first.
-        this.admissions.delete(decision.customer);
-        this.admissions.set(decision.customer, recent);
-        this.evictIdle(now);
-    }
-
-    private forgetAdmission(decision: QuotaDecision): void {
-        const recent = this.admissions.get(decision.customer);
-        const index = recent?.findLastIndex(admission => admission.keeper === decision.keeper) ?? -1;
-        if (index >= 0) {
-            recent?.splice(index, 1);
-        }
-    }
-
-    private pruneAdmissions(customer: string, now: core.MonotonicMilliseconds): Admission[] {
-        const recent = this.admissions.get(customer) ?? [];
-        const since = now - this.parts.terms.windowMilliseconds;
-        const first = recent.findIndex(admission => admission.at > since);
-        recent.splice(0, first < 0 ? recent.length : first);
-        return recent;
-    }
-
-    private evictIdle(now: core.MonotonicMilliseconds): void {
-        const since = now - this.parts.terms.windowMilliseconds;
-        for (const [customer, recent] of this.admissions) {
-            if ((recent.at(-1)?.at ?? -Infinity) > since) {
-                return;
-            }
-            this.admissions.delete(customer);
-        }
-    }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./homeDirectory.js";
 export * from "./quotaKeepers.js";
 export * from "./quotaReach.js";
+export * from "./quotaAdmissions.js";
 export * from "./customerQuotas.js";
 export * from "./callerIdentity.js";
 export * from "./slotLending.js";
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -369,6 +369,29 @@
     assert.is(other!.submissions.getOwnedCount(), 1);
 });
 
+suite("a submission from before there were customers goes on being read, with any key", async () => {
+    const fleet = await testFleet.createFleet(2);
+    const [first, second] = fleet.members;
+    await testFleet.submit(fleet, first!, "s", fixtures.createItems(3));
+    await fleet.clock.advance(4_000);
+    assertWhole(await testFleet.readAll(fleet, second!, "s", "customer"), 3);
+});
+
+suite("two customers that use one id have two submissions, also through a takeover", async () => {
+    const fleet = await testFleet.createFleet(3);
+    const [owner, other, reader] = fleet.members;
+    await testFleet.submit(fleet, owner!, "s", fixtures.createItems(3, "a"), "a");
+    await testFleet.submit(fleet, other!, "s", fixtures.createItems(5, "b"), "b");
+    owner!.kill();
+    await fleet.clock.advance(20_000);
+    assertWhole(await testFleet.readAll(fleet, reader!, "s", "a"), 3);
+    assertWhole(await testFleet.readAll(fleet, reader!, "s", "b"), 5);
+    assert.is(await testFleet.readAll(fleet, reader!, "s", "c"), undefined);
+    const scoped = gateway.scopeId("s", "a");
+    assert.is(await testFleet.readAll(fleet, reader!, scoped, "b"), undefined);
+    assert.is(await testFleet.readAll(fleet, reader!, scoped), undefined);
+});
+
 suite("an unknown submission is said to be unknown only after the store was asked", async () => {
     const fleet = await testFleet.createFleet(1);
     const member = fleet.members[0]!;
