--- a/packages/gateway/src/quotaReach.ts
+++ b/packages/gateway/src/quotaReach.ts
@@ -37,10 +37,12 @@
     private lookedAt: core.MonotonicMilliseconds = -Infinity;
     private reach: Reach = { silent: new Set(), share: 1, known: 1 };
     /** The lowest share of linked members of the last window, and when it was seen. */
-    private low = { share: KnownAtStart, at: 0 };
+    private low: { readonly share: number; readonly at: core.MonotonicMilliseconds };
+    private readonly startedAt: core.MonotonicMilliseconds;
 
     constructor(private readonly parts: QuotaReachParts) {
-        this.low.at = parts.clock.now();
+        this.startedAt = parts.clock.now();
+        this.low = { share: KnownAtStart, at: this.startedAt };
     }
 
     /** `isFresh`: as it is at this moment, not as it was a little before. */
@@ -60,7 +62,10 @@
         const linked = Math.min(count, keepers.pickListed(network.getConnectedPeers()).length + 1);
         // Only keepers are linked to all; the others learn nothing of who was lost.
         const lost = keepers.isKeeper() ? count - linked : 0;
-        const share = 1 - Math.min(count, lost + UnknownSilentShare * silent.length) / count;
+        const heard = 1 - Math.min(count, lost + UnknownSilentShare * silent.length) / count;
+        // Links are still being opened: members without one aren't lost.
+        const isStarting = now - this.startedAt <= terms.windowMilliseconds;
+        const share = isStarting ? Math.max(KnownAtStart, heard) : heard;
         if (share <= this.low.share || now - this.low.at > terms.windowMilliseconds) {
             this.low = { share, at: now };
         }
