--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -87,6 +87,11 @@
         return this.customers;
     }
 
+    /** Whether a request's credentials are meant for the upstream: they are the gateway's own matter where customers are or were configured. */
+    passesCredentials(customer: string | undefined): boolean {
+        return customer === undefined && this.customers === undefined;
+    }
+
     /** Highest revision that this view has seen; of earlier ones some may be missing. */
     getRevision(): types.Revision {
         return this.revision;
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -295,7 +295,7 @@
             upstream: upstream.id,
             remainingMilliseconds: undefined,
             customer,
-            passesCredentials: customer === undefined && this.parts.view.getCustomers() === undefined,
+            passesCredentials: this.parts.view.passesCredentials(customer),
             lastEventId: owned.lastEventId === undefined ? undefined : String(owned.lastEventId),
         });
         const request = {
--- a/packages/gateway/src/memberDirectory.ts
+++ b/packages/gateway/src/memberDirectory.ts
@@ -65,8 +65,8 @@
         );
     }
 
-    /** Whether another life of the member's instance is listed: then this one has ended, whatever became of its lease. */
-    hasNewerLife(id: core.InstanceId): boolean {
+    /** Whether another life of a member's instance is listed: one that is listed no longer has then ended, whatever became of its lease. */
+    hasOtherLife(id: core.InstanceId): boolean {
         const instance = getInstanceName(id);
         return this.getMembers().some(member => member.id !== id && getInstanceName(member.id) === instance);
     }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -250,7 +250,7 @@
             remainingMilliseconds: request.deadline - startedAt,
             lastEventId,
             customer: request.customer,
-            passesCredentials: request.customer === undefined && this.parts.view.getCustomers() === undefined,
+            passesCredentials: this.parts.view.passesCredentials(request.customer),
         });
         const exchange = this.parts.channels
             .get(upstream)
--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -78,7 +78,7 @@
             return;
         }
         this.registry.forgetOwners(gone);
-        const isReplaced = gone.every(id => this.parts.members.hasNewerLife(id));
+        const isReplaced = gone.every(id => this.parts.members.hasOtherLife(id));
         void this.lookForOrphans(isReplaced ? ReplacedDelayMilliseconds : TakeoverDelayMilliseconds);
     }
 
