--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -4,9 +4,9 @@
 import * as gateway from "@boragedale/gateway";
 import * as platform from "@boragedale/platform";
 import * as protocol from "@boragedale/protocol";
-import * as telemetry from "@boragedale/telemetry";
 import type * as eventLog from "./eventLog.js";
 import * as peers from "./peers.js";
+import * as peerTelemetry from "./peerTelemetry.js";
 import * as settingsReader from "./settings.js";
 
 /** Whether the process takes part; all parts look at the same one. */
@@ -110,7 +110,7 @@
 /** Listens for peers first: the member's entry tells the port, which the system may have chosen. */
 async function startNetwork(container: awilix.AwilixContainer<Parts>, owned: core.DisposalStack): Promise<void> {
     const parts = container.cradle;
-    const { settings, getSettings, clock, view, life } = parts;
+    const { settings, getSettings, clock, log, view, life } = parts;
     const face = settingsReader.getFace(settings.peerAddress, "peerAddress");
     const id = gateway.createMemberId(settings.instance, gateway.createNonce().slice(0, 8));
     const late: { members?: gateway.MemberDirectory; registry?: gateway.FleetRegistry } = {};
@@ -118,7 +118,7 @@
         instance: id,
         keys: [settings.peerKey],
         clock,
-        telemetry: new telemetry.Telemetry({ instance: id, logLevel: "silent" }, clock),
+        telemetry: new peerTelemetry.PeerTelemetry(id, clock, log),
         host: face.host,
         port: face.port,
         getNeighbours: () =>
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -22,6 +22,7 @@
     [gateway.GatewayEvent.EntryUnusable]: telemetry.events.RegistryEntryUnusable,
     [gateway.GatewayEvent.MemberRegistered]: telemetry.events.MemberRegistered,
     [gateway.GatewayEvent.WatchDutyChanged]: telemetry.events.WatchDutyChanged,
+    [gateway.GatewayEvent.RegistryAsked]: telemetry.events.RegistryAsked,
     [gateway.GatewayEvent.MembersChanged]: telemetry.events.MembersChanged,
     [gateway.GatewayEvent.HomeSilent]: telemetry.events.HomeSilent,
     [gateway.GatewayEvent.UpstreamAvoided]: telemetry.events.UpstreamAvoided,
--- a/packages/gateway/src/fleetRegistry.ts
+++ b/packages/gateway/src/fleetRegistry.ts
@@ -71,7 +71,7 @@
             duty: this.duty,
             isWatching: () => this.isWatching(),
             apply: entries => void this.apply(entries),
-            onUnusable: text => log.note(gatewayLog.GatewayEvent.EntryUnusable, { text }),
+            log,
         });
         this.configurationRefresh = new configurationRefresh.ConfigurationRefresh({
             store: parts.store,
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -50,6 +50,7 @@
     EntryUnusable = "EntryUnusable",
     MemberRegistered = "MemberRegistered",
     WatchDutyChanged = "WatchDutyChanged",
+    RegistryAsked = "RegistryAsked",
     MembersChanged = "MembersChanged",
     HomeSilent = "HomeSilent",
     UpstreamAvoided = "UpstreamAvoided",
--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -2,6 +2,7 @@
 import type * as core from "@boragedale/core";
 import * as protocol from "@boragedale/protocol";
 import type * as fleetView from "./fleetView.js";
+import * as gatewayLog from "./gatewayLog.js";
 import * as memberDirectory from "./memberDirectory.js";
 import type * as types from "./types.js";
 import * as watchDuty from "./watchDuty.js";
@@ -29,7 +30,15 @@
     /** Whether this member's copy comes from the store's watches. */
     readonly isWatching: () => boolean;
     readonly apply: (entries: readonly types.StoreEntry[]) => void;
-    readonly onUnusable: (text: string) => void;
+    readonly log: gatewayLog.GatewayLog;
+}
+
+/** What an answer to a question for lacking entries led to. */
+enum CatchUpOutcome {
+    /** The copy is as the peer's heartbeat told. */
+    Level = "Level",
+    /** A difference remains. */
+    Behind = "Behind",
 }
 
 /**
@@ -125,11 +134,18 @@
             timeoutMilliseconds: CatchUpTimeoutMilliseconds,
         });
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.RegistryEntries) {
+            this.noteAsked(peer, revision, 0, reply.ok ? reply.message.kind : `${reply.kind}: ${reply.text}`);
             return;
         }
         this.apply(reply.message);
         const isBehind = view.getRevision() < heartbeat.generation || this.differs(heartbeat);
         this.failedCatchUps = isBehind ? this.failedCatchUps + 1 : 0;
+        const outcome = isBehind ? CatchUpOutcome.Behind : CatchUpOutcome.Level;
+        this.noteAsked(peer, revision, reply.message.entries.length, outcome);
+    }
+
+    private noteAsked(peer: core.InstanceId, after: types.Revision, entries: number, text: string): void {
+        this.parts.log.note(gatewayLog.GatewayEvent.RegistryAsked, { peer, after, entries, text });
     }
 
     /** A watching member has what the others have, earlier; asking each peer that is ahead would be an answer for each. */
@@ -176,10 +192,14 @@
         }
     }
 
+    private noteUnusable(text: string): void {
+        this.parts.log.note(gatewayLog.GatewayEvent.EntryUnusable, { text });
+    }
+
     private tryRead(wired: protocol.RegistryEntry): types.StoreEntry | undefined {
         const { key, revision, value, isDeflated } = wired;
         if (!this.parts.view.isRegistryKey(key)) {
-            this.parts.onUnusable(`a peer passed on ${key}, which is no entry of the registry`);
+            this.noteUnusable(`a peer passed on ${key}, which is no entry of the registry`);
             return undefined;
         }
         if (value === undefined || isDeflated !== true) {
@@ -189,7 +209,7 @@
             return { key, revision, value: zlib.inflateRawSync(value, { maxOutputLength: LargestValueBytes }) };
         }
         catch (error) {
-            this.parts.onUnusable(`a peer passed on ${key}, which can't be decompressed: ${String(error)}`);
+            this.noteUnusable(`a peer passed on ${key}, which can't be decompressed: ${String(error)}`);
             return undefined;
         }
     }
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -82,17 +82,20 @@
         return this.connection.getBacklog() < LargestBacklogBytes && this.send({ message }) === undefined;
     }
 
-    /** Handles messages until the connection is over. A malformed one ends it: what follows can't be trusted. */
-    async run(dispatch: Dispatch): Promise<void> {
+    /**
+     * Handles messages until the connection is over. A malformed one ends it: what follows can't be trusted. Resolves to what was
+     * wrong with it, if there was one.
+     */
+    async run(dispatch: Dispatch): Promise<codec.FrameFinding | undefined> {
         try {
             for (;;) {
                 const bytes = await this.connection.read();
                 if (bytes === undefined) {
-                    return;
+                    return undefined;
                 }
                 const decoded = this.decode(bytes);
                 if (!decoded.ok) {
-                    return;
+                    return decoded.finding;
                 }
                 this.lastHeard = this.clock.now();
                 this.take(decoded.frame, dispatch);
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -244,13 +244,14 @@
             link.beat(this.options.createHeartbeat());
         }
         onRegistered?.();
-        await link.run((message, from) => this.dispatch(message, from));
+        const finding = await link.run((message, from) => this.dispatch(message, from));
         const others = (this.links.get(key) ?? []).filter(other => other !== link);
         this.links.set(key, others);
         if (others.length === 0) {
             this.links.delete(key);
         }
-        this.options.telemetry.record(telemetry.events.PeerLost, { text: `${link.peer} ${link.lane}` });
+        const ending = finding === undefined ? "" : ` ${finding.kind}: ${finding.text}`;
+        this.options.telemetry.record(telemetry.events.PeerLost, { text: `${link.peer} ${link.lane}${ending}` });
     }
 
     private async dispatch(message: types.Message, from: core.InstanceId): Promise<types.Message | undefined> {
--- a/packages/standins/src/registryMember.ts
+++ b/packages/standins/src/registryMember.ts
@@ -36,7 +36,7 @@
 }
 
 /** Tells nobody anything. */
-class SilentLog extends gateway.GatewayLog {
+export class SilentLog extends gateway.GatewayLog {
     override finished(): void {}
     override refused(): void {}
     override attemptEnded(): void {}
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -166,6 +166,12 @@
     EventLevel.Info,
     "This instance began or ended watching the store; why, and since when no watching member was heard of.",
 );
+export const RegistryAsked = define(
+    735,
+    "RegistryAsked",
+    EventLevel.Info,
+    "A peer was asked for registry entries that this instance lacks: after which revision, and what came of it.",
+);
 export const ConfigurationTaken = define(
     712,
     "ConfigurationTaken",
