--- a/packages/bench/src/membership/membershipRun.ts
+++ b/packages/bench/src/membership/membershipRun.ts
@@ -101,6 +101,7 @@
             calls.push({ at: clock.now(), purpose: `${call} ${purpose}`.trimEnd(), price });
         },
         members: new Map(),
+        neighbours: new Map(),
     };
     const fleet: Fleet = { time, world, calls, sent, draw, members: [] };
     for (let index = 0; index < options.instances; index++) {
--- /dev/null
+++ b/packages/protocol/test/unlistedPeer.test.ts
@@ -0,0 +1,38 @@
+import type * as core from "@boragedale/core";
+import * as protocol from "@boragedale/protocol";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as peerFixtures from "./peerFixtures.js";
+
+const suite = uvu.suite("unlisted peer");
+
+// Guards against a peer that is linked and heard of, but can't be asked for the very entry that tells its address.
+suite("a peer that opened a link is reached on another lane though no list tells its address", async () => {
+    const known = new Map<core.InstanceId, protocol.PeerAddress>();
+    const asking = await peerFixtures.createPeer({ id: "asking", addresses: known });
+    await using askingNetwork = asking.network;
+    const asked = await peerFixtures.createPeer({
+        id: "asked",
+        addresses: new Map([...known]),
+        neighbours: ["asking"],
+    });
+    await using askedNetwork = asked.network;
+    askedNetwork.handle(protocol.MessageKind.JobCancelled, async message => ({
+        kind: protocol.MessageKind.Refused,
+        text: message.job,
+    }));
+    await new Promise<void>(resolve => {
+        askingNetwork.handle(protocol.MessageKind.Heartbeat, async () => {
+            resolve();
+            return undefined;
+        });
+    });
+    const result = await askingNetwork.request(
+        "asked",
+        { kind: protocol.MessageKind.JobCancelled, job: "answered" },
+        { lane: protocol.Lane.Bulk, timeoutMilliseconds: 5_000 },
+    );
+    assert.is(!result.ok && result.text, "answered");
+});
+
+suite.run();
