--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -65,6 +65,7 @@
         challenge: name,
         proof: name,
         readsPacked: zod.boolean().optional(),
+        url: name.optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.Heartbeat),
--- a/packages/protocol/src/introduction.ts
+++ b/packages/protocol/src/introduction.ts
@@ -14,11 +14,21 @@
     readonly telemetry: telemetry.Telemetry;
 }
 
+/** The peer's face that is dialled; its id is only known once it has proved the key where a seed is. */
+export interface DialAddress {
+    readonly id: core.InstanceId | undefined;
+    readonly url: string;
+}
+
 const HandshakeMilliseconds = 2_000;
 
 /** Turns a connection into a link once both ends have proved the shared key; undefined when one could not. */
 export class Introducer {
-    constructor(private readonly options: IntroducerOptions) {}
+    constructor(
+        private readonly options: IntroducerOptions,
+        /** Where peers reach this instance; undefined: told to nobody. */
+        private readonly tryGetOwnUrl: () => string | undefined,
+    ) {}
 
     /** Server side of the handshake: challenge, check the proof, prove this side. */
     async accept(connection: connections.Connection): Promise<peerLinks.PeerLink | undefined> {
@@ -42,8 +52,9 @@
             return undefined;
         }
         sendOne(connection, this.createHello(handshake.Side.Server, terms, serverChallenge));
-        const form = chooseForm(hello);
-        return new peerLinks.PeerLink(hello.instance, hello.lane, connection, false, form, this.options.clock);
+        const { instance: peer, lane, url } = hello;
+        const agreed = { peer, lane, isDialled: false, form: chooseForm(hello), url };
+        return new peerLinks.PeerLink(connection, agreed, this.options.clock);
     }
 
     /**
@@ -52,7 +63,7 @@
      */
     async introduce(
         connection: connections.Connection,
-        peer: core.InstanceId | undefined,
+        address: DialAddress,
         lane: types.Lane,
     ): Promise<peerLinks.PeerLink | undefined> {
         if (!(await connection.waitForOpen())) {
@@ -74,7 +85,7 @@
         if (hello === undefined) {
             return undefined;
         }
-        const expected = { ...terms, version: hello.version, instance: peer ?? hello.instance };
+        const expected = { ...terms, version: hello.version, instance: address.id ?? hello.instance };
         if (!handshake.isProofValid(this.options.keys, handshake.Side.Server, expected, hello.proof)) {
             this.refuse(`${hello.instance}: wrong proof`);
             return undefined;
@@ -82,12 +93,19 @@
         if (expected.instance === this.options.instance) {
             return undefined;
         }
-        const form = chooseForm(hello);
-        return new peerLinks.PeerLink(expected.instance, lane, connection, true, form, this.options.clock);
+        const agreed = {
+            peer: expected.instance,
+            lane,
+            isDialled: true,
+            form: chooseForm(hello),
+            url: address.url,
+        };
+        return new peerLinks.PeerLink(connection, agreed, this.options.clock);
     }
 
     private createHello(side: handshake.Side, terms: handshake.HandshakeTerms, challenge: string): types.Hello {
         const own = { ...terms, version: types.ProtocolVersion, instance: this.options.instance };
+        const url = this.tryGetOwnUrl();
         const key = core.Debug.checkDefined(this.options.keys[0], "a peer network has a key");
         return {
             kind: types.MessageKind.Hello,
@@ -97,6 +115,7 @@
             challenge,
             proof: handshake.createProof(key, side, own),
             readsPacked: true,
+            ...(url === undefined ? {} : { url }),
         };
     }
 
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -13,8 +13,22 @@
 /** Handles a message that is not a reply; the result, where there is one, goes back to a request. */
 export type Dispatch = (message: types.Message, from: core.InstanceId) => Promise<types.Message | undefined>;
 
+/** What the handshake settled. */
+export interface PeerLinkTerms {
+    readonly peer: core.InstanceId;
+    readonly lane: types.Lane;
+    /** Whether this end opened it; only that end may let it go as idle, since the other can't know its plans. */
+    readonly isDialled: boolean;
+    /** The form that the peer reads. */
+    readonly form: codec.FrameForm;
+    /** Where the peer's face is, for its other lanes; undefined where nobody told. */
+    readonly url: string | undefined;
+}
+
 /** One open lane to one peer: requests with their correlation ids, replies, notices. */
 export class PeerLink {
+    readonly peer: core.InstanceId;
+    readonly lane: types.Lane;
     lastHeard: core.MonotonicMilliseconds;
     lastUsed: core.MonotonicMilliseconds;
     lastSent: core.MonotonicMilliseconds;
@@ -24,15 +38,12 @@
     private readonly pending = new Map<number, PendingRequest>();
 
     constructor(
-        readonly peer: core.InstanceId,
-        readonly lane: types.Lane,
         readonly connection: connections.Connection,
-        /** Whether this end opened it; only that end may let it go as idle, since the other can't know its plans. */
-        readonly isDialled: boolean,
-        /** The form that the peer reads. */
-        readonly form: codec.FrameForm,
+        readonly terms: PeerLinkTerms,
         private readonly clock: core.Clock,
     ) {
+        this.peer = terms.peer;
+        this.lane = terms.lane;
         this.lastHeard = clock.now();
         this.lastUsed = clock.now();
         this.lastSent = clock.now();
@@ -142,7 +153,7 @@
     }
 
     private send(frame: codec.Frame): string | undefined {
-        const encoded = codec.encodeFrame(frame, this.lane, this.form);
+        const encoded = codec.encodeFrame(frame, this.lane, this.terms.form);
         if (!encoded.ok) {
             return encoded.finding.text;
         }
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -74,6 +74,8 @@
     readonly proof: string;
     /** Whether the sender reads frames in the packed form; absent: it doesn't. */
     readonly readsPacked?: boolean;
+    /** Where peers reach the sender's face, such as `ws://10.0.0.1:7001`; absent: it doesn't know. */
+    readonly url?: string;
 }
 
 /** Sent both ways on the control lane; a link without one for three intervals is taken as silent and replaced. */
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import type * as core from "@boragedale/core";
 import * as telemetry from "@boragedale/telemetry";
 import * as websocket from "ws";
@@ -17,6 +17,7 @@
 }
 
 export interface PeerNetworkOptions extends introductions.IntroducerOptions {
+    /** Where the peer face listens. Peers are told it, unless it stands for every address of the machine. */
     readonly host: string;
     /** 0 lets the system choose. */
     readonly port: number;
@@ -33,12 +34,6 @@
     readonly idleMilliseconds?: number;
 }
 
-/** A peer's face, whose id is only known once it has proved the key where a seed is dialled. */
-interface DialAddress {
-    readonly id: core.InstanceId | undefined;
-    readonly url: string;
-}
-
 type AnyHandler = (message: types.Message, from: core.InstanceId) => Promise<types.Message | undefined>;
 
 const HeartbeatMilliseconds = 1_000;
@@ -51,6 +46,8 @@
 /** A peer that was given up as silent is gone from the fleet by then, or linked again. */
 const SilencedMilliseconds = 10_000;
 const OpenMilliseconds = 1_500;
+/** Hosts that stand for every address of the machine. */
+const WildcardHosts: ReadonlySet<string> = new Set(["", "0.0.0.0", "::"]);
 
 /**
  * Links over WebSocket, one connection a lane and peer. Every connection has one task, written straight down:
@@ -60,8 +57,6 @@
 export class WebSocketPeerNetwork extends types.PeerNetwork implements AsyncDisposable {
     private readonly handlers = new Map<types.MessageKind, AnyHandler>();
     private readonly links = new Map<string, peerLinks.PeerLink[]>();
-    /** Peers that were found by a seed: other lanes to them are dialled at the same address. */
-    private readonly seedUrls = new Map<core.InstanceId, string>();
     /** Peers whose links were given up as silent, and when. */
     private readonly silenced = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     private readonly dials = new Map<string, Promise<peerLinks.PeerLink | undefined>>();
@@ -78,7 +73,7 @@
         private readonly server: websocket.WebSocketServer,
     ) {
         super();
-        this.introducer = new introductions.Introducer(options);
+        this.introducer = new introductions.Introducer(options, () => this.tryGetOwnUrl());
     }
 
     /** Listens on the peer face and starts linking. */
@@ -204,7 +199,7 @@
 
     /** The task of a connection that this instance opens; `onLinked` learns the link or that there is none. */
     private async connect(
-        address: DialAddress,
+        address: introductions.DialAddress,
         lane: types.Lane,
         onLinked: (link: peerLinks.PeerLink | undefined) => void,
     ): Promise<void> {
@@ -216,7 +211,7 @@
         await using connection = new connections.Connection(socket);
         this.open.add(connection);
         try {
-            const link = await this.introducer.introduce(connection, address.id, lane);
+            const link = await this.introducer.introduce(connection, address, lane);
             if (link === undefined) {
                 if (address.id !== undefined) {
                     this.options.onUnreachable?.(address.id);
@@ -224,9 +219,6 @@
                 onLinked(undefined);
                 return;
             }
-            if (address.id === undefined) {
-                this.seedUrls.set(link.peer, address.url);
-            }
             await this.runLink(link, () => onLinked(link));
         }
         finally {
@@ -273,6 +265,21 @@
         return this.links.get(getLinkKey(peer, lane))?.findLast(link => link.connection.isOpen());
     }
 
+    /** The address of a peer that has a link of another lane: a peer may be linked before this instance hears of its entry. */
+    private tryGetLinkedAddress(peer: core.InstanceId): PeerAddress | undefined {
+        const links = Object.values(types.Lane).flatMap(lane => this.tryGetLink(peer, lane) ?? []);
+        const url = links.find(link => link.terms.url !== undefined)?.terms.url;
+        return url === undefined ? undefined : { id: peer, url };
+    }
+
+    private tryGetOwnUrl(): string | undefined {
+        const { host } = this.options;
+        if (WildcardHosts.has(host) || !this.httpServer.listening) {
+            return undefined;
+        }
+        return `ws://${net.isIPv6(host) ? `[${host}]` : host}:${this.getPort()}`;
+    }
+
     /** Opens a link, once for all who ask at the same time. */
     private async dial(
         peer: core.InstanceId,
@@ -280,9 +287,7 @@
         deadline: core.MonotonicMilliseconds,
     ): Promise<peerLinks.PeerLink | undefined> {
         const key = getLinkKey(peer, lane);
-        const seedUrl = this.seedUrls.get(peer);
-        const address =
-            this.options.tryGetAddress(peer) ?? (seedUrl === undefined ? undefined : { id: peer, url: seedUrl });
+        const address = this.options.tryGetAddress(peer) ?? this.tryGetLinkedAddress(peer);
         if (address === undefined || peer === this.options.instance || this.stopper.signal.aborted) {
             return undefined;
         }
@@ -300,7 +305,11 @@
         }
     }
 
-    private startDial(address: DialAddress, lane: types.Lane, key: string): Promise<peerLinks.PeerLink | undefined> {
+    private startDial(
+        address: introductions.DialAddress,
+        lane: types.Lane,
+        key: string,
+    ): Promise<peerLinks.PeerLink | undefined> {
         const dial = new Promise<peerLinks.PeerLink | undefined>(resolve => {
             this.track(this.connect(address, lane, resolve));
         }).finally(() => this.dials.delete(key));
@@ -349,7 +358,7 @@
             this.options.onUnreachable?.(link.peer);
             return false;
         }
-        const isKept = !link.isDialled || (kept.has(link.peer) && link.lane === types.Lane.Control);
+        const isKept = !link.terms.isDialled || (kept.has(link.peer) && link.lane === types.Lane.Control);
         if (!isKept && now - link.lastUsed > (this.options.idleMilliseconds ?? IdleMilliseconds)) {
             link.connection.abandon();
             return false;
@@ -384,7 +393,7 @@
     lane: types.Lane,
 ): readonly { readonly link: peerLinks.PeerLink; readonly bytes: Uint8Array }[] {
     return Object.values(codec.FrameForm).flatMap(form => {
-        const readers = links.filter(link => link.form === form);
+        const readers = links.filter(link => link.terms.form === form);
         const encoded = readers.length === 0 ? undefined : codec.encodeFrame({ message }, lane, form);
         return encoded?.ok === true ? readers.map(link => ({ link, bytes: encoded.bytes })) : [];
     });
