--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -17,6 +17,8 @@
 /** A peer that is ahead is asked at most this often: its update may be on its way. */
 const CatchUpMilliseconds = 900;
 const CatchUpTimeoutMilliseconds = 2_000;
+/** A peer that was asked and has not answered is left aside for this long. */
+const UnansweredMilliseconds = 3_000;
 /** The update that a heartbeat announces may be on its way for this long, since watches gather changes. */
 const UpdateMilliseconds = 700;
 /** Answers in a row that left a difference, after which all entries are asked for. */
@@ -49,6 +51,8 @@
 export class RegistryRelay {
     private askedAt: core.MonotonicMilliseconds = -Infinity;
     private failedCatchUps = 0;
+    /** Peers that have not answered the last question, and when it was asked. */
+    private readonly unanswered = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     /** Whether the update that a heartbeat announced is waited for. */
     private isWaiting = false;
 
@@ -102,7 +106,9 @@
 
     private async catchUp(peer: core.InstanceId, heartbeat: protocol.Heartbeat): Promise<void> {
         const { clock, duty, view } = this.parts;
-        const isExpected = duty.isLargeFleet() && heartbeat.isWatching === true && view.isWhole();
+        this.forgetUnanswered(clock.now());
+        const isFollowed = heartbeat.isWatching === true && this.unanswered.size === 0;
+        const isExpected = duty.isLargeFleet() && isFollowed && view.isWhole();
         if (!isExpected) {
             await this.askIfBehind(peer, heartbeat);
             return;
@@ -117,7 +123,7 @@
 
     private async askIfBehind(peer: core.InstanceId, heartbeat: protocol.Heartbeat): Promise<void> {
         const now = this.parts.clock.now();
-        const lacked = this.mayAsk(heartbeat, now) ? this.tryGetLackedAfter(heartbeat, now) : undefined;
+        const lacked = this.mayAsk(peer, heartbeat, now) ? this.tryGetLackedAfter(heartbeat, now) : undefined;
         if (lacked === undefined || now - this.askedAt < CatchUpMilliseconds) {
             return;
         }
@@ -126,17 +132,21 @@
     }
 
     private async ask(peer: core.InstanceId, heartbeat: protocol.Heartbeat, lacked: types.Revision): Promise<void> {
-        const { network, view } = this.parts;
+        const { clock, network, view } = this.parts;
         const revision = this.failedCatchUps >= FailedCatchUps ? 0 : lacked;
         const message = { kind: protocol.MessageKind.RegistryRequest, revision } as const;
+        this.unanswered.set(peer, clock.now());
         const reply = await network.request(peer, message, {
             lane: protocol.Lane.Bulk,
             timeoutMilliseconds: CatchUpTimeoutMilliseconds,
         });
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.RegistryEntries) {
             this.noteAsked(peer, revision, 0, reply.ok ? reply.message.kind : `${reply.kind}: ${reply.text}`);
+            // The next heartbeat of another peer may be followed by a question at once.
+            this.askedAt = -Infinity;
             return;
         }
+        this.unanswered.delete(peer);
         this.apply(reply.message);
         const isBehind = view.getRevision() < heartbeat.generation || this.differs(heartbeat);
         this.failedCatchUps = isBehind ? this.failedCatchUps + 1 : 0;
@@ -148,16 +158,32 @@
         this.parts.log.note(gatewayLog.GatewayEvent.RegistryAsked, { peer, after, entries, text });
     }
 
-    /** A watching member has what the others have, earlier; asking each peer that is ahead would be an answer for each. */
-    private mayAsk(heartbeat: protocol.Heartbeat, now: core.MonotonicMilliseconds): boolean {
+    /**
+     * A watching member has what the others have, earlier; asking each peer that is ahead would be an answer for each. Where one does
+     * not answer, any other peer will do: the links of a member all carry its heartbeats at the same moment, so the one that is heard
+     * first stays the first.
+     */
+    private mayAsk(peer: core.InstanceId, heartbeat: protocol.Heartbeat, now: core.MonotonicMilliseconds): boolean {
         const { duty } = this.parts;
+        if (this.unanswered.has(peer)) {
+            return false;
+        }
         return (
             heartbeat.isWatching === true ||
             !duty.isLargeFleet() ||
+            this.unanswered.size > 0 ||
             duty.getUnheardMilliseconds(now) > watchDuty.HeardMilliseconds
         );
     }
 
+    private forgetUnanswered(now: core.MonotonicMilliseconds): void {
+        for (const [peer, at] of this.unanswered) {
+            if (now - at > UnansweredMilliseconds) {
+                this.unanswered.delete(peer);
+            }
+        }
+    }
+
     /**
      * The revision after which the peer may know entries that this member lacks; undefined where it knows none. The highest
      * revision alone doesn't tell: a peer's watches bring changes out of their order. Asked for from the settled revision on, a
