--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -130,11 +130,9 @@
         tryGetAddress: peer => (late.members === undefined ? undefined : peers.tryGetAddress(late.members, peer)),
         createHeartbeat: () => ({
             kind: protocol.MessageKind.Heartbeat,
-            generation: view.getRevision(),
-            digest: view.getDigest(),
+            ...gateway.describeRegistry(view, late.registry?.isWatching() === true),
             logicalTime: 0,
             state: life.isStopping ? core.LifeState.Leaving : core.LifeState.Live,
-            ...(late.registry?.isWatching() === true ? { isWatching: true } : {}),
         }),
     });
     owned.use(network);
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -16,6 +16,14 @@
     readonly heldUntil: core.MonotonicMilliseconds | undefined;
 }
 
+/** Tells views of the same prefix apart. */
+export interface RegistryMark {
+    /** The highest revision of an entry, removed ones included; of earlier ones some may be missing. */
+    readonly revision: types.Revision;
+    /** A 32 bit sum over the entries that stand. */
+    readonly digest: number;
+}
+
 interface KnownEntry {
     entry: types.StoreEntry;
     /** Decoded last; kept while the key is only held. */
@@ -55,7 +63,7 @@
     private customers: customers.CustomerDirectory | undefined;
     private revision: types.Revision = 0;
     private readonly settled = new settledRevision.SettledRevision();
-    private digest = 0;
+    private readonly marks = new Map<string, RegistryMark>();
     private doubtUntil: core.MonotonicMilliseconds = -Infinity;
     /** When the store answered again after it had failed; undefined while it fails. */
     private returnedAt: core.MonotonicMilliseconds | undefined = -Infinity;
@@ -68,11 +76,14 @@
     /** Revisions of the whole listings, by prefix. */
     private readonly listedRevisions = new Map<string, types.Revision>();
     private isWholeByPeer = false;
+    private readonly prefixes: readonly string[];
 
     constructor(
         private readonly codec: wire.RegistryCodec,
         private readonly onFindings: (findings: readonly core.Finding[]) => void,
-    ) {}
+    ) {
+        this.prefixes = [codec.configurationKey, codec.upstreamPrefix, memberDirectory.FleetPrefix];
+    }
 
     getConfiguration(): types.Configuration | undefined {
         return this.configuration;
@@ -107,7 +118,15 @@
      * of their order; then their digests do.
      */
     getDigest(): number {
-        return this.digest;
+        return [...this.marks.values()].reduce((sum, mark) => (sum + mark.digest) >>> 0, 0);
+    }
+
+    getConfigurationRevision(): types.Revision {
+        return this.getMark(this.codec.configurationKey).revision;
+    }
+
+    getUpstreamsMark(): RegistryMark {
+        return this.getMark(this.codec.upstreamPrefix);
     }
 
     /**
@@ -234,11 +253,7 @@
 
     /** Whether this view keeps entries with the key. */
     isRegistryKey(key: string): boolean {
-        return (
-            key === this.codec.configurationKey ||
-            key.startsWith(this.codec.upstreamPrefix) ||
-            key.startsWith(memberDirectory.FleetPrefix)
-        );
+        return this.tryGetPrefix(key) !== undefined;
     }
 
     /** Merges entries; returns those that were news, which peers may lack too. */
@@ -256,11 +271,21 @@
 
     /** The revision up to which listings showed everything; undefined until there was one of each prefix. */
     private tryGetListedRevision(): types.Revision | undefined {
-        const prefixes = [this.codec.configurationKey, this.codec.upstreamPrefix, memberDirectory.FleetPrefix];
-        const revisions = prefixes.map(prefix => this.listedRevisions.get(prefix) ?? -1);
+        const revisions = this.prefixes.map(prefix => this.listedRevisions.get(prefix) ?? -1);
         return revisions.includes(-1) ? undefined : Math.min(...revisions);
     }
 
+    private tryGetPrefix(key: string): string | undefined {
+        if (key === this.codec.configurationKey) {
+            return key;
+        }
+        return this.prefixes.find(prefix => prefix !== this.codec.configurationKey && key.startsWith(prefix));
+    }
+
+    private getMark(prefix: string): RegistryMark {
+        return this.marks.get(prefix) ?? { revision: 0, digest: 0 };
+    }
+
     private forEachHeld(now: core.MonotonicMilliseconds, action: (known: KnownEntry) => void): void {
         for (const known of this.entries.values()) {
             if (known.heldUntil !== undefined && now < known.heldUntil) {
@@ -274,10 +299,15 @@
         if (known !== undefined && known.entry.revision >= entry.revision) {
             return false;
         }
-        if (!this.isRegistryKey(entry.key)) {
+        const prefix = this.tryGetPrefix(entry.key);
+        if (prefix === undefined) {
             return false;
         }
-        this.digest = (this.digest - digestEntry(known?.entry) + digestEntry(entry)) >>> 0;
+        const mark = this.getMark(prefix);
+        this.marks.set(prefix, {
+            revision: Math.max(mark.revision, entry.revision),
+            digest: (mark.digest - digestEntry(known?.entry) + digestEntry(entry)) >>> 0,
+        });
         if (entry.key === this.codec.configurationKey) {
             this.entries.set(entry.key, { entry, upstream: undefined, heldUntil: undefined });
             this.applyConfiguration(entry);
--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -132,7 +132,7 @@
     }
 
     private async ask(peer: core.InstanceId, heartbeat: protocol.Heartbeat, lacked: types.Revision): Promise<void> {
-        const { clock, network, view } = this.parts;
+        const { clock, network } = this.parts;
         const revision = this.failedCatchUps >= FailedCatchUps ? 0 : lacked;
         const message = { kind: protocol.MessageKind.RegistryRequest, revision } as const;
         this.unanswered.set(peer, clock.now());
@@ -148,7 +148,7 @@
         }
         this.unanswered.delete(peer);
         this.apply(reply.message);
-        const isBehind = view.getRevision() < heartbeat.generation || this.differs(heartbeat);
+        const isBehind = this.tryGetLackedAfter(heartbeat, clock.now()) !== undefined;
         this.failedCatchUps = isBehind ? this.failedCatchUps + 1 : 0;
         const outcome = isBehind ? CatchUpOutcome.Behind : CatchUpOutcome.Level;
         this.noteAsked(peer, revision, reply.message.entries.length, outcome);
@@ -197,14 +197,28 @@
         if (!view.isWhole()) {
             return heartbeat.generation > 0 ? 0 : undefined;
         }
+        const settled = view.getSettledRevision(now);
+        const configuration = heartbeat.configurationRevision ?? 0;
+        if (configuration > view.getConfigurationRevision()) {
+            return Math.min(settled, configuration - 1);
+        }
+        const upstreams = view.getUpstreamsMark();
+        if ((heartbeat.upstreamsRevision ?? 0) > upstreams.revision) {
+            return Math.min(settled, upstreams.revision);
+        }
         const isAhead = heartbeat.generation > view.getRevision();
-        return isAhead || this.differs(heartbeat) ? view.getSettledRevision(now) : undefined;
+        return isAhead || this.differs(heartbeat) ? settled : undefined;
     }
 
     private differs(heartbeat: protocol.Heartbeat): boolean {
         const { view } = this.parts;
-        const isSameRevision = heartbeat.generation === view.getRevision();
-        return isSameRevision && heartbeat.digest !== undefined && heartbeat.digest !== view.getDigest();
+        const upstreams = view.getUpstreamsMark();
+        return (
+            isOther(heartbeat.generation, heartbeat.digest, {
+                revision: view.getRevision(),
+                digest: view.getDigest(),
+            }) || isOther(heartbeat.upstreamsRevision, heartbeat.upstreamsDigest, upstreams)
+        );
     }
 
     private apply(message: protocol.RegistryEntries): void {
@@ -241,6 +255,31 @@
     }
 }
 
+/** What a heartbeat tells of the sender's registry entries. */
+export function describeRegistry(
+    view: fleetView.FleetView,
+    isWatching: boolean,
+): Omit<protocol.Heartbeat, "kind" | "logicalTime" | "state"> {
+    const upstreams = view.getUpstreamsMark();
+    return {
+        generation: view.getRevision(),
+        digest: view.getDigest(),
+        configurationRevision: view.getConfigurationRevision(),
+        upstreamsRevision: upstreams.revision,
+        upstreamsDigest: upstreams.digest,
+        ...(isWatching ? { isWatching } : {}),
+    };
+}
+
+/** Whether a peer's entries of the same highest revision are others than those that the mark stands for. */
+function isOther(
+    revision: types.Revision | undefined,
+    digest: number | undefined,
+    mark: fleetView.RegistryMark,
+): boolean {
+    return revision === mark.revision && digest !== undefined && digest !== mark.digest;
+}
+
 function toWire(entry: types.StoreEntry): protocol.RegistryEntry {
     const { key, revision, value } = entry;
     if (value === undefined) {
--- a/packages/gateway/test/catchUpPeers.test.ts
+++ b/packages/gateway/test/catchUpPeers.test.ts
@@ -1,3 +1,4 @@
+import * as gateway from "@boragedale/gateway";
 import type * as standins from "@boragedale/standins";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -6,6 +7,15 @@
 
 const suite = uvu.suite("peers to catch up with");
 
+/** Time between two starts in a quick roll. */
+const ChangeMilliseconds = 150;
+
+function addMember(scene: registryScene.Scene, name: string): void {
+    const id = gateway.createMemberId(name, "1");
+    const member = { id, dataCentre: registryScene.OneDataCentre[0]!, peerAddress: "127.0.0.1:2" };
+    scene.metadata.put(gateway.MemberPrefix + id, gateway.encodeMember(member));
+}
+
 /** Has a follower miss a change of the configuration and hear of a later one, so that only the digest tells. */
 async function missChange(
     scene: registryScene.Scene,
@@ -56,4 +66,23 @@
     await registryScene.endFleet(scene);
 });
 
+// Guards against a change that stays unknown for as long as others follow it, since the digests are never of the same revision.
+suite("a member that missed a configuration finds it while members come and go", async () => {
+    for (let phase = 0; phase < 1_000; phase += 100) {
+        const scene = await registryScene.createFleet(registryScene.OneDataCentre);
+        const follower = scene.getMembers().find(member => !member.registry.isWatching())!;
+        await scene.clock.advance(phase);
+        scene.hub.deaf.add(follower.id);
+        registryScene.changeConfiguration(scene, 2);
+        await scene.clock.advance(100);
+        scene.hub.deaf.delete(follower.id);
+        for (let change = 0; change * ChangeMilliseconds < registryScene.KnownInTroubleMilliseconds; change++) {
+            addMember(scene, `other-${change}`);
+            await scene.clock.advance(ChangeMilliseconds);
+        }
+        assert.is(follower.view.getConfiguration()?.version, 2, `${phase} ms`);
+        await registryScene.endFleet(scene);
+    }
+});
+
 suite.run();
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -90,6 +90,13 @@
     readonly state: core.LifeState;
     /** Whether the sender's registry entries come from watches of the store that are answered. */
     readonly isWatching?: boolean;
+    /**
+     * Revision of the sender's configuration, and the highest one of its upstreams' entries with a 32 bit sum over these. Members
+     * come and go all the time in a large fleet, so that the revision of all entries is hardly ever the same at both ends.
+     */
+    readonly configurationRevision?: number;
+    readonly upstreamsRevision?: number;
+    readonly upstreamsDigest?: number;
 }
 
 export interface Leaving {
--- a/packages/standins/src/registryMember.ts
+++ b/packages/standins/src/registryMember.ts
@@ -116,11 +116,9 @@
 function createHeartbeat({ view, registry }: RegistryMember): protocol.Heartbeat {
     return {
         kind: protocol.MessageKind.Heartbeat,
-        generation: view.getRevision(),
-        digest: view.getDigest(),
+        ...gateway.describeRegistry(view, registry.isWatching()),
         logicalTime: 0,
         state: core.LifeState.Live,
-        isWatching: registry.isWatching(),
     };
 }
 
