--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -442,7 +442,10 @@
 export abstract class PeerNetwork {
     /** Sends a message and waits for the reply that carries its correlation id. */
     abstract request(peer: core.InstanceId, message: Message, options: RequestOptions): Promise<PeerResult>;
-    /** Sends without waiting; false where no link is open. A notice may be lost: state must not rest on it. */
+    /**
+     * Sends without waiting; false where no link is open. A notice may be lost: state must not rest on it. One of the bulk lane, which
+     * is closed when idle, is sent when the lane has been opened for it.
+     */
     abstract notify(peer: core.InstanceId, message: Message, lane: Lane): boolean;
     /** Sends a notice to every linked peer; packed once. */
     abstract notifyAll(message: Message, lane: Lane): void;
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -128,8 +128,7 @@
     override notify(peer: core.InstanceId, message: types.Message, lane: types.Lane): boolean {
         const link = this.tryGetLink(peer, lane);
         if (link === undefined) {
-            // The next notice finds a link; notices are hints that are repeated.
-            void this.dial(peer, lane, this.options.clock.now() + OpenMilliseconds);
+            void this.openFor(message, peer, lane);
             return false;
         }
         return link.notify(message);
@@ -265,6 +264,14 @@
         return this.links.get(getLinkKey(peer, lane))?.findLast(link => link.connection.isOpen());
     }
 
+    /** Opens a lane for a notice. Small ones are hints that are repeated, and an old one would say less than the next. */
+    private async openFor(message: types.Message, peer: core.InstanceId, lane: types.Lane): Promise<void> {
+        const link = await this.dial(peer, lane, this.options.clock.now() + OpenMilliseconds);
+        if (lane === types.Lane.Bulk) {
+            link?.notify(message);
+        }
+    }
+
     /** The address of a peer that has a link of another lane: a peer may be linked before this instance hears of its entry. */
     private tryGetLinkedAddress(peer: core.InstanceId): PeerAddress | undefined {
         const links = Object.values(types.Lane).flatMap(lane => this.tryGetLink(peer, lane) ?? []);
--- a/packages/protocol/test/peerNetwork.test.ts
+++ b/packages/protocol/test/peerNetwork.test.ts
@@ -169,6 +169,21 @@
     });
 }
 
+// Guards against a large update that is dropped because its lane was idle, and that nobody repeats.
+suite("a notice in the bulk lane arrives though the lane has to be opened for it", async () => {
+    const addresses = new Map<core.InstanceId, protocol.PeerAddress>();
+    const left = await peerFixtures.createPeer({ id: "left", addresses });
+    const right = await peerFixtures.createPeer({ id: "right", addresses });
+    await using leftNetwork = left.network;
+    await using rightNetwork = right.network;
+    const arrived: string[] = [];
+    rightNetwork.handle(protocol.MessageKind.JobCancelled, async message => void arrived.push(message.job));
+    leftNetwork.notify("right", { kind: protocol.MessageKind.JobCancelled, job: "notice" }, protocol.Lane.Bulk);
+    // Both wait for the same lane, and the notice was first.
+    await leftNetwork.request("right", request, { ...options, lane: protocol.Lane.Bulk });
+    assert.equal(arrived, ["notice"]);
+});
+
 suite("neighbours are linked without being asked for", async () => {
     const addresses = new Map<core.InstanceId, protocol.PeerAddress>();
     const clock = new core.VirtualClock();
