--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -17,12 +17,10 @@
 /** A peer that is ahead is asked at most this often: its update may be on its way. */
 const CatchUpMilliseconds = 900;
 const CatchUpTimeoutMilliseconds = 2_000;
-/** A peer that was asked and has not answered is left aside for this long. */
-const UnansweredMilliseconds = 3_000;
+/** A peer that was asked in vain is left aside for this long. */
+const UnhelpfulMilliseconds = 3_000;
 /** The update that a heartbeat announces may be on its way for this long, since watches gather changes. */
 const UpdateMilliseconds = 700;
-/** Answers in a row that left a difference, after which all entries are asked for. */
-const FailedCatchUps = 2;
 
 export interface RegistryRelayParts {
     readonly view: fleetView.FleetView;
@@ -41,6 +39,8 @@
     Level = "Level",
     /** A difference remains. */
     Behind = "Behind",
+    /** There was no answer. */
+    Failed = "Failed",
 }
 
 /**
@@ -50,9 +50,8 @@
  */
 export class RegistryRelay {
     private askedAt: core.MonotonicMilliseconds = -Infinity;
-    private failedCatchUps = 0;
-    /** Peers that have not answered the last question, and when it was asked. */
-    private readonly unanswered = new Map<core.InstanceId, core.MonotonicMilliseconds>();
+    /** Peers that were asked and have not brought this member level, and when they were asked. */
+    private readonly unhelpful = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     /** Whether the update that a heartbeat announced is waited for. */
     private isWaiting = false;
 
@@ -106,8 +105,8 @@
 
     private async catchUp(peer: core.InstanceId, heartbeat: protocol.Heartbeat): Promise<void> {
         const { clock, duty, view } = this.parts;
-        this.forgetUnanswered(clock.now());
-        const isFollowed = heartbeat.isWatching === true && this.unanswered.size === 0;
+        this.forgetUnhelpful(clock.now());
+        const isFollowed = heartbeat.isWatching === true && this.unhelpful.size === 0;
         const isExpected = duty.isLargeFleet() && isFollowed && view.isWhole();
         if (!isExpected) {
             await this.askIfBehind(peer, heartbeat);
@@ -131,27 +130,42 @@
         await this.ask(peer, heartbeat, lacked);
     }
 
+    /** Asks for what came after a revision, and for all entries where that leaves a difference: what is lacking may be older. */
     private async ask(peer: core.InstanceId, heartbeat: protocol.Heartbeat, lacked: types.Revision): Promise<void> {
+        this.unhelpful.set(peer, this.parts.clock.now());
+        let outcome = await this.askOnce(peer, heartbeat, lacked);
+        if (outcome === CatchUpOutcome.Behind && lacked > 0) {
+            outcome = await this.askOnce(peer, heartbeat, 0);
+        }
+        if (outcome === CatchUpOutcome.Level) {
+            this.unhelpful.delete(peer);
+        }
+        else if (outcome === CatchUpOutcome.Failed) {
+            // The next heartbeat of another peer may be followed by a question at once.
+            this.askedAt = -Infinity;
+        }
+    }
+
+    private async askOnce(
+        peer: core.InstanceId,
+        heartbeat: protocol.Heartbeat,
+        revision: types.Revision,
+    ): Promise<CatchUpOutcome> {
         const { clock, network } = this.parts;
-        const revision = this.failedCatchUps >= FailedCatchUps ? 0 : lacked;
         const message = { kind: protocol.MessageKind.RegistryRequest, revision } as const;
-        this.unanswered.set(peer, clock.now());
         const reply = await network.request(peer, message, {
             lane: protocol.Lane.Bulk,
             timeoutMilliseconds: CatchUpTimeoutMilliseconds,
         });
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.RegistryEntries) {
             this.noteAsked(peer, revision, 0, reply.ok ? reply.message.kind : `${reply.kind}: ${reply.text}`);
-            // The next heartbeat of another peer may be followed by a question at once.
-            this.askedAt = -Infinity;
-            return;
+            return CatchUpOutcome.Failed;
         }
-        this.unanswered.delete(peer);
         this.apply(reply.message);
-        const isBehind = this.tryGetLackedAfter(heartbeat, clock.now()) !== undefined;
-        this.failedCatchUps = isBehind ? this.failedCatchUps + 1 : 0;
-        const outcome = isBehind ? CatchUpOutcome.Behind : CatchUpOutcome.Level;
+        const isLevel = this.tryGetLackedAfter(heartbeat, clock.now()) === undefined;
+        const outcome = isLevel ? CatchUpOutcome.Level : CatchUpOutcome.Behind;
         this.noteAsked(peer, revision, reply.message.entries.length, outcome);
+        return outcome;
     }
 
     private noteAsked(peer: core.InstanceId, after: types.Revision, entries: number, text: string): void {
@@ -159,27 +173,27 @@
     }
 
     /**
-     * A watching member has what the others have, earlier; asking each peer that is ahead would be an answer for each. Where one does
-     * not answer, any other peer will do: the links of a member all carry its heartbeats at the same moment, so the one that is heard
+     * A watching member has what the others have, earlier; asking each peer that is ahead would be an answer for each. Where one was
+     * asked in vain, any other peer will do: the links of a member all carry its heartbeats at the same moment, so the one that is heard
      * first stays the first.
      */
     private mayAsk(peer: core.InstanceId, heartbeat: protocol.Heartbeat, now: core.MonotonicMilliseconds): boolean {
         const { duty } = this.parts;
-        if (this.unanswered.has(peer)) {
+        if (this.unhelpful.has(peer)) {
             return false;
         }
         return (
             heartbeat.isWatching === true ||
             !duty.isLargeFleet() ||
-            this.unanswered.size > 0 ||
+            this.unhelpful.size > 0 ||
             duty.getUnheardMilliseconds(now) > watchDuty.HeardMilliseconds
         );
     }
 
-    private forgetUnanswered(now: core.MonotonicMilliseconds): void {
-        for (const [peer, at] of this.unanswered) {
-            if (now - at > UnansweredMilliseconds) {
-                this.unanswered.delete(peer);
+    private forgetUnhelpful(now: core.MonotonicMilliseconds): void {
+        for (const [peer, at] of this.unhelpful) {
+            if (now - at > UnhelpfulMilliseconds) {
+                this.unhelpful.delete(peer);
             }
         }
     }
--- a/packages/gateway/test/catchUpPeers.test.ts
+++ b/packages/gateway/test/catchUpPeers.test.ts
@@ -10,6 +10,9 @@
 /** Time between two starts in a quick roll. */
 const ChangeMilliseconds = 150;
 
+/** Longer than what may still be on its way. */
+const LongMilliseconds = 6_000;
+
 function addMember(scene: registryScene.Scene, name: string): void {
     const id = gateway.createMemberId(name, "1");
     const member = { id, dataCentre: registryScene.OneDataCentre[0]!, peerAddress: "127.0.0.1:2" };
@@ -85,4 +88,24 @@
     }
 });
 
+// Guards against an upstream that left and stays in use, since what came after its removal was asked for twice in vain.
+suite("a member that missed a removal long ago finds it within two seconds of its return to its peers", async () => {
+    for (let phase = 0; phase < 1_000; phase += 100) {
+        const scene = await registryScene.createFleet(registryScene.OneDataCentre);
+        const follower = scene.getMembers().find(member => !member.registry.isWatching())!;
+        follower.faults.isDown = true;
+        scene.hub.cutOff.add(follower.id);
+        scene.metadata.remove("upstreams/a");
+        await scene.clock.advance(1_100);
+        scene.metadata.put("upstreams/b", JSON.stringify(fixtures.createUpstream("b")));
+        follower.view.apply([scene.metadata.get("upstreams/b")!], scene.clock.now());
+        await scene.clock.advance(LongMilliseconds + phase);
+        scene.hub.cutOff.delete(follower.id);
+        await scene.clock.advance(registryScene.KnownInTroubleMilliseconds);
+        const { view } = registryScene.getWatching(scene)[0]!;
+        assert.equal(follower.view.getUpstreamsMark(), view.getUpstreamsMark(), `${phase} ms`);
+        await registryScene.endFleet(scene);
+    }
+});
+
 suite.run();
