--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -105,14 +105,14 @@
 
     private async catchUp(peer: core.InstanceId, heartbeat: protocol.Heartbeat): Promise<void> {
         const { clock, duty, view } = this.parts;
-        this.forgetUnhelpful(clock.now());
-        const isFollowed = heartbeat.isWatching === true && this.unhelpful.size === 0;
-        const isExpected = duty.isLargeFleet() && isFollowed && view.isWhole();
-        if (!isExpected) {
+        const now = clock.now();
+        this.forgetUnhelpful(now);
+        const mayComeByItself = duty.isLargeFleet() && heartbeat.isWatching === true && duty.isUpdated(now);
+        if (!mayComeByItself || !view.isWhole() || this.unhelpful.size > 0) {
             await this.askIfBehind(peer, heartbeat);
             return;
         }
-        if (!this.isWaiting && this.tryGetLackedAfter(heartbeat, clock.now()) !== undefined) {
+        if (!this.isWaiting && this.tryGetLackedAfter(heartbeat, now) !== undefined) {
             this.isWaiting = true;
             await clock.sleep(UpdateMilliseconds);
             this.isWaiting = false;
--- a/packages/gateway/src/watchDuty.ts
+++ b/packages/gateway/src/watchDuty.ts
@@ -97,6 +97,15 @@
         return this.watchers;
     }
 
+    /** Whether a change comes to this member by itself: it watches, or a watching member knows of it and is heard of. */
+    isUpdated(now: core.MonotonicMilliseconds): boolean {
+        const watchers = this.getWatchers();
+        return (
+            watchers.includes(this.members.self.id) ||
+            (this.members.isListed() && watchers.some(id => this.isHeard(id, now)))
+        );
+    }
+
     /** Members that this one passes changes on to: each follower has one of those watching members that are heard of. */
     getFollowers(now: core.MonotonicMilliseconds): readonly core.InstanceId[] {
         const { self } = this.members;
