--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -196,11 +196,11 @@
         }
     }
 
-    /** The task of a connection that this instance opens; `onLinked` learns the link or that there is none. */
+    /** The task of a connection that this instance opens; `onLinked` learns the link, if there is one. */
     private async connect(
         address: introductions.DialAddress,
         lane: types.Lane,
-        onLinked: (link: peerLinks.PeerLink | undefined) => void,
+        onLinked: (link: peerLinks.PeerLink) => void,
     ): Promise<void> {
         const socket = new websocket.WebSocket(address.url, {
             handshakeTimeout: OpenMilliseconds,
@@ -215,13 +215,11 @@
                 if (address.id !== undefined) {
                     this.options.onUnreachable?.(address.id);
                 }
-                onLinked(undefined);
                 return;
             }
             await this.runLink(link, () => onLinked(link));
         }
         finally {
-            onLinked(undefined);
             this.forget(connection);
         }
     }
@@ -318,7 +316,7 @@
         key: string,
     ): Promise<peerLinks.PeerLink | undefined> {
         const dial = new Promise<peerLinks.PeerLink | undefined>(resolve => {
-            this.track(this.connect(address, lane, resolve));
+            this.track(this.connect(address, lane, resolve).finally(() => resolve(undefined)));
         }).finally(() => this.dials.delete(key));
         this.dials.set(key, dial);
         return dial;
--- a/packages/protocol/test/unlistedPeer.test.ts
+++ b/packages/protocol/test/unlistedPeer.test.ts
@@ -35,4 +35,28 @@
     assert.is(!result.ok && result.text, "answered");
 });
 
+// Guards against a peer that can't be dialled any more because a wrong address of it was tried once.
+suite("a peer is dialled anew after an address that is no URL", async () => {
+    const addresses = new Map<core.InstanceId, protocol.PeerAddress>();
+    const asking = await peerFixtures.createPeer({ id: "asking", addresses });
+    await using askingNetwork = asking.network;
+    const asked = await peerFixtures.createPeer({ id: "asked", addresses });
+    await using askedNetwork = asked.network;
+    assert.ok(askedNetwork.getPort() > 0);
+    const address = addresses.get("asked");
+    assert.ok(address);
+    const ask = (): Promise<protocol.PeerResult> =>
+        askingNetwork.request(
+            "asked",
+            { kind: protocol.MessageKind.JobCancelled, job: "job" },
+            { lane: protocol.Lane.Bulk, timeoutMilliseconds: 2_000 },
+        );
+    addresses.set("asked", { id: "asked", url: "ws://no host/" });
+    const first = await ask();
+    addresses.set("asked", address);
+    const second = await ask();
+    assert.is(!first.ok && first.kind, protocol.PeerFailureKind.NotConnected);
+    assert.is(!second.ok && second.kind, protocol.PeerFailureKind.Refused);
+});
+
 suite.run();
