--- a/packages/daemon/src/peerTelemetry.ts
+++ b/packages/daemon/src/peerTelemetry.ts
@@ -2,7 +2,13 @@
 import * as telemetry from "@boragedale/telemetry";
 import type * as eventLog from "./eventLog.js";
 
-/** Passes the events of the peer network on to the log of the process, but for the links that open as they should. */
+/** Links that open, and close when idle, are no news in a large fleet. */
+const UnloggedEvents: ReadonlySet<telemetry.events.EventDefinition> = new Set([
+    telemetry.events.PeerConnected,
+    telemetry.events.PeerLost,
+]);
+
+/** Passes the events of the peer network on to the log of the process. */
 export class PeerTelemetry extends telemetry.Telemetry {
     constructor(
         instance: core.InstanceId,
@@ -13,7 +19,7 @@
     }
 
     override record(definition: telemetry.events.EventDefinition, subject: telemetry.EventSubject = {}): void {
-        if (definition !== telemetry.events.PeerConnected) {
+        if (!UnloggedEvents.has(definition)) {
             this.log.record(definition, { text: subject.text });
         }
     }
--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -239,8 +239,12 @@
         if (others.length === 0) {
             this.links.delete(key);
         }
-        const ending = finding === undefined ? "" : ` ${finding.kind}: ${finding.text}`;
-        this.options.telemetry.record(telemetry.events.PeerLost, { text: `${link.peer} ${link.lane}${ending}` });
+        const name = `${link.peer} ${link.lane}`;
+        if (finding !== undefined) {
+            const text = `${name} ${finding.kind}: ${finding.text}`;
+            this.options.telemetry.record(telemetry.events.PeerMalformed, { text });
+        }
+        this.options.telemetry.record(telemetry.events.PeerLost, { text: name });
     }
 
     private async dispatch(message: types.Message, from: core.InstanceId): Promise<types.Message | undefined> {
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -114,6 +114,12 @@
     EventLevel.Info,
     "The key-value service answers again.",
 );
+export const PeerMalformed = define(
+    605,
+    "PeerMalformed",
+    EventLevel.Warn,
+    "A peer sent a frame that can't be read; its link was ended.",
+);
 
 // 700: the gateway before the users' platform
 export const GatewayAnswered = define(
