--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -107,7 +107,12 @@
         const { clock, duty, view } = this.parts;
         const now = clock.now();
         this.forgetUnhelpful(now);
-        const mayComeByItself = duty.isLargeFleet() && heartbeat.isWatching === true && duty.isUpdated(now);
+        // Changes of upstreams come in their order, so a difference at the same revision is none that is on its way.
+        const mayComeByItself =
+            duty.isLargeFleet() &&
+            heartbeat.isWatching === true &&
+            duty.isUpdated(now) &&
+            !this.lacksUpstream(heartbeat);
         if (!mayComeByItself || !view.isWhole() || this.unhelpful.size > 0) {
             await this.askIfBehind(peer, heartbeat);
             return;
@@ -226,13 +231,13 @@
 
     private differs(heartbeat: protocol.Heartbeat): boolean {
         const { view } = this.parts;
-        const upstreams = view.getUpstreamsMark();
-        return (
-            isOther(heartbeat.generation, heartbeat.digest, {
-                revision: view.getRevision(),
-                digest: view.getDigest(),
-            }) || isOther(heartbeat.upstreamsRevision, heartbeat.upstreamsDigest, upstreams)
-        );
+        const whole = { revision: view.getRevision(), digest: view.getDigest() };
+        return isOther(heartbeat.generation, heartbeat.digest, whole) || this.lacksUpstream(heartbeat);
+    }
+
+    private lacksUpstream(heartbeat: protocol.Heartbeat): boolean {
+        const { upstreamsRevision, upstreamsDigest } = heartbeat;
+        return isOther(upstreamsRevision, upstreamsDigest, this.parts.view.getUpstreamsMark());
     }
 
     private apply(message: protocol.RegistryEntries): void {
