--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -130,7 +130,7 @@
         tryGetAddress: peer => (late.members === undefined ? undefined : peers.tryGetAddress(late.members, peer)),
         createHeartbeat: () => ({
             kind: protocol.MessageKind.Heartbeat,
-            ...gateway.describeRegistry(view, late.registry?.isWatching() === true),
+            ...gateway.describeRegistry(view, late.registry?.isWatching() === true, clock.now()),
             logicalTime: 0,
             state: life.isStopping ? core.LifeState.Leaving : core.LifeState.Live,
         }),
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -64,6 +64,7 @@
     private revision: types.Revision = 0;
     private readonly settled = new settledRevision.SettledRevision();
     private readonly marks = new Map<string, RegistryMark>();
+    private changedAt: core.MonotonicMilliseconds = -Infinity;
     private doubtUntil: core.MonotonicMilliseconds = -Infinity;
     /** When the store answered again after it had failed; undefined while it fails. */
     private returnedAt: core.MonotonicMilliseconds | undefined = -Infinity;
@@ -121,6 +122,11 @@
         return [...this.marks.values()].reduce((sum, mark) => (sum + mark.digest) >>> 0, 0);
     }
 
+    /** When an entry was changed last. */
+    getChangedAt(): core.MonotonicMilliseconds {
+        return this.changedAt;
+    }
+
     getConfigurationRevision(): types.Revision {
         return this.getMark(this.codec.configurationKey).revision;
     }
@@ -264,6 +270,7 @@
         }
         this.settled.note(this.revision, now);
         if (news.length > 0) {
+            this.changedAt = now;
             this.listeners.forEach(listener => listener());
         }
         return news;
--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -21,6 +21,8 @@
 const UnhelpfulMilliseconds = 3_000;
 /** The update that a heartbeat announces may be on its way for this long, since watches gather changes. */
 const UpdateMilliseconds = 700;
+/** Time after a change during which copies of members may be at different revisions. */
+const ChangingMilliseconds = 10_000;
 
 export interface RegistryRelayParts {
     readonly view: fleetView.FleetView;
@@ -274,19 +276,23 @@
     }
 }
 
-/** What a heartbeat tells of the sender's registry entries. */
+/** What a heartbeat tells of the sender's registry entries. Once nothing changes any more, one digest of all tells the same. */
 export function describeRegistry(
     view: fleetView.FleetView,
     isWatching: boolean,
+    now: core.MonotonicMilliseconds,
 ): Omit<protocol.Heartbeat, "kind" | "logicalTime" | "state"> {
     const upstreams = view.getUpstreamsMark();
-    return {
-        generation: view.getRevision(),
-        digest: view.getDigest(),
+    const marks = {
         configurationRevision: view.getConfigurationRevision(),
         upstreamsRevision: upstreams.revision,
         upstreamsDigest: upstreams.digest,
+    };
+    return {
+        generation: view.getRevision(),
+        digest: view.getDigest(),
         ...(isWatching ? { isWatching } : {}),
+        ...(now - view.getChangedAt() < ChangingMilliseconds ? marks : {}),
     };
 }
 
--- a/packages/standins/src/registryMember.ts
+++ b/packages/standins/src/registryMember.ts
@@ -97,7 +97,7 @@
         view,
         registry,
         faults: client.faults,
-        beat: peer => void network.notify(peer, createHeartbeat(member)),
+        beat: peer => void network.notify(peer, createHeartbeat(member, clock.now())),
         kill: () => {
             client.faults.isDown = true;
             end();
@@ -113,10 +113,10 @@
     return member;
 }
 
-function createHeartbeat({ view, registry }: RegistryMember): protocol.Heartbeat {
+function createHeartbeat({ view, registry }: RegistryMember, now: core.MonotonicMilliseconds): protocol.Heartbeat {
     return {
         kind: protocol.MessageKind.Heartbeat,
-        ...gateway.describeRegistry(view, registry.isWatching()),
+        ...gateway.describeRegistry(view, registry.isWatching(), now),
         logicalTime: 0,
         state: core.LifeState.Live,
     };
