--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./storeWatcher.js";
 export * from "./storeReturn.js";
 export * from "./watchDuty.js";
+export * from "./catchUpPolicy.js";
 export * from "./registryRelay.js";
 export * from "./configurationRefresh.js";
 export * from "./fleetRegistry.js";
