--- a/packages/bench/src/quotas/quotaScenes.ts
+++ b/packages/bench/src/quotas/quotaScenes.ts
@@ -1,3 +1,4 @@
+import type * as core from "@boragedale/core";
 import type * as simulation from "../simulation.js";
 import type * as quotasFleet from "./quotasFleet.js";
 
@@ -13,8 +14,22 @@
     KillHalf = "KillHalf",
     CalmKillHalf = "CalmKillHalf",
     AddThreeQuarters = "AddThreeQuarters",
+    /** A sixth of the members receives and is not heard. */
+    CutOneWay = "CutOneWay",
+    /** The keeper of the hot customer stands still, and goes on as if nothing had been. */
+    PauseKeeper = "PauseKeeper",
+    /** Messages to and from the keeper of the hot customer take longer than is waited for. */
+    SlowKeeper = "SlowKeeper",
+    /** The hot customer's limit falls to a quarter. */
+    LowerLimit = "LowerLimit",
+    /** The hot customer's limit is doubled. */
+    RaiseLimit = "RaiseLimit",
+    /** The hot customer has no limit any more. */
+    LiftLimit = "LiftLimit",
 }
 
+/** The largest customer, which is hot in most scenes. */
+export const HotCustomer = "customer-0";
 /** Times the usual of the hot customer. */
 export const HotFactor = 7.5;
 
@@ -22,6 +37,11 @@
 const CutMilliseconds = 6_000;
 const RestartMilliseconds = 2_000;
 const LeaseMilliseconds = 4_000;
+const PauseMilliseconds = 3_000;
+/** Each way. */
+const SlowMilliseconds = 150;
+const LowerFactor = 0.25;
+const RaiseFactor = 2;
 const SixthShare = 0.17;
 const HalfShare = 0.5;
 const AddedShare = 0.75;
@@ -51,9 +71,55 @@
         case QuotaScene.AddThreeQuarters:
             time.schedule(FaultAtMilliseconds, () => chooseMembers(fleet, AddedShare).forEach(fleet.add));
             return;
+        case QuotaScene.CutOneWay:
+            time.schedule(FaultAtMilliseconds, () => fleet.hub.muteAll(getIds(chooseMembers(fleet, SixthShare))));
+            time.schedule(FaultAtMilliseconds + CutMilliseconds, () => fleet.hub.muteAll([]));
+            return;
+        case QuotaScene.PauseKeeper:
+            time.schedule(FaultAtMilliseconds, () => fleet.hub.pause(fleet.rankKeepers(HotCustomer).slice(0, 1)));
+            time.schedule(FaultAtMilliseconds + PauseMilliseconds, () => fleet.hub.resume());
+            return;
+        case QuotaScene.SlowKeeper:
+            time.schedule(FaultAtMilliseconds, () =>
+                fleet
+                    .rankKeepers(HotCustomer)
+                    .slice(0, 1)
+                    .forEach(keeper => fleet.hub.delays.set(keeper, SlowMilliseconds)),
+            );
+            time.schedule(FaultAtMilliseconds + CutMilliseconds, () => fleet.hub.delays.clear());
+            return;
+        case QuotaScene.LowerLimit:
+        case QuotaScene.RaiseLimit:
+        case QuotaScene.LiftLimit:
+            return;
+    }
+}
+
+/** When a customer's limit is another one. */
+export interface LimitChange {
+    readonly at: core.MonotonicMilliseconds;
+    /** Times the former limit; undefined: none any more. */
+    readonly factor: number | undefined;
+}
+
+/** The change of the hot customer's limit in a scene. */
+export function tryGetLimitChange(scene: QuotaScene): LimitChange | undefined {
+    switch (scene) {
+        case QuotaScene.LowerLimit:
+            return { at: FaultAtMilliseconds, factor: LowerFactor };
+        case QuotaScene.RaiseLimit:
+            return { at: FaultAtMilliseconds, factor: RaiseFactor };
+        case QuotaScene.LiftLimit:
+            return { at: FaultAtMilliseconds, factor: undefined };
+        default:
+            return undefined;
     }
 }
 
+function getIds(members: readonly quotasFleet.QuotaMember[]): readonly core.InstanceId[] {
+    return members.map(member => member.id);
+}
+
 function cut(share: number, fleet: quotasFleet.QuotaFleet, time: simulation.Simulation): void {
     time.schedule(FaultAtMilliseconds, () => fleet.hub.cut(chooseMembers(fleet, share).map(member => member.id)));
     time.schedule(FaultAtMilliseconds + CutMilliseconds, () => fleet.hub.cut([]));
--- a/packages/bench/src/quotas/quotasFleet.ts
+++ b/packages/bench/src/quotas/quotasFleet.ts
@@ -29,6 +29,8 @@
     readonly members: QuotaMember[];
     /** What the members go by from now on: a change is known to all of them at once. */
     readonly setCustomers: (all: readonly customers.Customer[]) => void;
+    /** The member that keeps a customer's limit, and those that do next. */
+    readonly rankKeepers: (customer: string) => readonly core.InstanceId[];
     /** Ends a member as a kill does; the others list it until its lease has ended. */
     readonly kill: (member: QuotaMember) => void;
     /** Starts a member on another machine and lists it. */
@@ -87,7 +89,11 @@
         inForce = new customers.CustomerDirectory(all);
     };
     const restartKilled = (): void => killed.forEach(id => start(Number(/\d+/.exec(id)?.[0]), "4567cdef"));
-    return { hub, members, setCustomers, kill, add, restartKilled, delistKilled };
+    const rankKeepers = (customer: string): readonly core.InstanceId[] => {
+        const [member] = members;
+        return member === undefined ? [] : new gateway.QuotaKeepers(member.directory).rank(customer);
+    };
+    return { hub, members, setCustomers, rankKeepers, kill, add, restartKilled, delistKilled };
 }
 
 interface MemberOptions {
--- a/packages/bench/test/quotas.test.ts
+++ b/packages/bench/test/quotas.test.ts
@@ -40,6 +40,10 @@
         ["the members are cut in halves", bench.QuotaScene.CutHalves],
         ["half of the members are killed at once", bench.QuotaScene.KillHalf],
         ["members are added by three quarters", bench.QuotaScene.AddThreeQuarters],
+        ["a sixth of the members receives and is not heard", bench.QuotaScene.CutOneWay],
+        ["its keeper stands still and goes on", bench.QuotaScene.PauseKeeper],
+        ["its keeper answers too late", bench.QuotaScene.SlowKeeper],
+        ["its limit falls to a quarter", bench.QuotaScene.LowerLimit],
     ] as const;
     for (const [name, scene] of faults) {
         suite(`${instances} members: a hot customer stays within the terms while ${name}`, async () => {
@@ -49,6 +53,13 @@
     }
 }
 
+suite("a hot customer gets what its limit allows once that is raised, and all once it is lifted", async () => {
+    const raised = await play(70, { scene: bench.QuotaScene.RaiseLimit });
+    assert.ok(raised.hotShare >= 0.8, `${raised.hotShare} of the limit`);
+    const lifted = await play(70, { scene: bench.QuotaScene.LiftLimit });
+    assert.is(lifted.hotRefused, 0);
+});
+
 // Guards against a hot customer's requests as a load that its keeper can't bear.
 suite("a customer at a hundred times its usual asks its keeper no more than one at ten times", async () => {
     const hot = await play(20, { scene: bench.QuotaScene.Hot, hotFactor: 100, seconds: 8 });
