--- a/packages/protocol/test/peerNetwork.test.ts
+++ b/packages/protocol/test/peerNetwork.test.ts
@@ -169,6 +169,22 @@
     });
 }
 
+// Guards against links that end again and again while nobody is told that one end can't read what the other sends.
+suite("a frame that can't be read ends its link with an event that tells why", async () => {
+    const addresses = new Map<core.InstanceId, protocol.PeerAddress>();
+    const left = await peerFixtures.createPeer({ id: "left", addresses });
+    const right = await peerFixtures.createPeer({ id: "right", addresses });
+    await using leftNetwork = left.network;
+    await using rightNetwork = right.network;
+    assert.ok(rightNetwork.getPort() > 0);
+    const job = "a name that is too long".repeat(20);
+    const result = await leftNetwork.request("right", { kind: protocol.MessageKind.JobCancelled, job }, options);
+    assert.is(!result.ok && result.kind, protocol.PeerFailureKind.TimedOut);
+    const events = right.telemetry.timeLine.read({ number: telemetry.events.PeerMalformed.number });
+    assert.is(events.length, 1);
+    assert.match(events[0]?.text ?? "", /^left Online Shape: /);
+});
+
 // Guards against a large update that is dropped because its lane was idle, and that nobody repeats.
 suite("a notice in the bulk lane arrives though the lane has to be opened for it", async () => {
     const addresses = new Map<core.InstanceId, protocol.PeerAddress>();
