--- a/packages/bench/src/quotas/quotaScenes.ts
+++ b/packages/bench/src/quotas/quotaScenes.ts
@@ -28,8 +28,12 @@
     LiftLimit = "LiftLimit",
 }
 
-/** The largest customer, which is hot in most scenes. */
-export const HotCustomer = "customer-0";
+/** Customers are numbered by size; the first is the largest, and hot in most scenes. */
+export function getCustomerName(index: number): string {
+    return `customer-${index}`;
+}
+
+const HotCustomer = getCustomerName(0);
 /** Times the usual of the hot customer. */
 export const HotFactor = 7.5;
 
