--- a/packages/gateway/src/registryRelay.ts
+++ b/packages/gateway/src/registryRelay.ts
@@ -18,6 +18,7 @@
 const CatchUpTimeoutMilliseconds = 2_000;
 /** The update that a heartbeat announces may be on its way for this long, since watches gather changes. */
 const UpdateMilliseconds = 700;
+
 export interface RegistryRelayParts {
     readonly view: fleetView.FleetView;
     readonly network: protocol.PeerNetwork;
