--- a/packages/bench/src/quotas/quotaScenes.ts
+++ b/packages/bench/src/quotas/quotaScenes.ts
@@ -125,7 +125,7 @@
 }
 
 function cut(share: number, fleet: quotasFleet.QuotaFleet, time: simulation.Simulation): void {
-    time.schedule(FaultAtMilliseconds, () => fleet.hub.cut(chooseMembers(fleet, share).map(member => member.id)));
+    time.schedule(FaultAtMilliseconds, () => fleet.hub.cut(getIds(chooseMembers(fleet, share))));
     time.schedule(FaultAtMilliseconds + CutMilliseconds, () => fleet.hub.cut([]));
 }
 
