--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -209,6 +209,7 @@
         random: Math.random,
         onCoordinatorUnresponsive: (coordinator, text) =>
             log.recordEvent(gateway.GatewayEvent.HomeSilent, { home: coordinator, text }),
+        policy: settings,
     });
     members.onChange(removedMembers => slots.forget(removedMembers));
     return slots;
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,5 +1,6 @@
 import * as fileSystem from "node:fs";
 import * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
 import * as zod from "zod";
 
 /** Environment variable that holds the path of the settings file. */
@@ -31,6 +32,12 @@
     quotaWindowSeconds: zod.coerce.number().positive().default(5),
     quotaOverShare: zod.coerce.number().min(0).default(0.1),
     quotaSlack: zod.coerce.number().min(0).default(20),
+    /** Order in which online requests that wait for an engine's slot are served. */
+    onlineOrder: zod.enum(gateway.OnlineOrder).default(gateway.DefaultLoadPolicy.onlineOrder),
+    /** Whether placement considers the measured speeds of engines. */
+    engineSpeeds: zod.enum(gateway.EngineSpeeds).default(gateway.DefaultLoadPolicy.engineSpeeds),
+    /** How many slots of an engine batch work leaves free for online requests. */
+    batchReserve: zod.enum(gateway.BatchReserve).default(gateway.DefaultLoadPolicy.batchReserve),
     metricsAddress: Address.optional(),
     logLevel: zod.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
 });
--- a/packages/daemon/test/fixtures.ts
+++ b/packages/daemon/test/fixtures.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import * as core from "@boragedale/core";
 import * as daemon from "@boragedale/daemon";
+import * as gateway from "@boragedale/gateway";
 import * as standins from "@boragedale/platform-standins";
 
 export interface StartedGateway {
@@ -71,6 +72,7 @@
         quotaWindowSeconds: 5,
         quotaOverShare: 0.1,
         quotaSlack: 20,
+        ...gateway.DefaultLoadPolicy,
         logLevel: "silent",
     };
     const done = daemon.runGatewayProcess({ getSettings: () => settings, clock, log, stop, onStarted: resolveStarted });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./quotaAdmissions.js";
 export * from "./customerQuotas.js";
 export * from "./callerIdentity.js";
+export * from "./loadPolicy.js";
 export * from "./slotLending.js";
 export * from "./slotSharing.js";
 export * from "./upstreamExchange.js";
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -2,6 +2,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import type * as coordinatorDirectory from "./homeDirectory.js";
+import type * as loadPolicy from "./loadPolicy.js";
 
 /** Slots that batch work leaves free on each upstream, so that an online request finds one without asking. */
 export const ReservedSlots = 1;
@@ -34,6 +35,7 @@
     readonly clock: core.Clock;
     readonly random: () => number;
     readonly dataCentre: core.DataCentre;
+    readonly policy: loadPolicy.LoadPolicy;
     readonly requestYield: (upstream: core.UpstreamId, yielder: core.InstanceId) => void;
     /**
      * Called with the member that was granted a slot. If that member never sends a notice again, it must not keep the
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -2,6 +2,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import type * as coordinatorDirectory from "./homeDirectory.js";
+import * as loadPolicy from "./loadPolicy.js";
 import * as slotGranting from "./slotLending.js";
 
 /** Delay of the notice that a slot was taken. Short, since others may take the same slot until it arrives. */
@@ -38,6 +39,8 @@
     readonly dataCentre: core.DataCentre;
     readonly random: () => number;
     readonly onCoordinatorUnresponsive: (coordinator: core.InstanceId, text: string) => void;
+    /** `DefaultLoadPolicy` if absent. */
+    readonly policy?: loadPolicy.LoadPolicy;
 }
 
 /**
@@ -68,6 +71,7 @@
         this.slotTable = slotTable;
         this.granting = new slotGranting.SlotGranting({
             ...parts,
+            policy: parts.policy ?? loadPolicy.DefaultLoadPolicy,
             requestYield: (upstream, yielder) => this.requestYield(upstream, yielder),
             returnSlot: upstream => this.returnSlot(upstream),
             onGranted: requester => this.lastNoticeAt.set(requester, clock.now()),
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -54,6 +54,7 @@
 const shard = zod.int().min(0);
 const count = zod.number().min(0);
 const gap = zod.number().min(0);
+const engineSpeedRow = zod.tuple([name, gap, gap, count]);
 
 const MessageSchema = zod.discriminatedUnion("kind", [
     zod.object({ kind: zod.literal(types.MessageKind.Challenge), challenge: name }),
@@ -127,6 +128,8 @@
         kind: zod.literal(types.MessageKind.SlotUses),
         isWhole: zod.boolean(),
         uses: zod.array(zod.tuple([name, count, count])),
+        speeds: zod.array(engineSpeedRow).optional(),
+        slacks: zod.array(zod.tuple([name, zod.number()])).optional(),
     }),
     zod.object({ kind: zod.literal(types.MessageKind.YieldSlot), upstream: name }),
     zod.object({ kind: zod.literal(types.MessageKind.BatchStart), upstream: name, slots: count, reserve: count }),
@@ -135,14 +138,26 @@
         kind: zod.literal(types.MessageKind.SlotRequest),
         service: name,
         except: zod.array(name).optional(),
+        customer: name.optional(),
+        weight: zod.number().positive().optional(),
+        priority: count.optional(),
+        remainingMilliseconds: zod.number().optional(),
+        waitMilliseconds: count.optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.SlotReply),
         upstream: name.optional(),
         waiting: count,
         free: count,
+        expectedWaitMilliseconds: count.optional(),
+        speeds: zod.array(engineSpeedRow).optional(),
+    }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.BatchSlotRequest),
+        service: name,
+        dueInMilliseconds: zod.number().optional(),
+        remainingMilliseconds: zod.number().optional(),
     }),
-    zod.object({ kind: zod.literal(types.MessageKind.BatchSlotRequest), service: name }),
     zod.object({ kind: zod.literal(types.MessageKind.BatchSlotReply), upstream: name.optional() }),
     zod.object({ kind: zod.literal(types.MessageKind.SubmissionOwned), submission: name }),
     zod.object({
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -211,8 +211,23 @@
     /** Whether the sender has no requests on the upstreams that aren't listed. */
     readonly isWhole: boolean;
     readonly uses: readonly (readonly [upstream: core.UpstreamId, online: number, batch: number])[];
+    /** Speeds that the sender measured since its previous notice. Absent if it measured none. */
+    readonly speeds?: readonly EngineSpeedRow[];
+    /**
+     * For upstreams on which the sender has batch items: the longest time that one of these items has to spare before it
+     * is due, in milliseconds; negative if all are late.
+     */
+    readonly slacks?: readonly (readonly [upstream: core.UpstreamId, milliseconds: number])[];
 }
 
+/** Measured times of an engine, in milliseconds, and the number of requests from which they were measured. */
+export type EngineSpeedRow = readonly [
+    upstream: core.UpstreamId,
+    eventMilliseconds: number,
+    firstEventMilliseconds: number,
+    samples: number,
+];
+
 /** Asks the receiver to release a slot that its batch work holds on the upstream, because an online request needs it. */
 export interface YieldSlot {
     readonly kind: MessageKind.YieldSlot;
@@ -239,6 +254,16 @@
     readonly service: string;
     /** Engines that the sender excludes. Usually absent: one of these messages is sent per request, so size matters. */
     readonly except?: readonly core.UpstreamId[];
+    /** Name of the customer; absent if the request needed no key. */
+    readonly customer?: string;
+    /** Relative share of the customer. Absent: 1. */
+    readonly weight?: number;
+    /** 0 is the most urgent, and the value if absent. */
+    readonly priority?: number;
+    /** Time until the deadline of the request. */
+    readonly remainingMilliseconds?: number;
+    /** Longest time for which the request may wait for a slot. Absent or 0: the reply is sent at once. */
+    readonly waitMilliseconds?: number;
 }
 
 export interface SlotReply {
@@ -249,12 +274,20 @@
     readonly waiting: number;
     /** Slots that the receiver could still grant to online requests. */
     readonly free: number;
+    /** Set if the receiver orders waiting requests and granted no slot: the wait to be expected for this request. */
+    readonly expectedWaitMilliseconds?: number;
+    /** Estimated speeds of the receiver's engines. Absent if the requester has received them a moment ago. */
+    readonly speeds?: readonly EngineSpeedRow[];
 }
 
 /** Asks a coordinator for a slot for a batch item. The reply comes when a slot is free or a bounded wait has passed. */
 export interface BatchSlotRequest {
     readonly kind: MessageKind.BatchSlotRequest;
     readonly service: string;
+    /** Time until the sender's most urgent waiting item is due; negative if it is late. */
+    readonly dueInMilliseconds?: number;
+    /** Estimated time for which that item still needs a slot. */
+    readonly remainingMilliseconds?: number;
 }
 
 export interface BatchSlotReply {
