--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,8 @@
 import * as quotaScenes from "./quotas/quotaScenes.js";
 import * as quotasFleet from "./quotas/quotasFleet.js";
 import * as quotasRun from "./quotas/quotasRun.js";
+import * as hardLoad from "./slots/hardLoad.js";
+import * as hardLoadResult from "./slots/hardLoadResult.js";
 import * as slotsFleet from "./slots/slotsFleet.js";
 import * as slotsRun from "./slots/slotsRun.js";
 import * as plots from "./plots.js";
@@ -15,7 +17,7 @@
 
 /**
  * Command line: `npm run bench -- [--scenario name] [--weight 0.5] [--seed 1]
- * [--frontier | --quantiles | --slots | --membership | --quotas] [--json] [--out folder]`.
+ * [--frontier | --quantiles | --slots | --hard-load | --membership | --quotas] [--json] [--out folder]`.
  */
 
 interface BenchFlags {
@@ -25,6 +27,7 @@
     readonly frontier?: boolean;
     readonly quantiles?: boolean;
     readonly slots?: boolean;
+    readonly hardLoad?: boolean;
     readonly membership?: boolean;
     readonly quotas?: boolean;
     readonly json?: boolean;
@@ -44,6 +47,11 @@
 ];
 const SlotsSeconds = 23.2;
 const SlotsPerEngine = 8;
+const HardLoadScenes = {
+    "square wave": {},
+    "hot customer": { hasHotCustomer: true },
+    "uneven engines": { hasUnevenEngines: true },
+};
 const QuotaCustomers = [84, 1_000, 100_000];
 const QuotaSeconds = 20;
 /** Beyond this size, simulating notifications to all instances takes minutes, and they aren't practical there. */
@@ -61,6 +69,7 @@
         .option("--frontier", "Shows harm and batch throughput by weight, averaged over three seeds")
         .option("--quantiles", "Compares gossip for fleet-wide quantiles with reports to one coordinator")
         .option("--slots", "Compares ways of sharing engines' slots among 8 to 400 instances")
+        .option("--hard-load", "Plays online peaks, a customer that sends too much and uneven engines, with batch work")
         .option(
             "--membership",
             "Measures store calls and the time until all instances know a change, at 8 to 400 instances",
@@ -77,6 +86,9 @@
     if (flags.slots === true) {
         void runSlots(flags);
     }
+    else if (flags.hardLoad === true) {
+        void runHardLoad(flags);
+    }
     else if (flags.membership === true) {
         void runMembership(flags);
     }
@@ -123,6 +135,15 @@
     return cells.join(", ");
 }
 
+async function runHardLoad(flags: BenchFlags): Promise<void> {
+    for (const [name, scene] of Object.entries(HardLoadScenes)) {
+        const result = await hardLoad.runHardLoad({ ...scene, seed: Number(flags.seed) });
+        const { relativeWork, ...figures } = result;
+        const json = { name, ...figures, relativeWork: Object.fromEntries(relativeWork) };
+        console.log(flags.json === true ? JSON.stringify(json) : `${name}:\n${hardLoadResult.formatResult(result)}`);
+    }
+}
+
 async function runMembership(flags: BenchFlags): Promise<void> {
     for (const { instances } of SlotsFleets) {
         for (const scene of Object.values(membershipRun.MembershipScene)) {
