--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -1,12 +1,12 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
+import * as batchSlotGranting from "./batchSlotGranting.js";
 import type * as channelDirectory from "./channelDirectory.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
-import * as slotGranting from "./slotLending.js";
 import type * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
@@ -236,7 +236,7 @@
             }));
         const chosen = this.parts.slots.slotTable.tryChooseBatch(
             candidates,
-            slotGranting.ReservedSlots,
+            batchSlotGranting.ReservedSlots,
             this.parts.dataCentre,
             now,
         );
@@ -261,7 +261,7 @@
     ): Promise<void> {
         owned.state = ownedSubmission.ItemState.Running;
         this.pendingSlotRequests.set(upstream.id, (this.pendingSlotRequests.get(upstream.id) ?? 0) + 1);
-        const isGranted = await this.parts.slots.mayStartBatch(upstream, slotGranting.ReservedSlots);
+        const isGranted = await this.parts.slots.mayStartBatch(upstream, batchSlotGranting.ReservedSlots);
         this.pendingSlotRequests.set(upstream.id, (this.pendingSlotRequests.get(upstream.id) ?? 1) - 1);
         if (owned.state !== ownedSubmission.ItemState.Running) {
             return;
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -1,12 +1,10 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import * as batchSlotGranting from "./batchSlotGranting.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
 
-/** Slots that batch work leaves free on each upstream, so that an online request finds one without asking. */
-export const ReservedSlots = 1;
-
 /**
  * Coordinators that an online request asks before it joins the shortest known queue. With half of the coordinators
  * full, six find a free slot in 98 of 100 cases and cost at most a dozen milliseconds.
@@ -17,17 +15,6 @@
  * of others.
  */
 const OnlineTimeoutMilliseconds = 25;
-/** A batch item's request waits at the coordinator until a slot is freed, so that members do not poll. */
-const BatchWaitMilliseconds = 600;
-const BatchTimeoutMilliseconds = BatchWaitMilliseconds + 200;
-/** Coordinators at which this member's items wait at the same time. */
-const MaximumPendingBatchRequests = 6;
-/**
- * Requests of peers that wait here. More than all neighbours together send indicates a defect, and further ones are
- * rejected.
- */
-const MaximumWaitingItems = 400;
-
 export interface SlotGrantingParts {
     readonly slotTable: decisions.SlotTable;
     readonly coordinators: coordinatorDirectory.CoordinatorDirectory;
@@ -57,13 +44,6 @@
     readonly isCounted: boolean;
 }
 
-/** A batch item of a peer that waits here for a slot. */
-interface WaitingItem {
-    readonly service: string;
-    readonly from: core.InstanceId;
-    readonly finish: (upstream: core.UpstreamId | undefined) => void;
-}
-
 /**
  * Grants slots of the engines that this member coordinates, and requests slots from its linked neighbours.
  *
@@ -74,17 +54,17 @@
  */
 export class SlotGranting {
     private readonly order: decisions.CoordinatorOrder;
-    private readonly waiting = new Set<WaitingItem>();
-    private readonly pendingBatchRequests = new Set<core.InstanceId>();
+    /** The part that grants and requests slots for batch items. */
+    readonly batch: batchSlotGranting.BatchSlotGranting;
 
     constructor(private readonly parts: SlotGrantingParts) {
         this.order = new decisions.CoordinatorOrder(parts.random);
         const { network } = parts;
         network.handle(protocol.MessageKind.SlotRequest, async (message, from) => this.grantOnline(message, from));
-        network.handle(protocol.MessageKind.BatchSlotRequest, async (message, from) => {
-            const upstream = await this.grantBatch(message.service, from);
-            const kind = protocol.MessageKind.BatchSlotReply;
-            return upstream === undefined ? { kind } : { kind, upstream };
+        this.batch = new batchSlotGranting.BatchSlotGranting({
+            ...parts,
+            rank: coordinators => this.rank(coordinators),
+            noteUnresponsive: (coordinator, reply) => this.noteUnresponsive(coordinator, reply),
         });
     }
 
@@ -100,7 +80,12 @@
         const ownEngines = candidates.filter(
             candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
         );
-        const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, ReservedSlots, clock.now());
+        const ownChoice = slotTable.tryChooseOnline(
+            ownEngines,
+            dataCentre,
+            batchSlotGranting.ReservedSlots,
+            clock.now(),
+        );
         if (ownChoice !== undefined && ownChoice.waiting === 0) {
             return { ...ownChoice, isCounted: false };
         }
@@ -130,64 +115,21 @@
         const unreachable = candidates.filter(
             candidate => !linked.has(candidate.id) && !ownEngines.includes(candidate),
         );
-        const fallback = slotTable.tryChooseOnline(unreachable, dataCentre, ReservedSlots, clock.now());
+        const fallback = slotTable.tryChooseOnline(
+            unreachable,
+            dataCentre,
+            batchSlotGranting.ReservedSlots,
+            clock.now(),
+        );
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
             ? { ...fallback, isCounted: false }
             : best;
     }
 
-    /**
-     * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
-     * returns whether it is used.
-     */
-    requestBatchSlots(service: string, wanted: number, use: (upstream: core.UpstreamId) => boolean): void {
-        const coordinators = new Set(
-            this.getLinkedCoordinators().filter(coordinator => !this.pendingBatchRequests.has(coordinator)),
-        );
-        const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - this.pendingBatchRequests.size;
-        for (const coordinator of this.rank([...coordinators]).slice(0, Math.max(0, requestCount))) {
-            void this.requestBatchSlot(coordinator, service, use);
-        }
-    }
-
-    /** Grants slots that may have been freed here to the waiting items of peers, in the order in which they arrived. */
-    serveWaiting(): void {
-        for (const item of this.waiting) {
-            const upstream = this.tryGrantBatch(item.service, item.from);
-            if (upstream !== undefined) {
-                item.finish(upstream);
-            }
-        }
-    }
-
     /** Drops the waiting items of removed members, and stops ranking these members as coordinators. */
     forget(removed: readonly core.InstanceId[]): void {
         removed.forEach(member => this.order.remove(member));
-        [...this.waiting].filter(item => removed.includes(item.from)).forEach(item => item.finish(undefined));
-    }
-
-    private async requestBatchSlot(
-        coordinator: core.InstanceId,
-        service: string,
-        use: (upstream: core.UpstreamId) => boolean,
-    ): Promise<void> {
-        this.pendingBatchRequests.add(coordinator);
-        const message = { kind: protocol.MessageKind.BatchSlotRequest, service } as const;
-        const reply = await this.parts.network.request(coordinator, message, {
-            lane: protocol.Lane.Control,
-            timeoutMilliseconds: BatchTimeoutMilliseconds,
-        });
-        this.pendingBatchRequests.delete(coordinator);
-        if (!reply.ok || reply.message.kind !== protocol.MessageKind.BatchSlotReply) {
-            this.noteUnresponsive(coordinator, reply);
-            // The coordinator may have granted a slot as the wait ended.
-            this.parts.coordinators.getEnginesOf(coordinator, service).forEach(this.parts.returnSlot);
-            return;
-        }
-        const { upstream } = reply.message;
-        if (upstream !== undefined && !use(upstream)) {
-            this.parts.returnSlot(upstream);
-        }
+        this.batch.forget(removed);
     }
 
     /**
@@ -242,7 +184,7 @@
         const candidates = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
-        const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
+        const choice = slotTable.tryChooseOnline(candidates, dataCentre, batchSlotGranting.ReservedSlots, clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
             return { kind, waiting: 0, free: 0 };
@@ -259,41 +201,6 @@
         return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
     }
 
-    private async grantBatch(service: string, from: core.InstanceId): Promise<core.UpstreamId | undefined> {
-        const upstream = this.tryGrantBatch(service, from);
-        if (upstream !== undefined || this.waiting.size >= MaximumWaitingItems) {
-            return upstream;
-        }
-        return new Promise(resolve => {
-            const item: WaitingItem = {
-                service,
-                from,
-                finish: granted => {
-                    cancelTimeout();
-                    this.waiting.delete(item);
-                    resolve(granted);
-                },
-            };
-            const cancelTimeout = this.parts.clock.schedule(BatchWaitMilliseconds, () => item.finish(undefined));
-            this.waiting.add(item);
-        });
-    }
-
-    private tryGrantBatch(service: string, from: core.InstanceId): core.UpstreamId | undefined {
-        const { slotTable, coordinators, clock, dataCentre } = this.parts;
-        const upstream = slotTable.tryChooseBatch(
-            coordinators.getOwnEngines(service),
-            ReservedSlots,
-            dataCentre,
-            clock.now(),
-        );
-        if (upstream !== undefined) {
-            slotTable.addPeer(from, upstream, { online: 0, batch: 1 });
-            this.parts.onGranted(from);
-        }
-        return upstream;
-    }
-
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
@@ -309,10 +216,6 @@
         return byCoordinator;
     }
 
-    private getLinkedCoordinators(): readonly core.InstanceId[] {
-        return this.parts.network.getConnectedPeers().filter(peer => this.parts.coordinators.isCoordinator(peer));
-    }
-
     private rank(coordinators: readonly core.InstanceId[]): readonly core.InstanceId[] {
         const choices = coordinators.map(id => ({ id, isNear: this.parts.coordinators.isInSameDataCentre(id) }));
         return this.order.rank(choices, this.parts.clock.now());
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import * as batchSlotGranting from "./batchSlotGranting.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
 import * as slotGranting from "./slotLending.js";
@@ -117,7 +118,7 @@
         const choice = this.slotTable.tryChooseOnline(
             candidates,
             dataCentre,
-            slotGranting.ReservedSlots,
+            batchSlotGranting.ReservedSlots,
             this.clock.now(),
         );
         return choice === undefined ? undefined : { ...choice, isCounted: false };
@@ -128,7 +129,7 @@
      * returns whether it is used.
      */
     requestBatchSlots(service: string, wanted: number, use: (upstream: core.UpstreamId) => boolean): void {
-        this.granting.requestBatchSlots(service, wanted, use);
+        this.granting.batch.requestBatchSlots(service, wanted, use);
     }
 
     /** Frees the slots of removed members. */
@@ -285,7 +286,7 @@
     }
 
     private notifySlotFreed(): void {
-        this.granting.serveWaiting();
+        this.granting.batch.serveWaiting();
         this.onSlotFreed();
     }
 
