--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -210,7 +210,11 @@
         onCoordinatorUnresponsive: (coordinator, text) =>
             log.recordEvent(gateway.GatewayEvent.HomeSilent, { home: coordinator, text }),
         policy: settings,
+        onYieldRequested: reason => log.metrics.count("boragedale_batch_yields_total", { reason }),
     });
+    log.metrics.observeGauge("boragedale_online_slots", { measure: "level" }, () => slots.reserve.getOnlineUse().level);
+    log.metrics.observeGauge("boragedale_online_slots", { measure: "peak" }, () => slots.reserve.getOnlineUse().peak);
+    log.metrics.observeGauge("boragedale_batch_kept_free_slots", {}, () => slots.reserve.getOnlineUse().keptFree);
     members.onChange(removedMembers => slots.forget(removedMembers));
     return slots;
 }
@@ -254,6 +258,7 @@
     slots.connect(
         upstream => scheduler.yieldSlot(upstream),
         () => scheduler.dispatch(),
+        scheduler,
     );
     return new gateway.SubmissionService({
         store,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./retryRule.js";
 export * from "./batchGrants.js";
 export * from "./itemOrder.js";
+export * from "./onlineDemand.js";
 export * from "./homes.js";
 export * from "./homeOrder.js";
 export * from "./failureWatch.js";
--- a/packages/decisions/src/itemOrder.ts
+++ b/packages/decisions/src/itemOrder.ts
@@ -31,10 +31,43 @@
     return left.dueInMilliseconds - right.dueInMilliseconds || right.eventsSoFar - left.eventsSoFar;
 }
 
-function willBeLate(item: ItemEstimate): boolean {
+/** Whether an item will end after its due time even if it runs faster than usual. */
+export function willBeLate(item: ItemEstimate): boolean {
     return item.remainingMilliseconds * OptimisticFraction > item.dueInMilliseconds;
 }
 
+/** Share of an item's remaining run: an item that has less time to spare would be late after one preemption. */
+const ProtectedShare = 0.25;
+
+/**
+ * Orders running items by which of them yields its slot first. Items that can't finish in time yield first, since
+ * another delay costs their callers nothing; then those with the most time to spare. An item that would be late after
+ * another delay yields only if there is no other one.
+ */
+export function compareYielding(left: ItemEstimate, right: ItemEstimate): number {
+    return getYieldClass(left) - getYieldClass(right) || getSlack(right) - getSlack(left);
+}
+
+/**
+ * Returns the time that the item has to spare before it is due, as reported to coordinators: at least 0 while it can
+ * finish in time, and negative once it can't.
+ */
+export function getReportedSlack(item: ItemEstimate): number {
+    const slack = Math.round(getSlack(item));
+    return willBeLate(item) ? Math.min(-1, slack) : Math.max(0, slack);
+}
+
+function getSlack(item: ItemEstimate): number {
+    return item.dueInMilliseconds - item.remainingMilliseconds;
+}
+
+function getYieldClass(item: ItemEstimate): number {
+    if (willBeLate(item)) {
+        return 0;
+    }
+    return getSlack(item) < item.remainingMilliseconds * ProtectedShare ? 2 : 1;
+}
+
 /** Weight of a new item in the running means: they represent about the last twenty items. */
 const MeanWeight = 0.05;
 
--- a/packages/decisions/src/slotTable.ts
+++ b/packages/decisions/src/slotTable.ts
@@ -24,9 +24,18 @@
     readonly yielder: core.InstanceId | undefined;
 }
 
+/** Tells how long batch items of this instance can wait. */
+export interface SlackSource {
+    readonly isActive: () => boolean;
+    /** The largest slack of this instance's items on the upstream, in milliseconds; negative if all are late. */
+    readonly tryGetSlack: (upstream: core.UpstreamId) => number | undefined;
+}
+
 interface UpstreamUse {
     own: { online: number; batch: number };
     readonly peers: Map<core.InstanceId, SlotUse>;
+    /** The largest slack of each peer's batch items, for peers that report it. */
+    readonly slacks: Map<core.InstanceId, number>;
     /** Set when the upstream rejected a request as full or didn't answer: its known load is too low. */
     penaltyUntil: core.MonotonicMilliseconds;
 }
@@ -44,6 +53,7 @@
  */
 export class SlotTable {
     private readonly uses = new Map<core.UpstreamId, UpstreamUse>();
+    private slackSource: SlackSource | undefined;
 
     /** `preference` is this instance's own fixed order of upstreams; each has a value from 0 (first) to 1. */
     constructor(
@@ -86,6 +96,28 @@
         }
     }
 
+    /** Sets the largest slack of the peer's batch items on the upstream; undefined if it reports none. */
+    setPeerSlack(peer: core.InstanceId, upstream: core.UpstreamId, milliseconds: number | undefined): void {
+        const slacks = this.getUse(upstream).slacks;
+        if (milliseconds === undefined) {
+            slacks.delete(peer);
+        }
+        else {
+            slacks.set(peer, milliseconds);
+        }
+    }
+
+    /** Takes into account an item that the peer starts before it reports its slack. */
+    raisePeerSlack(peer: core.InstanceId, upstream: core.UpstreamId, milliseconds: number): void {
+        const slacks = this.getUse(upstream).slacks;
+        slacks.set(peer, Math.max(milliseconds, slacks.get(peer) ?? -Infinity));
+    }
+
+    /** Makes batch work yield in order of slack while the source is active. */
+    setSlackSource(source: SlackSource): void {
+        this.slackSource = source;
+    }
+
     /** Adds slots that were granted to a peer; the peer's next notification replaces the sum. */
     addPeer(peer: core.InstanceId, upstream: core.UpstreamId, more: SlotUse): void {
         const known = this.getUse(upstream).peers.get(peer) ?? { online: 0, batch: 0 };
@@ -94,7 +126,10 @@
 
     /** Removes a peer that was removed from the fleet; the connections of its requests are closed, too. */
     removePeer(peer: core.InstanceId): void {
-        this.uses.forEach(use => use.peers.delete(peer));
+        for (const use of this.uses.values()) {
+            use.peers.delete(peer);
+            use.slacks.delete(peer);
+        }
     }
 
     /** Treats the upstream as full until the given time, because it rejected a request or didn't answer. */
@@ -203,8 +238,12 @@
         return base + penalty + distance + connection + order;
     }
 
-    private tryChooseYieldingInstance(upstream: core.UpstreamId): core.InstanceId | undefined {
+    /** Chooses the instance whose batch work yields a slot on the upstream; undefined if there is no batch work. */
+    tryChooseYieldingInstance(upstream: core.UpstreamId): core.InstanceId | undefined {
         const use = this.getUse(upstream);
+        if (this.slackSource?.isActive() === true) {
+            return chooseBySlack(use, this.slackSource.tryGetSlack(upstream));
+        }
         if (use.own.batch > 0) {
             return SelfInstance;
         }
@@ -222,13 +261,35 @@
     private getUse(upstream: core.UpstreamId): UpstreamUse {
         let use = this.uses.get(upstream);
         if (use === undefined) {
-            use = { own: { online: 0, batch: 0 }, peers: new Map(), penaltyUntil: -Infinity };
+            use = { own: { online: 0, batch: 0 }, peers: new Map(), slacks: new Map(), penaltyUntil: -Infinity };
             this.uses.set(upstream, use);
         }
         return use;
     }
 }
 
+/** Returns the instance with the most slack, or one whose items are all late: another delay costs their callers nothing. */
+function chooseBySlack(use: UpstreamUse, ownSlack: number | undefined): core.InstanceId | undefined {
+    const holders: [core.InstanceId, number][] = use.own.batch > 0 ? [[SelfInstance, ownSlack ?? UnknownSlack]] : [];
+    for (const [peer, { batch }] of use.peers) {
+        if (batch > 0) {
+            holders.push([peer, use.slacks.get(peer) ?? UnknownSlack]);
+        }
+    }
+    let best: core.InstanceId | undefined;
+    let most = -Infinity;
+    for (const [instance, slack] of holders) {
+        const rank = slack < 0 ? Infinity : slack;
+        if (rank > most) {
+            best = instance;
+            most = rank;
+        }
+    }
+    return best;
+}
+
+/** Slack assumed for the items of a peer that reports none, as an older version: about half of that of a new item. */
+const UnknownSlack = 6_000;
 /** One slot of eight: the preference decides among upstreams whose load differs by at most one request. */
 const PreferenceSpread = 0.125;
 /** A quarter of a slot, so that instances with similar preferences choose differently. */
--- a/packages/gateway/src/batchSlotGranting.ts
+++ b/packages/gateway/src/batchSlotGranting.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
-import type * as decisions from "@boragedale/decisions";
+import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import type * as demandReserve from "./demandReserve.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 
 /** Slots that batch work leaves free on each upstream, so that an online request finds one without asking. */
@@ -23,6 +24,9 @@
     readonly network: protocol.PeerNetwork;
     readonly clock: core.Clock;
     readonly dataCentre: core.DataCentre;
+    readonly reserve: demandReserve.DemandReserve;
+    /** The most urgent item of this member that waits for a slot; undefined if none does. */
+    readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
     /** Called with the member that was granted a slot. */
     readonly onGranted: (requester: core.InstanceId) => void;
     /** Notifies the coordinator of the actual use of a slot that it counts for this member. */
@@ -36,9 +40,35 @@
 interface WaitingItem {
     readonly service: string;
     readonly from: core.InstanceId;
+    readonly arrivedAt: core.MonotonicMilliseconds;
+    /** As stated when the request arrived; undefined if the requester states none. */
+    readonly estimate: decisions.ItemEstimate | undefined;
     readonly finish: (upstream: core.UpstreamId | undefined) => void;
 }
 
+/** Place of an item whose urgency is unknown, as of an older version, among the others: half of its time has passed. */
+const UnknownEstimate: decisions.ItemEstimate = {
+    dueInMilliseconds: 9_000,
+    remainingMilliseconds: 0,
+    eventsSoFar: 0,
+};
+
+function tryReadEstimate(message: protocol.BatchSlotRequest): decisions.ItemEstimate | undefined {
+    const { dueInMilliseconds, remainingMilliseconds } = message;
+    return dueInMilliseconds === undefined
+        ? undefined
+        : { dueInMilliseconds, remainingMilliseconds: remainingMilliseconds ?? 0, eventsSoFar: 0 };
+}
+
+function createUrgency(
+    item: decisions.ItemEstimate,
+): Pick<protocol.BatchSlotRequest, "dueInMilliseconds" | "remainingMilliseconds"> {
+    return {
+        dueInMilliseconds: Math.round(item.dueInMilliseconds),
+        remainingMilliseconds: Math.round(item.remainingMilliseconds),
+    };
+}
+
 /** Grants slots for batch items of peers on the engines that this member coordinates, and requests slots for its own. */
 export class BatchSlotGranting {
     private readonly waiting = new Set<WaitingItem>();
@@ -47,7 +77,7 @@
     constructor(private readonly parts: BatchSlotGrantingParts) {
         const { network } = parts;
         network.handle(protocol.MessageKind.BatchSlotRequest, async (message, from) => {
-            const upstream = await this.grantBatch(message.service, from);
+            const upstream = await this.grantBatch(message.service, from, tryReadEstimate(message));
             const kind = protocol.MessageKind.BatchSlotReply;
             return upstream === undefined ? { kind } : { kind, upstream };
         });
@@ -55,28 +85,70 @@
 
     /**
      * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
-     * returns whether it is used.
+     * returns whether it is used. `items` are the waiting items, most urgent first, as far as they are known.
      */
-    requestBatchSlots(service: string, wanted: number, use: (upstream: core.UpstreamId) => boolean): void {
+    requestBatchSlots(
+        service: string,
+        wanted: number,
+        use: (upstream: core.UpstreamId) => boolean,
+        items: readonly decisions.ItemEstimate[] = [],
+    ): void {
         const coordinators = new Set(
             this.getLinkedCoordinators().filter(coordinator => !this.pendingBatchRequests.has(coordinator)),
         );
         const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - this.pendingBatchRequests.size;
-        for (const coordinator of this.parts.rank([...coordinators]).slice(0, Math.max(0, requestCount))) {
-            void this.requestBatchSlot(coordinator, service, use);
-        }
+        const asked = this.parts.rank([...coordinators]).slice(0, Math.max(0, requestCount));
+        asked.forEach((coordinator, index) => void this.requestBatchSlot(coordinator, service, items[index], use));
     }
 
-    /** Grants slots that may have been freed here to the waiting items of peers, in the order in which they arrived. */
-    serveWaiting(): void {
+    /**
+     * Grants slots that may have been freed here to the waiting items of peers: in the order in which they arrived, or,
+     * where batch work follows the demand, most urgent first. `isOwnServed`: this member's own items have taken the slots
+     * that they can use; otherwise slots are left to those that are more urgent.
+     */
+    serveWaiting(isOwnServed = false): void {
+        if (this.parts.reserve.isActive()) {
+            this.serveMostUrgent(isOwnServed);
+            return;
+        }
         for (const item of this.waiting) {
-            const upstream = this.tryGrantBatch(item.service, item.from);
+            const upstream = this.tryGrantBatch(item.service, item.from, item.estimate);
             if (upstream !== undefined) {
                 item.finish(upstream);
             }
         }
     }
 
+    private serveMostUrgent(isOwnServed: boolean): void {
+        const services = new Set([...this.waiting].map(item => item.service));
+        for (const service of services) {
+            if (!this.parts.reserve.hasFreeSlot(service)) {
+                continue;
+            }
+            const own = isOwnServed ? undefined : this.parts.tryGetMostUrgent(service);
+            const waiting = [...this.waiting]
+                .filter(item => item.service === service)
+                .map(item => ({ item, estimate: this.getCurrentEstimate(item) }))
+                .sort((left, right) => decisions.compareItems(left.estimate, right.estimate));
+            for (const { item, estimate } of waiting) {
+                if (own !== undefined && decisions.compareItems(own, estimate) < 0) {
+                    break;
+                }
+                const stated = item.estimate === undefined ? undefined : estimate;
+                const upstream = this.tryGrantBatch(service, item.from, stated);
+                if (upstream !== undefined) {
+                    item.finish(upstream);
+                }
+            }
+        }
+    }
+
+    private getCurrentEstimate({ estimate, arrivedAt }: WaitingItem): decisions.ItemEstimate {
+        const waited = this.parts.clock.now() - arrivedAt;
+        const stated = estimate ?? UnknownEstimate;
+        return { ...stated, dueInMilliseconds: stated.dueInMilliseconds - waited };
+    }
+
     /** Drops the waiting items of removed members. */
     forget(removed: readonly core.InstanceId[]): void {
         [...this.waiting].filter(item => removed.includes(item.from)).forEach(item => item.finish(undefined));
@@ -85,10 +157,15 @@
     private async requestBatchSlot(
         coordinator: core.InstanceId,
         service: string,
+        item: decisions.ItemEstimate | undefined,
         use: (upstream: core.UpstreamId) => boolean,
     ): Promise<void> {
         this.pendingBatchRequests.add(coordinator);
-        const message = { kind: protocol.MessageKind.BatchSlotRequest, service } as const;
+        const message = {
+            kind: protocol.MessageKind.BatchSlotRequest,
+            service,
+            ...(this.parts.reserve.isActive() && item !== undefined ? createUrgency(item) : {}),
+        } as const;
         const reply = await this.parts.network.request(coordinator, message, {
             lane: protocol.Lane.Control,
             timeoutMilliseconds: BatchTimeoutMilliseconds,
@@ -106,8 +183,12 @@
         }
     }
 
-    private async grantBatch(service: string, from: core.InstanceId): Promise<core.UpstreamId | undefined> {
-        const upstream = this.tryGrantBatch(service, from);
+    private async grantBatch(
+        service: string,
+        from: core.InstanceId,
+        estimate: decisions.ItemEstimate | undefined,
+    ): Promise<core.UpstreamId | undefined> {
+        const upstream = this.tryGrantBatch(service, from, estimate);
         if (upstream !== undefined || this.waiting.size >= MaximumWaitingItems) {
             return upstream;
         }
@@ -115,6 +196,8 @@
             const item: WaitingItem = {
                 service,
                 from,
+                arrivedAt: this.parts.clock.now(),
+                estimate,
                 finish: granted => {
                     cancelTimeout();
                     this.waiting.delete(item);
@@ -126,16 +209,26 @@
         });
     }
 
-    private tryGrantBatch(service: string, from: core.InstanceId): core.UpstreamId | undefined {
-        const { slotTable, coordinators, clock, dataCentre } = this.parts;
+    private tryGrantBatch(
+        service: string,
+        from: core.InstanceId,
+        estimate: decisions.ItemEstimate | undefined,
+    ): core.UpstreamId | undefined {
+        const { slotTable, coordinators, clock, dataCentre, reserve } = this.parts;
+        const engines = coordinators.getOwnEngines(service);
+        const isActive = reserve.isActive();
         const upstream = slotTable.tryChooseBatch(
-            coordinators.getOwnEngines(service),
+            isActive ? reserve.filterStarts(service, engines, estimate) : engines,
             ReservedSlots,
             dataCentre,
             clock.now(),
         );
         if (upstream !== undefined) {
             slotTable.addPeer(from, upstream, { online: 0, batch: 1 });
+            if (isActive && estimate !== undefined) {
+                // A granted slot is not reported before the next notice.
+                slotTable.raisePeerSlack(from, upstream, decisions.getReportedSlack(estimate));
+            }
             this.parts.onGranted(from);
         }
         return upstream;
--- a/packages/gateway/src/homeDirectory.ts
+++ b/packages/gateway/src/homeDirectory.ts
@@ -69,6 +69,12 @@
             .filter(entry => this.tryGetCoordinator(entry.id) === decisions.SelfInstance);
     }
 
+    /** The engines of all services that this member coordinates. */
+    getAllOwnEngines(): readonly types.UpstreamEntry[] {
+        const services = this.view.getConfiguration()?.services.filter(service => service.isEngine) ?? [];
+        return services.flatMap(({ name }) => this.getOwnEngines(name));
+    }
+
     /** Whether the member coordinates any engine. */
     isCoordinator(member: core.InstanceId): boolean {
         this.coordinators ??= this.assign();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -24,6 +24,8 @@
 export * from "./callerIdentity.js";
 export * from "./loadPolicy.js";
 export * from "./batchSlotGranting.js";
+export * from "./demandReserve.js";
+export * from "./yieldRequests.js";
 export * from "./slotLending.js";
 export * from "./slotSharing.js";
 export * from "./upstreamExchange.js";
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -52,6 +52,11 @@
     readonly service: string;
 }
 
+interface ItemWithOutlook {
+    readonly owned: ownedSubmission.OwnedItem;
+    readonly outlook: decisions.ItemEstimate;
+}
+
 /** Runs the items of the submissions that this member owns, in slots that online requests don't use. */
 export class ItemScheduler {
     private readonly submissions = new Set<ownedSubmission.OwnedSubmission>();
@@ -95,21 +100,41 @@
 
     /** Stops the least urgent item on the upstream, to free its slot for an online request. */
     yieldSlot(upstream: core.UpstreamId): void {
-        const getOutlook = this.createOutlookEstimator();
-        let chosen: { owned: ownedSubmission.OwnedItem; run: itemRun.ItemRun } | undefined;
-        for (const [owned, entry] of this.running) {
-            const isLessUrgent =
-                chosen === undefined || decisions.compareItems(getOutlook(owned), getOutlook(chosen.owned)) > 0;
-            if (entry.upstream === upstream && isLessUrgent) {
-                chosen = { owned, run: entry.run };
-            }
-        }
+        const compare = this.parts.slots.reserve.isActive()
+            ? decisions.compareYielding
+            : (left: decisions.ItemEstimate, right: decisions.ItemEstimate): number =>
+                  decisions.compareItems(right, left);
+        const chosen = this.getRunning(upstream).sort((left, right) => compare(left.outlook, right.outlook))[0];
         if (chosen !== undefined) {
-            this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemYielded, { item: chosen.owned.item.id, upstream });
+            this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemYielded, {
+                item: chosen.owned.item.id,
+                upstream,
+                slackMilliseconds: decisions.getReportedSlack(chosen.outlook),
+            });
             chosen.run.stop(itemRun.ItemOutcomeKind.Stopped, "its slot was needed for an online request");
         }
     }
 
+    /** The slack of the item that would yield its slot on the upstream; undefined if no item runs there. */
+    tryGetSlack(upstream: core.UpstreamId): number | undefined {
+        const outlooks = this.getRunning(upstream).map(({ outlook }) => outlook);
+        const first = outlooks.sort(decisions.compareYielding)[0];
+        return first === undefined ? undefined : decisions.getReportedSlack(first);
+    }
+
+    /** The most urgent item that waits for a slot of the service. */
+    tryGetMostUrgent(service: string): decisions.ItemEstimate | undefined {
+        const waiting = this.isStopped ? [] : this.getWaiting(this.parts.clock.now());
+        return waiting.find(({ owned }) => this.tryFindDestination(owned)?.service === service)?.outlook;
+    }
+
+    private getRunning(upstream: core.UpstreamId): (ItemWithOutlook & { readonly run: itemRun.ItemRun })[] {
+        const getOutlook = this.createOutlookEstimator();
+        return [...this.running]
+            .filter(([, entry]) => entry.upstream === upstream)
+            .map(([owned, { run }]) => ({ owned, outlook: getOutlook(owned), run }));
+    }
+
     /** Schedules a search for free slots. Calls within the dispatch delay are combined. */
     dispatch(): void {
         if (this.cancelDispatch !== undefined || this.isStopped || this.submissions.size === 0) {
@@ -129,21 +154,29 @@
             this.giveUpExpired();
         }
         const waiting = this.getWaiting(now);
-        const firstBlocked = waiting.findIndex(owned => !this.tryStart(owned, now));
-        if (firstBlocked >= 0) {
-            this.requestRemoteSlots(waiting.slice(firstBlocked));
+        if (this.parts.slots.reserve.isActive()) {
+            // Another item may start where the first one must leave slots free for the next peak.
+            this.requestRemoteSlots(waiting.filter(item => !this.tryStart(item, now)));
+            this.parts.slots.servePeers();
+        }
+        else {
+            const firstBlocked = waiting.findIndex(item => !this.tryStart(item, now));
+            this.requestRemoteSlots(firstBlocked < 0 ? [] : waiting.slice(firstBlocked));
         }
         this.scheduleNextDispatch();
     }
 
     /** In a large fleet, requests slots on engines that other members coordinate. */
-    private requestRemoteSlots(waiting: readonly ownedSubmission.OwnedItem[]): void {
-        const service = waiting[0] === undefined ? undefined : this.tryFindDestination(waiting[0])?.service;
+    private requestRemoteSlots(waiting: readonly ItemWithOutlook[]): void {
+        const service = waiting[0] === undefined ? undefined : this.tryFindDestination(waiting[0].owned)?.service;
         if (service === undefined || !this.parts.slots.requiresGrant(service)) {
             return;
         }
-        this.parts.slots.requestBatchSlots(service, waiting.length, upstream =>
-            this.startOnRemoteSlot(service, upstream),
+        this.parts.slots.requestBatchSlots(
+            service,
+            waiting.length,
+            upstream => this.startOnRemoteSlot(service, upstream),
+            waiting.map(({ outlook }) => outlook),
         );
     }
 
@@ -155,7 +188,7 @@
         if (upstream === undefined || this.isStopped) {
             return false;
         }
-        for (const owned of this.getWaiting(now)) {
+        for (const { owned } of this.getWaiting(now)) {
             const destination = this.tryFindDestination(owned);
             if (destination?.service === service) {
                 void this.run(owned, upstream, destination.route, true);
@@ -173,7 +206,7 @@
         return route === undefined || service === undefined ? undefined : { route, service };
     }
 
-    private getWaiting(now: core.MonotonicMilliseconds): ownedSubmission.OwnedItem[] {
+    private getWaiting(now: core.MonotonicMilliseconds): ItemWithOutlook[] {
         const waiting: ownedSubmission.OwnedItem[] = [];
         for (const submission of this.submissions) {
             if (submission.isActive()) {
@@ -187,8 +220,7 @@
         const getOutlook = this.createOutlookEstimator();
         return waiting
             .map(owned => ({ owned, outlook: getOutlook(owned) }))
-            .sort((left, right) => decisions.compareItems(left.outlook, right.outlook))
-            .map(({ owned }) => owned);
+            .sort((left, right) => decisions.compareItems(left.outlook, right.outlook));
     }
 
     /** Returns a function that estimates when an item is due and how long it still has to run. */
@@ -217,13 +249,18 @@
         length.record(events, runEvents, milliseconds);
     }
 
-    private tryStart(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
+    private tryStart({ owned, outlook }: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
         const destination = this.tryFindDestination(owned);
         if (destination === undefined) {
             return true;
         }
         const { route, service } = destination;
-        const isLending = this.parts.slots.requiresGrant(service);
+        const { slots } = this.parts;
+        const isLending = slots.requiresGrant(service);
+        const followsDemand = isLending && slots.reserve.isActive();
+        if (followsDemand && !slots.reserve.hasFreeSlot(service)) {
+            return false;
+        }
         const candidates = this.parts.view
             .getUsable(service, now)
             .map(upstream => upstream.entry)
@@ -234,8 +271,8 @@
                 slots: entry.slots - (this.pendingSlotRequests.get(entry.id) ?? 0),
                 hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
             }));
-        const chosen = this.parts.slots.slotTable.tryChooseBatch(
-            candidates,
+        const chosen = slots.slotTable.tryChooseBatch(
+            followsDemand ? slots.reserve.filterStarts(service, candidates, outlook) : candidates,
             batchSlotGranting.ReservedSlots,
             this.parts.dataCentre,
             now,
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -2,6 +2,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import * as batchSlotGranting from "./batchSlotGranting.js";
+import type * as demandReserve from "./demandReserve.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
 
@@ -23,6 +24,9 @@
     readonly random: () => number;
     readonly dataCentre: core.DataCentre;
     readonly policy: loadPolicy.LoadPolicy;
+    readonly reserve: demandReserve.DemandReserve;
+    /** The most urgent item of this member that waits for a slot; undefined if none does. */
+    readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
     readonly requestYield: (upstream: core.UpstreamId, yielder: core.InstanceId) => void;
     /**
      * Called with the member that was granted a slot. If that member never sends a notice again, it must not keep the
@@ -80,24 +84,24 @@
         const ownEngines = candidates.filter(
             candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
         );
-        const ownChoice = slotTable.tryChooseOnline(
-            ownEngines,
-            dataCentre,
-            batchSlotGranting.ReservedSlots,
-            clock.now(),
-        );
-        if (ownChoice !== undefined && ownChoice.waiting === 0) {
+        const reserve = this.getOnlineReserve();
+        const avoidsYields = this.parts.reserve.isActive();
+        const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, reserve, clock.now());
+        if (ownChoice?.waiting === 0 && (!avoidsYields || ownChoice.yielder === undefined)) {
             return { ...ownChoice, isCounted: false };
         }
         const byCoordinator = this.groupByCoordinator(candidates);
         let best: GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
         const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, MaximumCoordinatorsAsked);
+        let yieldable: { readonly coordinator: core.InstanceId; readonly slots: number } | undefined;
         for (const coordinator of askedCoordinators) {
             const choice = await this.requestOnlineSlot(
                 coordinator,
                 service,
                 byCoordinator.get(coordinator) ?? new Set(),
+                !avoidsYields,
+                slots => (yieldable = slots > (yieldable?.slots ?? 0) ? { coordinator, slots } : yieldable),
             );
             if (choice?.isCounted === true) {
                 return choice;
@@ -106,6 +110,13 @@
                 best = choice;
             }
         }
+        if (yieldable !== undefined && best?.waiting !== 0) {
+            const usableThere = byCoordinator.get(yieldable.coordinator) ?? new Set();
+            const choice = await this.requestOnlineSlot(yieldable.coordinator, service, usableThere, true);
+            if (choice?.isCounted === true) {
+                return choice;
+            }
+        }
         if (askedCoordinators.length === MaximumCoordinatorsAsked) {
             return best;
         }
@@ -115,12 +126,7 @@
         const unreachable = candidates.filter(
             candidate => !linked.has(candidate.id) && !ownEngines.includes(candidate),
         );
-        const fallback = slotTable.tryChooseOnline(
-            unreachable,
-            dataCentre,
-            batchSlotGranting.ReservedSlots,
-            clock.now(),
-        );
+        const fallback = slotTable.tryChooseOnline(unreachable, dataCentre, reserve, clock.now());
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
             ? { ...fallback, isCounted: false }
             : best;
@@ -134,17 +140,25 @@
 
     /**
      * `usable`: the coordinator's engines that the request may use. Its other engines are excluded by name in the
-     * message.
+     * message. `onYieldable` is called with the slots that batch work could yield there if that isn't allowed and no slot
+     * is free.
      */
     private async requestOnlineSlot(
         coordinator: core.InstanceId,
         service: string,
         usable: ReadonlySet<core.UpstreamId>,
+        allowsYield: boolean,
+        onYieldable?: (slots: number) => void,
     ): Promise<GrantedSlotChoice | undefined> {
         const { network, clock, returnSlot, coordinators } = this.parts;
         const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
         const kind = protocol.MessageKind.SlotRequest;
-        const message = except.length === 0 ? ({ kind, service } as const) : ({ kind, service, except } as const);
+        const message = {
+            kind,
+            service,
+            ...(except.length === 0 ? {} : { except }),
+            ...(allowsYield ? {} : { allowsYield }),
+        } as const;
         const options = { lane: protocol.Lane.Control, timeoutMilliseconds: OnlineTimeoutMilliseconds };
         const reply = await network.request(coordinator, message, options);
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.SlotReply) {
@@ -154,8 +168,9 @@
             return undefined;
         }
         const { upstream, waiting, free } = reply.message;
-        this.order.recordFreeSlots(coordinator, free, clock.now());
+        this.order.recordFreeSlots(coordinator, upstream === undefined ? 0 : free, clock.now());
         if (upstream === undefined) {
+            onYieldable?.(free);
             return undefined;
         }
         if (!usable.has(upstream)) {
@@ -179,12 +194,12 @@
      * is granted it.
      */
     private grantOnline(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
-        const { slotTable, coordinators, clock, dataCentre, requestYield, onGranted } = this.parts;
+        const { slotTable, coordinators, clock, dataCentre, requestYield, reserve, onGranted } = this.parts;
         const except = new Set(message.except);
         const candidates = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
-        const choice = slotTable.tryChooseOnline(candidates, dataCentre, batchSlotGranting.ReservedSlots, clock.now());
+        const choice = slotTable.tryChooseOnline(candidates, dataCentre, this.getOnlineReserve(), clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
             return { kind, waiting: 0, free: 0 };
@@ -192,15 +207,31 @@
         if (choice.waiting > 0) {
             return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
         }
+        const avoidsYields = reserve.isActive();
+        if (choice.yielder !== undefined && avoidsYields && message.allowsYield === false) {
+            const yieldable = candidates.map(entry => slotTable.getTotal(entry.id).batch);
+            return { kind, waiting: 0, free: yieldable.reduce((sum, batch) => sum + batch, 0) };
+        }
         if (choice.yielder !== undefined) {
             requestYield(choice.id, choice.yielder);
         }
         slotTable.addPeer(from, choice.id, { online: 1, batch: 0 });
         onGranted(from);
-        const free = candidates.reduce((sum, entry) => sum + entry.slots - slotTable.getTotal(entry.id).online, 0);
+        const free = candidates.reduce((sum, entry) => {
+            const { online, batch } = slotTable.getTotal(entry.id);
+            return sum + entry.slots - online - (avoidsYields ? batch : 0);
+        }, 0);
         return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
     }
 
+    /**
+     * Slots that an online request leaves free before it makes batch work yield. Where batch starts follow the demand,
+     * the free slots are there for online requests, and batch work yields only if there is none.
+     */
+    private getOnlineReserve(): number {
+        return this.parts.reserve.isActive() ? 0 : batchSlotGranting.ReservedSlots;
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -2,9 +2,11 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import * as batchSlotGranting from "./batchSlotGranting.js";
+import * as demandReserve from "./demandReserve.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
 import * as slotGranting from "./slotLending.js";
+import * as yieldRequests from "./yieldRequests.js";
 
 /** Delay of the notice that a slot was taken. Short, since others may take the same slot until it arrives. */
 const TakenNoticeDelayMilliseconds = 2;
@@ -42,6 +44,16 @@
     readonly onCoordinatorUnresponsive: (coordinator: core.InstanceId, text: string) => void;
     /** `DefaultLoadPolicy` if absent. */
     readonly policy?: loadPolicy.LoadPolicy;
+    /** Called when batch work is asked to give up a slot. */
+    readonly onYieldRequested?: (reason: yieldRequests.YieldReason) => void;
+}
+
+/** What other members have to know of this member's batch items. */
+export interface ItemOutlook {
+    /** The largest slack of the running items on the upstream; undefined if there is none. */
+    readonly tryGetSlack: (upstream: core.UpstreamId) => number | undefined;
+    /** The most urgent item that waits for a slot of the service. */
+    readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
 }
 
 /**
@@ -58,9 +70,13 @@
     private stopNotice: (() => void) | undefined;
     private onYield: (upstream: core.UpstreamId) => void = () => undefined;
     private onSlotFreed: () => void = () => undefined;
+    private outlook: ItemOutlook | undefined;
 
     private readonly grants = new decisions.BatchGrants();
     private readonly granting: slotGranting.SlotGranting;
+    /** Decides where batch items may start, if batch work follows the online demand. */
+    readonly reserve: demandReserve.DemandReserve;
+    private readonly yields: yieldRequests.YieldRequests;
     private readonly network: protocol.PeerNetwork;
     private readonly clock: core.Clock;
     readonly slotTable: decisions.SlotTable;
@@ -70,9 +86,22 @@
         this.network = network;
         this.clock = clock;
         this.slotTable = slotTable;
+        const policy = parts.policy ?? loadPolicy.DefaultLoadPolicy;
+        this.reserve = new demandReserve.DemandReserve({ ...parts, policy });
+        this.yields = new yieldRequests.YieldRequests({
+            ...parts,
+            send: (upstream, yielder) => this.sendYield(upstream, yielder),
+            onRequested: reason => parts.onYieldRequested?.(reason),
+        });
+        slotTable.setSlackSource({
+            isActive: () => this.reserve.isActive(),
+            tryGetSlack: upstream => this.outlook?.tryGetSlack(upstream),
+        });
         this.granting = new slotGranting.SlotGranting({
             ...parts,
-            policy: parts.policy ?? loadPolicy.DefaultLoadPolicy,
+            policy,
+            reserve: this.reserve,
+            tryGetMostUrgent: service => this.outlook?.tryGetMostUrgent(service),
             requestYield: (upstream, yielder) => this.requestYield(upstream, yielder),
             returnSlot: upstream => this.returnSlot(upstream),
             onGranted: requester => this.lastNoticeAt.set(requester, clock.now()),
@@ -92,9 +121,10 @@
     }
 
     /** Sets the callbacks that give up a batch item's slot, and that handle slots which may have been freed. */
-    connect(onYield: (upstream: core.UpstreamId) => void, onSlotFreed: () => void): void {
+    connect(onYield: (upstream: core.UpstreamId) => void, onSlotFreed: () => void, outlook?: ItemOutlook): void {
         this.onYield = onYield;
         this.onSlotFreed = onSlotFreed;
+        this.outlook = outlook;
     }
 
     /** Whether this member's items may only start on its own engines and on slots that neighbours grant. */
@@ -126,10 +156,22 @@
 
     /**
      * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
-     * returns whether it is used.
+     * returns whether it is used. `items` are the waiting items, most urgent first, as far as they are known.
      */
-    requestBatchSlots(service: string, wanted: number, use: (upstream: core.UpstreamId) => boolean): void {
-        this.granting.batch.requestBatchSlots(service, wanted, use);
+    requestBatchSlots(
+        service: string,
+        wanted: number,
+        use: (upstream: core.UpstreamId) => boolean,
+        items: readonly decisions.ItemEstimate[] = [],
+    ): void {
+        this.granting.batch.requestBatchSlots(service, wanted, use, items);
+    }
+
+    /** Grants slots that this member's own items have left to the items of peers that wait for them. */
+    servePeers(): void {
+        if (this.reserve.isActive()) {
+            this.granting.batch.serveWaiting(true);
+        }
     }
 
     /** Frees the slots of removed members. */
@@ -165,6 +207,15 @@
      * waiting.
      */
     requestYield(upstream: core.UpstreamId, yielder: core.InstanceId): void {
+        if (this.reserve.isActive()) {
+            this.yields.requestUntilFree(upstream, yielder, yieldRequests.YieldReason.NoFreeSlot);
+        }
+        else {
+            this.yields.request(upstream, yielder, yieldRequests.YieldReason.Reserve);
+        }
+    }
+
+    private sendYield(upstream: core.UpstreamId, yielder: core.InstanceId): void {
         if (yielder === decisions.SelfInstance) {
             this.onYield(upstream);
             return;
@@ -199,6 +250,7 @@
 
     /** The background task that repeats the notice of the complete slot use, and drops silent peers. */
     async run(): Promise<void> {
+        void this.reserve.run(this.stopper.signal);
         while (!this.stopper.signal.aborted) {
             this.forgetSilentPeers();
             this.sendNotices([...this.usedUpstreams], true);
@@ -270,7 +322,15 @@
             return [upstream, own.online, own.batch];
         });
         const listed = isWhole ? uses.filter(([, online, batch]) => online > 0 || batch > 0) : uses;
-        return { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed };
+        const notice = { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed } as const;
+        return this.reserve.isActive() ? { ...notice, slacks: this.listSlacks(listed) } : notice;
+    }
+
+    private listSlacks(uses: protocol.SlotUses["uses"]): [core.UpstreamId, number][] {
+        return uses.flatMap(([upstream, , batch]): [core.UpstreamId, number][] => {
+            const slack = batch > 0 ? this.outlook?.tryGetSlack(upstream) : undefined;
+            return slack === undefined ? [] : [[upstream, slack]];
+        });
     }
 
     private applyNotice(message: protocol.SlotUses, from: core.InstanceId): void {
@@ -278,9 +338,11 @@
         if (message.isWhole) {
             this.slotTable.removePeer(from);
         }
+        const slacks = new Map(message.slacks);
         for (const [upstream, online, batch] of message.uses) {
             this.grants.confirm(from, upstream);
             this.slotTable.setPeer(from, upstream, { online, batch });
+            this.slotTable.setPeerSlack(from, upstream, slacks.get(upstream));
         }
         this.notifySlotFreed();
     }
--- a/packages/gateway/test/testFleet.ts
+++ b/packages/gateway/test/testFleet.ts
@@ -96,6 +96,7 @@
     slots.connect(
         upstream => scheduler.yieldSlot(upstream),
         () => scheduler.dispatch(),
+        scheduler,
     );
     const registry = new gateway.FleetRegistry({
         store: counted,
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -143,6 +143,7 @@
         priority: count.optional(),
         remainingMilliseconds: zod.number().optional(),
         waitMilliseconds: count.optional(),
+        allowsYield: zod.boolean().optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.SlotReply),
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -264,11 +264,16 @@
     readonly remainingMilliseconds?: number;
     /** Longest time for which the request may wait for a slot. Absent or 0: the reply is sent at once. */
     readonly waitMilliseconds?: number;
+    /** Whether a slot may be granted that batch work has to yield first. Absent: yes. */
+    readonly allowsYield?: boolean;
 }
 
 export interface SlotReply {
     readonly kind: MessageKind.SlotReply;
-    /** Absent if the receiver coordinates none of the service's engines. */
+    /**
+     * Absent if the receiver coordinates none of the service's engines, or if it has no free slot and the request doesn't
+     * allow a yield; `free` then counts the slots that batch work could yield.
+     */
     readonly upstream?: core.UpstreamId;
     /** Requests that wait for a slot there. 0 means that the slot is granted to the requester and counted as in use. */
     readonly waiting: number;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -373,7 +373,7 @@
     728,
     "ItemYielded",
     EventLevel.Info,
-    "An item released its slot for online work.",
+    "An item released its slot for online work; a field gives the time that it had to spare.",
 );
 export const ItemStarted = defineEvent(
     729,
