--- /dev/null
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -0,0 +1,264 @@
+import * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import * as gateway from "@boragedale/gateway";
+import * as protocol from "@boragedale/protocol";
+import * as standins from "@boragedale/standins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as fixtures from "./fixtures.js";
+import * as testFleet from "./testFleet.js";
+
+const suite = uvu.suite("batch under online demand");
+
+const Slots = 8;
+const Size = 24;
+
+interface Member {
+    readonly id: string;
+    readonly slots: gateway.SlotSharing;
+    readonly coordinators: gateway.CoordinatorDirectory;
+    readonly candidates: readonly gateway.UpstreamEntry[];
+    /** Upstreams on which this member was asked to give up a batch slot; it does so at once. */
+    readonly yielded: string[];
+    /** Reasons for which this member asked for slots. */
+    readonly reasons: gateway.YieldReason[];
+    /** Slack of this member's items, which it reports. */
+    slack: number | undefined;
+}
+
+interface Scene {
+    readonly clock: core.VirtualClock;
+    readonly hub: standins.MemoryPeerHub;
+    readonly members: readonly Member[];
+}
+
+/** Creates a large fleet whose batch work follows the online demand. */
+function createScene(engineCount: number): Scene {
+    const clock = new core.VirtualClock();
+    const hub = new standins.MemoryPeerHub();
+    const ids = [...new Array(Size).keys()].map(index => gateway.createMemberId(`member-${index}`, "1"));
+    const encode = (id: string): Uint8Array =>
+        gateway.encodeMember({ id, dataCentre: "a", peerAddress: "127.0.0.1:1" });
+    const entries = ids.map((id, index) => ({
+        key: gateway.MemberPrefix + id,
+        revision: index + 1,
+        value: encode(id),
+    }));
+    const engines = [...new Array(engineCount).keys()].map(index => {
+        const upstream = fixtures.createUpstream(`engine-${index}`, { slots: Slots });
+        return fixtures.createEntry(`upstreams/engine-${index}`, index + 2, upstream);
+    });
+    const members = ids.map((id): Member => {
+        const directory = new gateway.MemberDirectory({ id, dataCentre: "a", peerAddress: "127.0.0.1:1" });
+        directory.apply(entries);
+        const view = new gateway.FleetView(new fixtures.TestCodec(), () => undefined);
+        view.apply([fixtures.createEntry("configuration", 1, fixtures.createConfiguration(1)), ...engines], 0);
+        const coordinators = new gateway.CoordinatorDirectory(directory, view, clock);
+        const reasons: gateway.YieldReason[] = [];
+        const slots = new gateway.SlotSharing({
+            slotTable: fixtures.createSlotTable(upstream => decisions.hashToUnit(`${id}/${upstream}`)),
+            network: hub.createNetwork(id),
+            clock,
+            coordinators,
+            dataCentre: "a",
+            random: () => 0.5,
+            onCoordinatorUnresponsive: () => undefined,
+            policy: { ...gateway.DefaultLoadPolicy, batchReserve: gateway.BatchReserve.Demand },
+            onYieldRequested: reason => reasons.push(reason),
+        });
+        const yielded: string[] = [];
+        const candidates = view.getUsable("service", 0).map(known => known.entry);
+        const member: Member = { id, slots, coordinators, candidates, yielded, reasons, slack: undefined };
+        const onYield = (upstream: string): void => {
+            yielded.push(upstream);
+            slots.release(upstream, true);
+        };
+        slots.connect(onYield, () => undefined, {
+            tryGetSlack: () => member.slack,
+            tryGetMostUrgent: () => undefined,
+        });
+        return member;
+    });
+    return { clock, hub, members };
+}
+
+function getCoordinator(scene: Scene, upstream: string): Member {
+    const isCoordinator = (member: Member): boolean => member.slots.isOwnEngine(upstream);
+    return core.Debug.checkDefined(scene.members.find(isCoordinator), "each engine has a coordinator");
+}
+
+/** Members that coordinate no engine. */
+function getOthers(scene: Scene): readonly Member[] {
+    return scene.members.filter(member => member.coordinators.getAllOwnEngines().length === 0);
+}
+
+function createItem(dueInMilliseconds: number): decisions.ItemEstimate {
+    return { dueInMilliseconds, remainingMilliseconds: 4_000, eventsSoFar: 0 };
+}
+
+/** Requests a slot for an item, and takes it once it is granted. `granted` receives the member's name. */
+function requestSlot(member: Member, granted: string[], item?: decisions.ItemEstimate): void {
+    const use = (upstream: string): boolean => {
+        member.slots.take(upstream, true, true);
+        granted.push(member.id);
+        return true;
+    };
+    member.slots.requestBatchSlots("service", 1, use, item === undefined ? [] : [item]);
+}
+
+/** Starts items of the member on its neighbour's only engine. */
+async function startItems(scene: Scene, member: Member, count: number, dueInMilliseconds: number): Promise<void> {
+    for (let index = 0; index < count; index++) {
+        requestSlot(member, [], createItem(dueInMilliseconds));
+        await scene.clock.advance(5);
+    }
+}
+
+async function takeOnline(scene: Scene, member: Member): Promise<gateway.GrantedSlotChoice> {
+    const choice = await testFleet.advanceUntilSettled(
+        scene.clock,
+        member.slots.chooseOnline("service", member.candidates),
+    );
+    const chosen = core.Debug.checkDefined(choice, "there is an engine");
+    if (chosen.yielder !== undefined) {
+        member.slots.requestYield(chosen.id, chosen.yielder);
+    }
+    member.slots.take(chosen.id, false, chosen.isCounted);
+    return chosen;
+}
+
+function countYields(scene: Scene): number {
+    return scene.members.reduce((sum, member) => sum + member.yielded.length, 0);
+}
+
+// Guards against batch runs that are preempted although another engine has a free slot, which were most of them.
+suite("batch work yields only when neither an own engine nor a neighbour's has a free slot", async () => {
+    const scene = createScene(2);
+    const busy = getCoordinator(scene, "engine-0");
+    for (let item = 0; item < Slots - 1; item++) {
+        busy.slots.take("engine-0", true);
+    }
+    for (let request = 0; request < 1 + Slots; request++) {
+        assert.is((await takeOnline(scene, busy)).waiting, 0);
+    }
+    assert.is(countYields(scene), 0);
+    assert.equal(busy.slots.slotTable.getTotal("engine-0"), { online: 1, batch: Slots - 1 });
+    assert.is((await takeOnline(scene, busy)).waiting, 0);
+    assert.equal(busy.yielded, ["engine-0"]);
+});
+
+// Guards against a request without an own engine that waits although a neighbour's batch work can yield.
+suite("a neighbour's batch work yields if no coordinator that was asked has a free slot", async () => {
+    const scene = createScene(1);
+    const [holder, requester] = getOthers(scene) as [Member, Member];
+    await startItems(scene, holder, Slots - 1, 18_000);
+    assert.is((await takeOnline(scene, requester)).waiting, 0);
+    assert.is(countYields(scene), 0);
+    assert.is((await takeOnline(scene, requester)).waiting, 0);
+    assert.equal(holder.yielded, ["engine-0"]);
+});
+
+// Guards against preempting an item that is almost due while an item of another member has time.
+suite("the member whose item has the most slack yields", async () => {
+    const scene = createScene(1);
+    const [tight, relaxed, requester] = getOthers(scene) as [Member, Member, Member];
+    await startItems(scene, tight, Slots - 2, 9_000);
+    await startItems(scene, relaxed, 1, 18_000);
+    await takeOnline(scene, requester);
+    await takeOnline(scene, requester);
+    assert.equal([tight.yielded, relaxed.yielded], [[], ["engine-0"]]);
+});
+
+// Guards against slots that go to the member that asked first while the item of another one becomes late.
+suite("a freed slot is granted to the item that is due first, and an older peer's item isn't forgotten", async () => {
+    const scene = createScene(1);
+    const coordinator = getCoordinator(scene, "engine-0");
+    for (let request = 0; request < Slots; request++) {
+        await takeOnline(scene, coordinator);
+    }
+    const [patient, urgent, older] = getOthers(scene) as [Member, Member, Member];
+    const granted: string[] = [];
+    requestSlot(patient, granted, createItem(18_000));
+    requestSlot(older, granted);
+    requestSlot(urgent, granted, createItem(6_000));
+    await scene.clock.advance(5);
+    for (let request = 0; request < 4; request++) {
+        coordinator.slots.release("engine-0", false);
+    }
+    await scene.clock.advance(5);
+    assert.equal(granted, [urgent.id, older.id, patient.id]);
+});
+
+// Guards against a YieldSlot notice that is lost: the online request would wait at the engine until an item ends.
+suite("a lost yield notice is repeated", async () => {
+    const scene = createScene(1);
+    const coordinator = getCoordinator(scene, "engine-0");
+    const [holder, requester] = getOthers(scene) as [Member, Member];
+    await startItems(scene, holder, Slots - 1, 18_000);
+    await takeOnline(scene, requester);
+    scene.hub.inboundBlocked.add(holder.id);
+    await takeOnline(scene, requester);
+    scene.hub.inboundBlocked.delete(holder.id);
+    assert.is(holder.yielded.length, 0);
+    await scene.clock.advance(500);
+    assert.is(holder.yielded.length, 1);
+    assert.equal(coordinator.reasons, [gateway.YieldReason.NoFreeSlot, gateway.YieldReason.Repeated]);
+});
+
+// Guards against slots that stay taken after the member that held them has died.
+suite("the batch slots of a member that dies are granted again", async () => {
+    const scene = createScene(1);
+    const coordinator = getCoordinator(scene, "engine-0");
+    const [dead, other] = getOthers(scene) as [Member, Member];
+    await startItems(scene, dead, Slots - 1, 18_000);
+    void coordinator.slots.run();
+    scene.hub.remove(dead.id);
+    await scene.clock.advance(13_000);
+    const granted: string[] = [];
+    requestSlot(other, granted, createItem(18_000));
+    await scene.clock.advance(5);
+    assert.equal(granted, [other.id]);
+    await coordinator.slots[Symbol.asyncDispose]();
+});
+
+// Guards against a peer of an older version, which states no slack, keeping all its slots or yielding all of them first.
+suite("an older peer's items yield after those with much slack and before those with little", async () => {
+    for (const [dueInMilliseconds, isOlderFirst] of [
+        [18_000, false],
+        [6_000, true],
+    ] as const) {
+        const scene = createScene(1);
+        const [older, newer, requester] = getOthers(scene) as [Member, Member, Member];
+        requestSlot(older, []);
+        await startItems(scene, newer, Slots - 2, dueInMilliseconds);
+        await takeOnline(scene, requester);
+        await takeOnline(scene, requester);
+        assert.is(older.yielded.length, isOlderFirst ? 1 : 0);
+        assert.is(newer.yielded.length, isOlderFirst ? 0 : 1);
+    }
+});
+
+// Guards against a requester of an older version, which doesn't know `allowsYield`, getting no slot.
+suite("a request that doesn't mention yields is granted a slot that batch work yields", async () => {
+    const scene = createScene(1);
+    const coordinator = getCoordinator(scene, "engine-0");
+    for (let item = 0; item < Slots; item++) {
+        coordinator.slots.take("engine-0", true);
+    }
+    const network = core.Debug.checkDefined(
+        scene.hub.networks.get(getOthers(scene)[0]!.id),
+        "the member has a network",
+    );
+    const request = { kind: protocol.MessageKind.SlotRequest, service: "service" } as const;
+    const replyTo = async (message: protocol.SlotRequest): Promise<protocol.Message | undefined> => {
+        const reply = await testFleet.advanceUntilSettled(scene.clock, network.request(coordinator.id, message));
+        return reply.ok ? reply.message : undefined;
+    };
+    const refused = { kind: protocol.MessageKind.SlotReply, waiting: 0, free: Slots };
+    assert.equal(await replyTo({ ...request, allowsYield: false }), refused);
+    assert.is(coordinator.yielded.length, 0);
+    assert.equal(await replyTo(request), { ...refused, upstream: "engine-0", free: 0 });
+    assert.is(coordinator.yielded.length, 1);
+});
+
+suite.run();
