--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -4,6 +4,7 @@
 import type * as channelDirectory from "./channelDirectory.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
+import * as itemEstimates from "./itemEstimates.js";
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
@@ -71,11 +72,12 @@
     /** Number of unanswered slot requests, by upstream. */
     private readonly pendingSlotRequests = new Map<core.UpstreamId, number>();
     private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
-    /** Estimates of how long items run, by route name. */
-    private readonly lengthEstimates = new Map<string, decisions.ItemDurationEstimator>();
+    private readonly estimates: itemEstimates.ItemEstimates;
     private isStopped = false;
 
-    constructor(private readonly parts: SchedulerParts) {}
+    constructor(private readonly parts: SchedulerParts) {
+        this.estimates = new itemEstimates.ItemEstimates(parts.view, parts.clock);
+    }
 
     add(submission: ownedSubmission.OwnedSubmission): void {
         this.submissions.add(submission);
@@ -129,7 +131,7 @@
     }
 
     private getRunning(upstream: core.UpstreamId): (ItemWithOutlook & { readonly run: itemRun.ItemRun })[] {
-        const getOutlook = this.createOutlookEstimator();
+        const getOutlook = this.estimates.createEstimator();
         return [...this.running]
             .filter(([, entry]) => entry.upstream === upstream)
             .map(([owned, { run }]) => ({ owned, outlook: getOutlook(owned), run }));
@@ -217,38 +219,12 @@
                 );
             }
         }
-        const getOutlook = this.createOutlookEstimator();
+        const getOutlook = this.estimates.createEstimator();
         return waiting
             .map(owned => ({ owned, outlook: getOutlook(owned) }))
             .sort((left, right) => decisions.compareItems(left.outlook, right.outlook));
     }
 
-    /** Returns a function that estimates when an item is due and how long it still has to run. */
-    private createOutlookEstimator(): (owned: ownedSubmission.OwnedItem) => decisions.ItemEstimate {
-        const wallNow = this.parts.clock.wallNow();
-        const routes = this.parts.view.getRoutes();
-        const routeBySubmission = new Map<ownedSubmission.OwnedSubmission, types.Route | undefined>();
-        return owned => {
-            const head = owned.submission.getHead();
-            if (!routeBySubmission.has(owned.submission)) {
-                routeBySubmission.set(owned.submission, routes?.tryFind(head.host, head.target));
-            }
-            const route = routeBySubmission.get(owned.submission);
-            const dueAt = head.acceptedAt + (route?.completionTargetMilliseconds ?? 0);
-            return {
-                dueInMilliseconds: dueAt - wallNow,
-                remainingMilliseconds: this.lengthEstimates.get(route?.name ?? "")?.estimate(owned.texts.length) ?? 0,
-                eventsSoFar: owned.texts.length,
-            };
-        };
-    }
-
-    private recordLength(route: types.Route, events: number, runEvents: number, milliseconds: number): void {
-        const length = this.lengthEstimates.get(route.name) ?? new decisions.ItemDurationEstimator();
-        this.lengthEstimates.set(route.name, length);
-        length.record(events, runEvents, milliseconds);
-    }
-
     private tryStart({ owned, outlook }: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
         const destination = this.tryFindDestination(owned);
         if (destination === undefined) {
@@ -359,7 +335,7 @@
         this.running.delete(owned);
         if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
             const events = owned.texts.length;
-            this.recordLength(route, events, events - eventsBefore, this.parts.clock.now() - startedAt);
+            this.estimates.recordLength(route, events, events - eventsBefore, this.parts.clock.now() - startedAt);
         }
         this.handleOutcome(owned, upstream, route, outcome);
         this.parts.slots.release(upstream.id, true);
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -6,6 +6,7 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as fixtures from "./fixtures.js";
+import * as testEngines from "./testEngines.js";
 import * as testFleet from "./testFleet.js";
 
 const suite = uvu.suite("batch under online demand");
@@ -261,4 +262,28 @@
     assert.is(coordinator.yielded.length, 1);
 });
 
+// Guards against items that the scheduler forgets or runs twice while batch work follows the demand, and against a yield
+// in the log from which operators can't tell whether an item had time to spare.
+suite("a preempted item is logged with its slack and continues after its last event", async () => {
+    const policy = { ...gateway.DefaultLoadPolicy, batchReserve: gateway.BatchReserve.Demand };
+    const fleet = await testFleet.createFleet(gateway.NeighbourCount + 3, 1, policy);
+    const owner = fleet.members[0]!;
+    await testFleet.submit(fleet, owner, "s", fixtures.createItems(10));
+    await fleet.clock.advance(50);
+    owner.scheduler.yieldSlot("engine-0");
+    await fleet.clock.advance(4_000);
+    const results = await testFleet.readAll(fleet, owner, "s");
+    assert.is(results?.length, 10);
+    results?.forEach(result => assert.is(result.text, testEngines.getExpectedText(result.id)));
+    const yields = owner.log.events.filter(({ event }) => event === gateway.GatewayEvent.ItemYielded);
+    assert.is(yields.length, 1);
+    const slack = Number(yields[0]?.fields["slackMilliseconds"]);
+    assert.ok(slack > 15_000 && slack <= 18_000, `${slack}`);
+    const resumed = fleet.channels.runs.filter(run => run.after !== undefined);
+    assert.equal(
+        resumed.map(run => run.item),
+        [yields[0]?.fields["item"]],
+    );
+});
+
 suite.run();
