--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -90,6 +90,7 @@
         this.reserve = new demandReserve.DemandReserve({ ...parts, policy });
         this.yields = new yieldRequests.YieldRequests({
             ...parts,
+            signal: this.stopper.signal,
             send: (upstream, yielder) => this.sendYield(upstream, yielder),
             onRequested: reason => parts.onYieldRequested?.(reason),
         });
--- a/packages/gateway/src/yieldRequests.ts
+++ b/packages/gateway/src/yieldRequests.ts
@@ -24,6 +24,8 @@
     readonly coordinators: coordinatorDirectory.CoordinatorDirectory;
     readonly clock: core.Clock;
     readonly send: (upstream: core.UpstreamId, yielder: core.InstanceId) => void;
+    /** Aborted when the member stops: nothing is sent any more. */
+    readonly signal: AbortSignal;
     readonly onRequested: (reason: YieldReason) => void;
 }
 
@@ -32,6 +34,9 @@
  * have ended. Otherwise an online request would wait at the engine until an item ends there.
  */
 export class YieldRequests {
+    /** Requests that may still take effect, by upstream. */
+    private readonly pending = new Map<core.UpstreamId, number>();
+
     constructor(private readonly parts: YieldRequestsParts) {}
 
     request(upstream: core.UpstreamId, yielder: core.InstanceId, reason: YieldReason): void {
@@ -39,19 +44,46 @@
         this.parts.send(upstream, yielder);
     }
 
-    /** As `request`, and asks again while the engine, which this member coordinates, has more requests than slots. */
+    /**
+     * As `request`, and asks again while the engine, which this member coordinates, has more requests than slots for
+     * which requests to yield are pending.
+     */
     requestUntilFree(upstream: core.UpstreamId, yielder: core.InstanceId, reason: YieldReason, repeats = 0): void {
         this.request(upstream, yielder, reason);
         if (repeats >= MaximumRepeats) {
             return;
         }
+        this.pending.set(upstream, this.getPending(upstream) + 1);
         this.parts.clock.schedule(RepeatAfterMilliseconds, () => {
-            const engine = this.parts.coordinators.getAllOwnEngines().find(({ id }) => id === upstream);
-            const { online, batch } = this.parts.slotTable.getTotal(upstream);
+            this.removePending(upstream);
             const next = this.parts.slotTable.tryChooseYieldingInstance(upstream);
-            if (engine !== undefined && next !== undefined && batch > 0 && online + batch > engine.slots) {
+            if (next !== undefined && !this.parts.signal.aborted && this.isYieldMissing(upstream)) {
                 this.requestUntilFree(upstream, next, YieldReason.Repeated, repeats + 1);
             }
         });
     }
+
+    /** Whether more batch slots have to be freed than were asked for recently. */
+    private isYieldMissing(upstream: core.UpstreamId): boolean {
+        const engine = this.parts.coordinators.getAllOwnEngines().find(({ id }) => id === upstream);
+        if (engine === undefined) {
+            return false;
+        }
+        const { online, batch } = this.parts.slotTable.getTotal(upstream);
+        return Math.min(batch, online + batch - engine.slots) > this.getPending(upstream);
+    }
+
+    private getPending(upstream: core.UpstreamId): number {
+        return this.pending.get(upstream) ?? 0;
+    }
+
+    private removePending(upstream: core.UpstreamId): void {
+        const remaining = this.getPending(upstream) - 1;
+        if (remaining > 0) {
+            this.pending.set(upstream, remaining);
+        }
+        else {
+            this.pending.delete(upstream);
+        }
+    }
 }
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -206,6 +206,21 @@
     assert.equal(coordinator.reasons, [gateway.YieldReason.NoFreeSlot, gateway.YieldReason.Repeated]);
 });
 
+// Guards against a preemption for every recent request of the engine when the notice of one of them is lost.
+suite("only as many yield notices are repeated as were lost", async () => {
+    const scene = createScene(1);
+    const [holder, requester] = getOthers(scene) as [Member, Member];
+    await startItems(scene, holder, Slots - 1, 18_000);
+    await takeOnline(scene, requester);
+    scene.hub.inboundBlocked.add(holder.id);
+    await takeOnline(scene, requester);
+    scene.hub.inboundBlocked.delete(holder.id);
+    await takeOnline(scene, requester);
+    await takeOnline(scene, requester);
+    await scene.clock.advance(500);
+    assert.is(holder.yielded.length, 3);
+});
+
 // Guards against slots that stay taken after the member that held them has died.
 suite("the batch slots of a member that dies are granted again", async () => {
     const scene = createScene(1);
