--- a/packages/decisions/src/slotTable.ts
+++ b/packages/decisions/src/slotTable.ts
@@ -36,6 +36,8 @@
     readonly peers: Map<core.InstanceId, SlotUse>;
     /** The largest slack of each peer's batch items, for peers that report it. */
     readonly slacks: Map<core.InstanceId, number>;
+    /** Batch slots that each peer was asked to free since its last report. */
+    readonly yieldsRequested: Map<core.InstanceId, number>;
     /** Set when the upstream rejected a request as full or didn't answer: its known load is too low. */
     penaltyUntil: core.MonotonicMilliseconds;
 }
@@ -87,13 +89,8 @@
 
     /** Sets the use reported by a peer, replacing its previous report. */
     setPeer(peer: core.InstanceId, upstream: core.UpstreamId, use: SlotUse): void {
-        const peers = this.getUse(upstream).peers;
-        if (use.online === 0 && use.batch === 0) {
-            peers.delete(peer);
-        }
-        else {
-            peers.set(peer, use);
-        }
+        this.getUse(upstream).yieldsRequested.delete(peer);
+        this.setPeerUse(peer, upstream, use);
     }
 
     /** Sets the largest slack of the peer's batch items on the upstream; undefined if it reports none. */
@@ -121,7 +118,7 @@
     /** Adds slots that were granted to a peer; the peer's next notification replaces the sum. */
     addPeer(peer: core.InstanceId, upstream: core.UpstreamId, more: SlotUse): void {
         const known = this.getUse(upstream).peers.get(peer) ?? { online: 0, batch: 0 };
-        this.setPeer(peer, upstream, { online: known.online + more.online, batch: known.batch + more.batch });
+        this.setPeerUse(peer, upstream, { online: known.online + more.online, batch: known.batch + more.batch });
     }
 
     /** Removes a peer that was removed from the fleet; the connections of its requests are closed, too. */
@@ -129,9 +126,19 @@
         for (const use of this.uses.values()) {
             use.peers.delete(peer);
             use.slacks.delete(peer);
+            use.yieldsRequested.delete(peer);
         }
     }
 
+    /**
+     * Records that the peer was asked to free a batch slot, so that the next request before its report goes to a peer
+     * that has more batch slots than it was asked for.
+     */
+    recordYieldRequest(peer: core.InstanceId, upstream: core.UpstreamId): void {
+        const { yieldsRequested } = this.getUse(upstream);
+        yieldsRequested.set(peer, (yieldsRequested.get(peer) ?? 0) + 1);
+    }
+
     /** Treats the upstream as full until the given time, because it rejected a request or didn't answer. */
     penalize(upstream: core.UpstreamId, until: core.MonotonicMilliseconds): void {
         const use = this.getUse(upstream);
@@ -258,21 +265,43 @@
         return best;
     }
 
+    private setPeerUse(peer: core.InstanceId, upstream: core.UpstreamId, use: SlotUse): void {
+        const peers = this.getUse(upstream).peers;
+        if (use.online === 0 && use.batch === 0) {
+            peers.delete(peer);
+        }
+        else {
+            peers.set(peer, use);
+        }
+    }
+
     private getUse(upstream: core.UpstreamId): UpstreamUse {
         let use = this.uses.get(upstream);
         if (use === undefined) {
-            use = { own: { online: 0, batch: 0 }, peers: new Map(), slacks: new Map(), penaltyUntil: -Infinity };
+            use = {
+                own: { online: 0, batch: 0 },
+                peers: new Map(),
+                slacks: new Map(),
+                yieldsRequested: new Map(),
+                penaltyUntil: -Infinity,
+            };
             this.uses.set(upstream, use);
         }
         return use;
     }
 }
 
-/** Returns the instance with the most slack, or one whose items are all late: another delay costs their callers nothing. */
+/**
+ * Returns the instance with the most slack, or one whose items are all late: another delay costs their callers nothing.
+ * Instances that were asked for all of their batch slots already are chosen only if there is no other one.
+ */
 function chooseBySlack(use: UpstreamUse, ownSlack: number | undefined): core.InstanceId | undefined {
+    const isAskedForAll = (peer: core.InstanceId, batch: number): boolean =>
+        batch <= (use.yieldsRequested.get(peer) ?? 0);
+    const hasOther = use.own.batch > 0 || [...use.peers].some(([peer, { batch }]) => !isAskedForAll(peer, batch));
     const holders: [core.InstanceId, number][] = use.own.batch > 0 ? [[SelfInstance, ownSlack ?? UnknownSlack]] : [];
     for (const [peer, { batch }] of use.peers) {
-        if (batch > 0) {
+        if (batch > 0 && !(hasOther && isAskedForAll(peer, batch))) {
             holders.push([peer, use.slacks.get(peer) ?? UnknownSlack]);
         }
     }
--- a/packages/gateway/src/yieldRequests.ts
+++ b/packages/gateway/src/yieldRequests.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import type * as decisions from "@boragedale/decisions";
+import * as decisions from "@boragedale/decisions";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 
 /** Why batch work was asked to give up a slot. */
@@ -49,6 +49,9 @@
      * which requests to yield are pending.
      */
     requestUntilFree(upstream: core.UpstreamId, yielder: core.InstanceId, reason: YieldReason, repeats = 0): void {
+        if (yielder !== decisions.SelfInstance) {
+            this.parts.slotTable.recordYieldRequest(yielder, upstream);
+        }
         this.request(upstream, yielder, reason);
         if (repeats >= MaximumRepeats) {
             return;
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -221,6 +221,18 @@
     assert.is(holder.yielded.length, 3);
 });
 
+// Guards against a burst whose yields all go to the member with the most slack, which has only one item.
+suite("a member isn't asked for more slots than its items have", async () => {
+    const scene = createScene(1);
+    const [tight, relaxed, requester] = getOthers(scene) as [Member, Member, Member];
+    await startItems(scene, tight, Slots - 2, 9_000);
+    await startItems(scene, relaxed, 1, 18_000);
+    for (let request = 0; request < 3; request++) {
+        await takeOnline(scene, requester);
+    }
+    assert.equal([tight.yielded, relaxed.yielded], [["engine-0"], ["engine-0"]]);
+});
+
 // Guards against slots that stay taken after the member that held them has died.
 suite("the batch slots of a member that dies are granted again", async () => {
     const scene = createScene(1);
