--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -138,12 +138,12 @@
         kind: zod.literal(types.MessageKind.SlotRequest),
         service: name,
         except: zod.array(name).optional(),
+        allowsYield: zod.boolean().optional(),
         customer: name.optional(),
         weight: zod.number().positive().optional(),
         priority: count.optional(),
         remainingMilliseconds: zod.number().optional(),
         waitMilliseconds: count.optional(),
-        allowsYield: zod.boolean().optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.SlotReply),
