--- a/packages/decisions/src/onlineDemand.ts
+++ b/packages/decisions/src/onlineDemand.ts
@@ -12,6 +12,8 @@
 const HistoryMilliseconds = 15_000;
 /** Observation time before any peak is assumed to be known: one whole period of the demand that was seen. */
 export const WarmUpMilliseconds = 6_000;
+/** Time without samples after which the observation starts anew, since the remaining samples may not contain a peak. */
+const MaximumGapMilliseconds = WarmUpMilliseconds;
 /** Changes of the level that are smaller, as a share of the slots, are noise of single engines. */
 const MinimumRange = 0.25;
 /** Distance from the middle of the range, as a share of it, that the level has to pass to count as high or low. */
@@ -63,6 +65,10 @@
         if (slots <= 0) {
             return;
         }
+        const lastAt = this.samples.at(-1)?.at;
+        if (lastAt !== undefined && now - lastAt > MaximumGapMilliseconds) {
+            this.forget();
+        }
         this.firstAt ??= now;
         const use = online / slots;
         const recent = this.samples.filter(sample => sample.at > now - LevelMilliseconds).map(sample => sample.use);
@@ -139,6 +145,14 @@
         return endsBeforeRise || (isUrgent && isWorthwhile) ? MarginSlots : peakReserve;
     }
 
+    private forget(): void {
+        this.samples.length = 0;
+        this.rises.length = 0;
+        this.firstAt = undefined;
+        this.isHigh = false;
+        this.peak = 0;
+    }
+
     private updatePhase(now: core.MonotonicMilliseconds): void {
         const levels = this.samples.map(sample => sample.level);
         const lowest = Math.min(...levels);
--- a/packages/decisions/test/onlineDemand.test.ts
+++ b/packages/decisions/test/onlineDemand.test.ts
@@ -62,6 +62,17 @@
     }
 });
 
+// A fleet shrinks below the size at which slots are granted, and grows again. Guards against a peak that is taken from the
+// few samples since then.
+suite("the reserve is constant again after a pause in the observation until a whole period has been seen", () => {
+    const demand = observeWave(4 * PeriodMilliseconds + 4_000);
+    const start = 20 * PeriodMilliseconds;
+    for (let now = start; now < start + PeriodMilliseconds; now += SampleMilliseconds) {
+        demand.record(getWave(now), Slots, now);
+        assert.is(demand.getReserve(Slots, 1, LongItem, now), decisions.MarginSlots, `${now - start}`);
+    }
+});
+
 // Guards against a prediction that stays after the demand has become steady.
 suite("no rise is predicted once rises have ended", () => {
     const demand = observeWave(4 * PeriodMilliseconds);
