--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -324,7 +324,9 @@
         });
         const listed = isWhole ? uses.filter(([, online, batch]) => online > 0 || batch > 0) : uses;
         const notice = { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed } as const;
-        return this.reserve.isActive() ? { ...notice, slacks: this.listSlacks(listed) } : notice;
+        const slacks = this.reserve.isActive() ? this.listSlacks(listed) : [];
+        // Most notices report online requests only, and an empty list would be sent with a placeholder before it.
+        return slacks.length === 0 ? notice : { ...notice, slacks };
     }
 
     private listSlacks(uses: protocol.SlotUses["uses"]): [core.UpstreamId, number][] {
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -233,6 +233,27 @@
     assert.equal([tight.yielded, relaxed.yielded], [["engine-0"], ["engine-0"]]);
 });
 
+// Guards against control traffic for notices that report online requests only, which are most of them.
+suite("a notice states slacks only of batch items", async () => {
+    const scene = createScene(1);
+    const notices: protocol.SlotUses[] = [];
+    scene.hub.onSent = message => {
+        if (message.kind === protocol.MessageKind.SlotUses) {
+            notices.push(message);
+        }
+    };
+    const [member] = getOthers(scene) as [Member];
+    member.slots.take("engine-0", false);
+    await scene.clock.advance(50);
+    member.slack = 7_000;
+    member.slots.take("engine-0", true);
+    await scene.clock.advance(50);
+    assert.equal(
+        notices.map(({ slacks }) => slacks),
+        [undefined, [["engine-0", 7_000]]],
+    );
+});
+
 // Guards against slots that stay taken after the member that held them has died.
 suite("the batch slots of a member that dies are granted again", async () => {
     const scene = createScene(1);
