--- a/packages/gateway/src/batchSlotGranting.ts
+++ b/packages/gateway/src/batchSlotGranting.ts
@@ -122,7 +122,8 @@
     private serveMostUrgent(isOwnServed: boolean): void {
         const services = new Set([...this.waiting].map(item => item.service));
         for (const service of services) {
-            if (!this.parts.reserve.hasFreeSlot(service)) {
+            const engines = this.parts.coordinators.getOwnEngines(service);
+            if (!this.parts.reserve.hasFreeSlot(engines)) {
                 continue;
             }
             const own = isOwnServed ? undefined : this.parts.tryGetMostUrgent(service);
@@ -135,10 +136,13 @@
                     break;
                 }
                 const stated = item.estimate === undefined ? undefined : estimate;
-                const upstream = this.tryGrantBatch(service, item.from, stated);
+                const upstream = this.tryGrantBatch(service, item.from, stated, engines);
                 if (upstream !== undefined) {
                     item.finish(upstream);
                 }
+                else if (!this.parts.reserve.hasFreeSlot(engines)) {
+                    break;
+                }
             }
         }
     }
@@ -213,9 +217,9 @@
         service: string,
         from: core.InstanceId,
         estimate: decisions.ItemEstimate | undefined,
+        engines = this.parts.coordinators.getOwnEngines(service),
     ): core.UpstreamId | undefined {
-        const { slotTable, coordinators, clock, dataCentre, reserve } = this.parts;
-        const engines = coordinators.getOwnEngines(service);
+        const { slotTable, clock, dataCentre, reserve } = this.parts;
         const isActive = reserve.isActive();
         const upstream = slotTable.tryChooseBatch(
             isActive ? reserve.filterStarts(service, engines, estimate) : engines,
--- a/packages/gateway/src/demandReserve.ts
+++ b/packages/gateway/src/demandReserve.ts
@@ -72,9 +72,9 @@
         });
     }
 
-    /** Whether any engine that this member coordinates has a slot for the most urgent item. */
-    hasFreeSlot(service: string): boolean {
-        return this.parts.coordinators.getOwnEngines(service).some(({ id, slots }) => {
+    /** Whether any of the engines has a slot for the most urgent item. */
+    hasFreeSlot(engines: readonly decisions.SlotCandidate[]): boolean {
+        return engines.some(({ id, slots }) => {
             const { online, batch } = this.parts.slotTable.getTotal(id);
             return slots - online - batch > decisions.MarginSlots;
         });
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -158,7 +158,7 @@
         const waiting = this.getWaiting(now);
         if (this.parts.slots.reserve.isActive()) {
             // Another item may start where the first one must leave slots free for the next peak.
-            this.requestRemoteSlots(waiting.filter(item => !this.tryStart(item, now)));
+            this.requestRemoteSlots(this.startAllowed(waiting, now));
             this.parts.slots.servePeers();
         }
         else {
@@ -168,6 +168,33 @@
         this.scheduleNextDispatch();
     }
 
+    /**
+     * Starts the items that the reserve allows to start, and returns the others. The usable upstreams are determined only
+     * once per service, since hundreds of items may wait, and a service without a slot for any item isn't tried again.
+     */
+    private startAllowed(waiting: readonly ItemWithOutlook[], now: core.MonotonicMilliseconds): ItemWithOutlook[] {
+        const { reserve } = this.parts.slots;
+        const usableByService = new Map<string, readonly types.UpstreamEntry[]>();
+        const exhausted = new Set<string>();
+        return waiting.filter(item => {
+            const destination = this.tryFindDestination(item.owned);
+            if (destination === undefined) {
+                return false;
+            }
+            const { service } = destination;
+            if (exhausted.has(service)) {
+                return true;
+            }
+            const usable = usableByService.get(service) ?? this.getUsable(service, now);
+            usableByService.set(service, usable);
+            const isStarted = this.tryStartOn(item, destination, usable, now);
+            if (!isStarted && !(this.parts.slots.requiresGrant(service) && reserve.hasFreeSlot(usable))) {
+                exhausted.add(service);
+            }
+            return !isStarted;
+        });
+    }
+
     /** In a large fleet, requests slots on engines that other members coordinate. */
     private requestRemoteSlots(waiting: readonly ItemWithOutlook[]): void {
         const service = waiting[0] === undefined ? undefined : this.tryFindDestination(waiting[0].owned)?.service;
@@ -225,22 +252,33 @@
             .sort((left, right) => decisions.compareItems(left.outlook, right.outlook));
     }
 
-    private tryStart({ owned, outlook }: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
-        const destination = this.tryFindDestination(owned);
-        if (destination === undefined) {
-            return true;
-        }
-        const { route, service } = destination;
+    private tryStart(item: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
+        const destination = this.tryFindDestination(item.owned);
+        return (
+            destination === undefined ||
+            this.tryStartOn(item, destination, this.getUsable(destination.service, now), now)
+        );
+    }
+
+    /** The upstreams of the service on which this member may start items. */
+    private getUsable(service: string, now: core.MonotonicMilliseconds): readonly types.UpstreamEntry[] {
+        const isLending = this.parts.slots.requiresGrant(service);
+        return this.parts.view
+            .getUsable(service, now)
+            .map(upstream => upstream.entry)
+            .filter(entry => !isLending || this.parts.slots.isOwnEngine(entry.id));
+    }
+
+    private tryStartOn(
+        { owned, outlook }: ItemWithOutlook,
+        { route, service }: ItemDestination,
+        usable: readonly types.UpstreamEntry[],
+        now: core.MonotonicMilliseconds,
+    ): boolean {
         const { slots } = this.parts;
         const isLending = slots.requiresGrant(service);
         const followsDemand = isLending && slots.reserve.isActive();
-        if (followsDemand && !slots.reserve.hasFreeSlot(service)) {
-            return false;
-        }
-        const candidates = this.parts.view
-            .getUsable(service, now)
-            .map(upstream => upstream.entry)
-            .filter(entry => !isLending || this.parts.slots.isOwnEngine(entry.id))
+        const candidates = usable
             .filter(entry => (this.deniedUntil.get(entry.id) ?? 0) <= now)
             .map(entry => ({
                 ...entry,
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -334,4 +334,22 @@
     );
 });
 
+// Guards against processor time that grows with the waiting items and the upstreams: all items are tried, every 8 ms.
+suite("a dispatch looks up the usable upstreams a few times, however many items wait", async () => {
+    const policy = { ...gateway.DefaultLoadPolicy, batchReserve: gateway.BatchReserve.Demand };
+    const fleet = await testFleet.createFleet(gateway.NeighbourCount + 3, 1, policy);
+    const owner = fleet.members[0]!;
+    await testFleet.submit(fleet, owner, "s", fixtures.createItems(100));
+    await fleet.clock.advance(100);
+    let lookups = 0;
+    const getUsable = owner.view.getUsable.bind(owner.view);
+    owner.view.getUsable = (service, now) => {
+        lookups++;
+        return getUsable(service, now);
+    };
+    owner.scheduler.dispatch();
+    await fleet.clock.advance(10);
+    assert.ok(lookups > 0 && lookups < 20, `${lookups}`);
+});
+
 suite.run();
