--- a/packages/gateway/src/demandReserve.ts
+++ b/packages/gateway/src/demandReserve.ts
@@ -81,6 +81,9 @@
     }
 
     getOnlineUse(): OnlineUse {
+        if (!this.isActive()) {
+            return { level: 0, peak: 0, keptFree: 0 };
+        }
         const now = this.parts.clock.now();
         let [level, peak, keptFree] = [0, 0, 0];
         for (const [service, engines] of this.groupOwnEngines()) {
