--- a/packages/gateway/src/batchSlotGranting.ts
+++ b/packages/gateway/src/batchSlotGranting.ts
@@ -192,7 +192,8 @@
         from: core.InstanceId,
         estimate: decisions.ItemEstimate | undefined,
     ): Promise<core.UpstreamId | undefined> {
-        const upstream = this.tryGrantBatch(service, from, estimate);
+        const followsDemand = this.parts.reserve.isActive();
+        const upstream = followsDemand ? undefined : this.tryGrantBatch(service, from, estimate);
         if (upstream !== undefined || this.waiting.size >= MaximumWaitingItems) {
             return upstream;
         }
@@ -210,6 +211,10 @@
             };
             const cancelTimeout = this.parts.clock.schedule(BatchWaitMilliseconds, () => item.finish(undefined));
             this.waiting.add(item);
+            if (followsDemand) {
+                // Items that are more urgent than this one may wait, also this member's own.
+                this.serveWaiting();
+            }
         });
     }
 
