--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -122,7 +122,7 @@
         if (yieldable !== undefined && best?.waiting !== 0) {
             const usableThere = byCoordinator.get(yieldable.coordinator) ?? new Set();
             const choice = await this.requestOnlineSlot(yieldable.coordinator, service, usableThere, true);
-            if (choice?.isCounted === true) {
+            if (choice !== undefined && choice.waiting < (best?.waiting ?? Infinity)) {
                 return choice;
             }
         }
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -170,6 +170,25 @@
     assert.equal(holder.yielded, ["engine-0"]);
 });
 
+// Guards against a request without any upstream: the slots that could be yielded are gone when it asks for one of them.
+suite("a request joins the queue of the coordinator that has no slot to yield any more", async () => {
+    const scene = createScene(1);
+    const coordinator = getCoordinator(scene, "engine-0");
+    for (let item = 0; item < Slots; item++) {
+        coordinator.slots.take("engine-0", true);
+    }
+    scene.hub.onSent = message => {
+        if (message.kind === protocol.MessageKind.SlotRequest && message.allowsYield === undefined) {
+            for (let slot = 0; slot < Slots; slot++) {
+                coordinator.slots.release("engine-0", true);
+                coordinator.slots.take("engine-0", false);
+            }
+        }
+    };
+    const choice = await takeOnline(scene, getOthers(scene)[0]!);
+    assert.equal([choice.id, choice.waiting], ["engine-0", 1]);
+});
+
 // Guards against preempting an item that is almost due while an item of another member has time.
 suite("the member whose item has the most slack yields", async () => {
     const scene = createScene(1);
