--- a/packages/decisions/src/slotTable.ts
+++ b/packages/decisions/src/slotTable.ts
@@ -27,7 +27,7 @@
 /** Tells how long batch items of this instance can wait. */
 export interface SlackSource {
     readonly isActive: () => boolean;
-    /** The largest slack of this instance's items on the upstream, in milliseconds; negative if all are late. */
+    /** The largest slack of this instance's items on the upstream, in milliseconds; negative if one is late. */
     readonly tryGetSlack: (upstream: core.UpstreamId) => number | undefined;
 }
 
@@ -107,7 +107,10 @@
     /** Takes into account an item that the peer starts before it reports its slack. */
     raisePeerSlack(peer: core.InstanceId, upstream: core.UpstreamId, milliseconds: number): void {
         const slacks = this.getUse(upstream).slacks;
-        slacks.set(peer, Math.max(milliseconds, slacks.get(peer) ?? -Infinity));
+        const known = slacks.get(peer);
+        if (known === undefined || rankSlack(milliseconds) > rankSlack(known)) {
+            slacks.set(peer, milliseconds);
+        }
     }
 
     /** Makes batch work yield in order of slack while the source is active. */
@@ -292,7 +295,7 @@
 }
 
 /**
- * Returns the instance with the most slack, or one whose items are all late: another delay costs their callers nothing.
+ * Returns the instance with the most slack, or one with a late item: another delay costs their callers nothing.
  * Instances that were asked for all of their batch slots already are chosen only if there is no other one.
  */
 function chooseBySlack(use: UpstreamUse, ownSlack: number | undefined): core.InstanceId | undefined {
@@ -308,7 +311,7 @@
     let best: core.InstanceId | undefined;
     let most = -Infinity;
     for (const [instance, slack] of holders) {
-        const rank = slack < 0 ? Infinity : slack;
+        const rank = rankSlack(slack);
         if (rank > most) {
             best = instance;
             most = rank;
@@ -317,6 +320,11 @@
     return best;
 }
 
+/** Items that are late, with a negative slack, yield before all others. */
+function rankSlack(slack: number): number {
+    return slack < 0 ? Infinity : slack;
+}
+
 /** Slack assumed for the items of a peer that reports none, as an older version: about half of that of a new item. */
 const UnknownSlack = 6_000;
 /** One slot of eight: the preference decides among upstreams whose load differs by at most one request. */
--- a/packages/gateway/test/batchDemand.test.ts
+++ b/packages/gateway/test/batchDemand.test.ts
@@ -200,6 +200,19 @@
     assert.equal([tight.yielded, relaxed.yielded], [[], ["engine-0"]]);
 });
 
+// Guards against preempting an item that can be in time while another member has one that is late anyway. No notice tells
+// of an item that has started on a granted slot.
+suite("a member that was granted a slot for a late item yields first", async () => {
+    const scene = createScene(1);
+    const [late, relaxed, requester] = getOthers(scene) as [Member, Member, Member];
+    await startItems(scene, late, 1, 12_000);
+    await startItems(scene, relaxed, Slots - 3, 18_000);
+    await startItems(scene, late, 1, 1_000);
+    await takeOnline(scene, requester);
+    await takeOnline(scene, requester);
+    assert.equal([late.yielded, relaxed.yielded], [["engine-0"], []]);
+});
+
 // Guards against slots that go to the member that asked first while the item of another one becomes late.
 suite("a freed slot is granted to the item that is due first, and an older peer's item isn't forgotten", async () => {
     const scene = createScene(1);
