--- a/packages/gateway/src/demandReserve.ts
+++ b/packages/gateway/src/demandReserve.ts
@@ -72,15 +72,18 @@
         });
     }
 
-    /** Whether any engine that this member coordinates has a slot for the most urgent item. */
-    hasFreeSlot(service: string): boolean {
-        return this.parts.coordinators.getOwnEngines(service).some(({ id, slots }) => {
+    /** Whether any of the engines has a slot for the most urgent item. */
+    hasFreeSlot(engines: readonly decisions.SlotCandidate[]): boolean {
+        return engines.some(({ id, slots }) => {
             const { online, batch } = this.parts.slotTable.getTotal(id);
             return slots - online - batch > decisions.MarginSlots;
         });
     }
 
     getOnlineUse(): OnlineUse {
+        if (!this.isActive()) {
+            return { level: 0, peak: 0, keptFree: 0 };
+        }
         const now = this.parts.clock.now();
         let [level, peak, keptFree] = [0, 0, 0];
         for (const [service, engines] of this.groupOwnEngines()) {
