--- a/packages/bench/src/slots/hardLoadBatch.ts
+++ b/packages/bench/src/slots/hardLoadBatch.ts
@@ -72,7 +72,7 @@
         const ownEngines = candidates.filter(candidate => slots.isOwnEngine(candidate.id));
         while (sorted.length > 0) {
             const upstream = slots.slotTable.tryChooseBatch(
-                ownEngines,
+                slots.annotate(slotsFleet.Service, ownEngines),
                 gateway.ReservedSlots,
                 ownEngines[0]?.dataCentre ?? "",
                 this.time.now(),
@@ -101,7 +101,9 @@
         this.counts.resumed += eventsBefore > 0 ? 1 : 0;
         this.waiting.delete(item);
         slots.take(upstream, true, isCounted);
+        const meter = slots.speeds?.startStream(upstream, slotsFleet.Service);
         const onEvent = (): void => {
+            meter?.onEvents(1, this.time.now());
             item.events++;
         };
         const onEnd = (): void => {
--- a/packages/bench/src/slots/hardLoadOnline.ts
+++ b/packages/bench/src/slots/hardLoadOnline.ts
@@ -132,7 +132,9 @@
     }
     slots.take(upstream, false, isCounted);
     const startedAt = time.now();
+    const meter = slots.speeds?.startStream(upstream, slotsFleet.Service);
     const onEvent = (isFirst: boolean): void => {
+        meter?.onEvents(1, time.now());
         if (isFirst) {
             request.firstEventAt = time.now();
         }
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -210,6 +210,12 @@
         onCoordinatorUnresponsive: (coordinator, text) =>
             log.recordEvent(gateway.GatewayEvent.HomeSilent, { home: coordinator, text }),
         policy: settings,
+        onEngineExclusion: ({ upstream, isExcluded, slowdown }) => {
+            const event = isExcluded ? gateway.GatewayEvent.EngineExcluded : gateway.GatewayEvent.EngineReturned;
+            log.recordEvent(event, { upstream, slowdown: Math.round(slowdown * 100) / 100 });
+        },
+        onEngineMeasured: (upstream, getSpeed) =>
+            log.metrics.observeGauge("boragedale_engine_speed", { upstream }, getSpeed),
     });
     members.onChange(removedMembers => slots.forget(removedMembers));
     return slots;
--- a/packages/decisions/src/homeOrder.ts
+++ b/packages/decisions/src/homeOrder.ts
@@ -10,6 +10,8 @@
 export interface CoordinatorCandidate {
     readonly id: core.InstanceId;
     readonly isNear: boolean;
+    /** Speed of its engines relative to others. Absent: 1. */
+    readonly relativeSpeed?: number;
 }
 
 /**
@@ -33,6 +35,12 @@
  */
 const SameDataCentreScore = 0.2;
 const TieBreakSpread = 0.15;
+/**
+ * Weight of the engines' speed: a coordinator of engines at 1.6 is asked before others, unless it reported that it had
+ * no free slot.
+ */
+const SpeedScore = 0.4;
+const HighestSpeedDifference = 0.8;
 
 /**
  * Orders the coordinators that are asked for a slot.
@@ -74,6 +82,7 @@
         const hint = this.hints.get(coordinator.id);
         const isFresh = hint !== undefined && now - hint.at <= HintExpiryMilliseconds;
         const known = isFresh ? Math.min(1, hint.free) : UnknownScore;
-        return known + (coordinator.isNear ? SameDataCentreScore : 0) + this.random() * TieBreakSpread;
+        const speed = Math.min(HighestSpeedDifference, (coordinator.relativeSpeed ?? 1) - 1) * SpeedScore;
+        return known + speed + (coordinator.isNear ? SameDataCentreScore : 0) + this.random() * TieBreakSpread;
     }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -26,3 +26,4 @@
 export * from "./homes.js";
 export * from "./homeOrder.js";
 export * from "./failureWatch.js";
+export * from "./engineSpeed.js";
--- a/packages/decisions/src/slotTable.ts
+++ b/packages/decisions/src/slotTable.ts
@@ -13,6 +13,12 @@
     readonly dataCentre: core.DataCentre;
     /** Whether this instance has an idle open connection to it. */
     readonly hasIdleConnection?: boolean;
+    /** Speed relative to the service's other engines. Absent: 1. */
+    readonly relativeSpeed?: number;
+    /** Whether it has become slow and is used only if no other upstream has a free slot. */
+    readonly isExcluded?: boolean;
+    /** Fraction of its slots that are used while others have free slots. Absent: 1. */
+    readonly usableShare?: number;
 }
 
 /** Where a request should go. */
@@ -122,6 +128,19 @@
         return { online, batch };
     }
 
+    /**
+     * Whether another upstream should be tried before a free slot of this one is used: it has become slow, or more of
+     * its slots are in use than its speed and its return after a slowdown allow.
+     */
+    isDeferred(candidate: SlotCandidate): boolean {
+        const { online, batch } = this.getTotal(candidate.id);
+        const allowedShare = Math.min(candidate.relativeSpeed ?? 1, candidate.usableShare ?? 1);
+        return (
+            candidate.isExcluded === true ||
+            (allowedShare < 1 && online + batch + 1 > Math.max(1, candidate.slots * allowedShare))
+        );
+    }
+
     /**
      * Chooses the upstream for an online request: the one with the most free slots; if there is none, one on which
      * batch work can yield a slot; otherwise the one with the shortest queue relative to its size. Among equal
@@ -168,12 +187,15 @@
         let bestScore = 0;
         for (const candidate of candidates) {
             const total = this.getTotal(candidate.id);
-            const free = candidate.slots - reserve - total.online - total.batch;
-            if (free <= 0 || this.getUse(candidate.id).penaltyUntil > now) {
+            const usable = Math.floor(candidate.slots * (candidate.usableShare ?? 1));
+            const free = usable - reserve - total.online - total.batch;
+            if (free <= 0 || candidate.isExcluded === true || this.getUse(candidate.id).penaltyUntil > now) {
                 continue;
             }
+            // A batch item holds its slot for seconds, so that speed matters more than a few free slots.
+            const share = free / candidate.slots + ((candidate.relativeSpeed ?? 1) - 1) * BatchSpeedWeight;
             const score =
-                free / candidate.slots +
+                Math.max(LowestBatchShare, share) +
                 this.random() * TieBreakSpread +
                 (candidate.dataCentre === dataCentre ? SameDataCentreBonus : 0) +
                 (candidate.hasIdleConnection === true ? ConnectionBonus : 0);
@@ -195,7 +217,7 @@
         const occupied = (total.online + total.batch) / candidate.slots;
         const online = total.online / candidate.slots;
         // A free slot is better than one that batch work has to yield, which is better than a queue.
-        const base = occupied < 1 ? occupied : online < 1 ? 1 + online : 2 + online;
+        const base = occupied < 1 ? this.scoreFree(candidate, occupied) : online < 1 ? 1 + online : 2 + online;
         const penalty = use.penaltyUntil > now ? PenaltyScore : 0;
         const distance = candidate.dataCentre === dataCentre ? 0 : SameDataCentreBonus;
         const connection = candidate.hasIdleConnection === true ? 0 : ConnectionBonus;
@@ -203,6 +225,19 @@
         return base + penalty + distance + connection + order;
     }
 
+    /**
+     * Sets the occupied share against the speed: an engine at 1.6 with 4 of 8 slots in use is as loaded as one at 1 with
+     * 2.5 of 8. The result is below 1, because a free slot of a slow engine is better than a queue.
+     */
+    private scoreFree(candidate: SlotCandidate, occupied: number): number {
+        const speed = candidate.relativeSpeed ?? 1;
+        const weighted = speed === 1 ? occupied : Math.min(HighestFreeScore, occupied / speed);
+        if (!this.isDeferred(candidate)) {
+            return weighted;
+        }
+        return candidate.isExcluded === true ? ExcludedScore + occupied : HighestFreeScore;
+    }
+
     private tryChooseYieldingInstance(upstream: core.UpstreamId): core.InstanceId | undefined {
         const use = this.getUse(upstream);
         if (use.own.batch > 0) {
@@ -240,5 +275,13 @@
  * opens hundreds. It decides among upstreams with about the same load, never between a free slot and a queue.
  */
 const ConnectionBonus = 0.06;
+/** Score of a free slot on an upstream that is otherwise as loaded as its speed allows. */
+const HighestFreeScore = 0.99;
+/** An excluded engine is used if batch work would have to yield on several others, but before a queue. */
+const ExcludedScore = 1;
+/** Weight of a relative speed against the share of free slots in the choice for a batch item. */
+const BatchSpeedWeight = 0.5;
+/** Lowest share of free slots in that choice: a free slot of a slow engine is used if there is no other. */
+const LowestBatchShare = 0.001;
 /** Higher than any queue. */
 const PenaltyScore = 100;
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as eventSplitter from "./eventSplitter.js";
+import type * as engineSpeeds from "./engineSpeeds.js";
 import * as upstreamExchange from "./upstreamExchange.js";
 import type * as wire from "./wire.js";
 
@@ -51,6 +52,8 @@
     readonly now: () => number;
     readonly onSent: () => void;
     readonly onProgress: () => void;
+    /** Measures the times between the events of a stream; undefined if they are not needed. */
+    readonly meter?: engineSpeeds.StreamMeter | undefined;
 }
 
 /**
@@ -197,6 +200,9 @@
             this.fail("not an event stream");
             return true;
         }
+        if (events.length > 0) {
+            this.options.meter?.onEvents(events.length, this.options.now());
+        }
         const delivery = this.options.delivery;
         const accepted: Buffer[] = [];
         for (const event of events) {
@@ -252,7 +258,10 @@
         if (response.write(data)) {
             return true;
         }
-        response.once("drain", () => this.exchange?.resume());
+        response.once("drain", () => {
+            this.options.meter?.onResumed(this.options.now());
+            this.exchange?.resume();
+        });
         return false;
     }
 
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -55,6 +55,8 @@
     MembersChanged = "MembersChanged",
     HomeSilent = "HomeSilent",
     UpstreamAvoided = "UpstreamAvoided",
+    EngineExcluded = "EngineExcluded",
+    EngineReturned = "EngineReturned",
     SubmissionAccepted = "SubmissionAccepted",
     SubmissionRefused = "SubmissionRefused",
     SubmissionTakenOver = "SubmissionTakenOver",
--- a/packages/gateway/src/homeDirectory.ts
+++ b/packages/gateway/src/homeDirectory.ts
@@ -83,6 +83,15 @@
         );
     }
 
+    /** The usable engines of a service. */
+    getEngines(service: string): readonly core.UpstreamId[] {
+        return this.view.getUsable(service, this.clock.now()).map(known => known.entry.id);
+    }
+
+    tryGetService(upstream: core.UpstreamId): string | undefined {
+        return this.view.tryGetUpstream(upstream)?.service;
+    }
+
     isInSameDataCentre(coordinator: core.InstanceId): boolean {
         return this.members.tryGet(coordinator)?.dataCentre === this.members.self.dataCentre;
     }
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -44,6 +44,8 @@
         readonly owned: ownedSubmission.OwnedItem,
         private readonly callerWire: wire.CallerWire,
         private readonly onProgress: () => void,
+        /** Called with the number of events that arrived together. */
+        private readonly onEvents: (count: number) => void = () => undefined,
     ) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
         this.parser = eventSource.createParser({ onEvent: event => this.handleEvent(event) });
@@ -84,7 +86,12 @@
     onData(data: Buffer): boolean {
         if (!this.isSettled && this.status === 200) {
             this.onProgress();
+            const eventsBefore = this.owned.texts.length;
             this.parser.feed(this.decoder.decode(data, { stream: true }));
+            const events = this.owned.texts.length - eventsBefore;
+            if (events > 0) {
+                this.onEvents(events);
+            }
         }
         return true;
     }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -235,7 +235,7 @@
                 hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
             }));
         const chosen = this.parts.slots.slotTable.tryChooseBatch(
-            candidates,
+            this.preferInTime(owned, this.parts.slots.annotate(service, candidates), now),
             slotGranting.ReservedSlots,
             this.parts.dataCentre,
             now,
@@ -253,6 +253,24 @@
         return true;
     }
 
+    /** Leaves out engines that are so slow that the item would end late there, if any other has a free slot. */
+    private preferInTime(
+        owned: ownedSubmission.OwnedItem,
+        candidates: readonly decisions.SlotCandidate[],
+        now: core.MonotonicMilliseconds,
+    ): readonly decisions.SlotCandidate[] {
+        if (!candidates.some(candidate => (candidate.relativeSpeed ?? 1) < 1)) {
+            return candidates;
+        }
+        const outlook = this.createOutlookEstimator()(owned);
+        const inTime = candidates.filter(
+            candidate => outlook.remainingMilliseconds / (candidate.relativeSpeed ?? 1) <= outlook.dueInMilliseconds,
+        );
+        const { slotTable } = this.parts.slots;
+        const found = slotTable.tryChooseBatch(inTime, slotGranting.ReservedSlots, this.parts.dataCentre, now);
+        return found === undefined ? candidates : inTime;
+    }
+
     /** Asks the coordinator for the slot. Until it replies, the slot counts as taken, so that the next item tries another one. */
     private async requestSlotAndRun(
         owned: ownedSubmission.OwnedItem,
@@ -296,7 +314,10 @@
                 run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
             );
         };
-        const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer);
+        const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
+        const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, events =>
+            meter?.onEvents(events, this.parts.clock.now()),
+        );
         this.running.set(owned, { upstream: upstream.id, run });
         this.parts.slots.take(upstream.id, true, isCounted);
         const { host, customer } = owned.submission.getHead();
@@ -322,7 +343,10 @@
         this.running.delete(owned);
         if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
             const events = owned.texts.length;
-            this.recordLength(route, events, events - eventsBefore, this.parts.clock.now() - startedAt);
+            // Converted to an engine of usual speed.
+            const speed = this.parts.slots.speeds?.getRelativeSpeed(upstream.service, upstream.id) ?? 1;
+            const milliseconds = (this.parts.clock.now() - startedAt) * speed;
+            this.recordLength(route, events, events - eventsBefore, milliseconds);
         }
         this.handleOutcome(owned, upstream, route, outcome);
         this.parts.slots.release(upstream.id, true);
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -239,14 +239,16 @@
                 );
             }
         };
+        const isStream = request.route.kind === types.RouteKind.Stream;
         const relay = new answerRelay.AnswerRelay({
             wire: this.parts.wire,
             delivery,
             attemptId: request.head.attemptId,
-            isStream: request.route.kind === types.RouteKind.Stream,
+            isStream,
             now: () => clock.now(),
             onSent: () => progress.runs++,
             onProgress: restartSilenceTimer,
+            meter: isStream ? this.parts.slots.speeds?.startStream(upstream.id, upstream.service) : undefined,
         });
         progress.relay = relay;
         progress.sends++;
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import type * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
 
@@ -12,6 +13,8 @@
  * full, six find a free slot in 98 of 100 cases and cost at most a dozen milliseconds.
  */
 const MaximumCoordinatorsAsked = 6;
+/** The same if an own engine has a free slot, but is slow. */
+const MaximumCoordinatorsAskedFirst = 3;
 /**
  * A coordinator answers within a few milliseconds. One that does not is slow or cut off, and must not delay the callers
  * of others.
@@ -36,6 +39,8 @@
     readonly random: () => number;
     readonly dataCentre: core.DataCentre;
     readonly policy: loadPolicy.LoadPolicy;
+    /** Undefined if speeds are ignored. */
+    readonly speeds?: engineSpeeds.EngineSpeedSharing | undefined;
     readonly requestYield: (upstream: core.UpstreamId, yielder: core.InstanceId) => void;
     /**
      * Called with the member that was granted a slot. If that member never sends a notice again, it must not keep the
@@ -96,18 +101,20 @@
         const { slotTable, coordinators, clock, dataCentre } = this.parts;
         // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
         const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
-        const candidates = healthy.length > 0 ? healthy : usable;
+        const candidates = this.annotate(service, healthy.length > 0 ? healthy : usable);
         const ownEngines = candidates.filter(
             candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
         );
         const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, ReservedSlots, clock.now());
-        if (ownChoice !== undefined && ownChoice.waiting === 0) {
+        const isOwnFree = ownChoice?.waiting === 0;
+        if (ownChoice !== undefined && isOwnFree && !this.isDeferred(ownEngines, ownChoice.id)) {
             return { ...ownChoice, isCounted: false };
         }
         const byCoordinator = this.groupByCoordinator(candidates);
         let best: GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
-        const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, MaximumCoordinatorsAsked);
+        const maximumAsked = isOwnFree ? MaximumCoordinatorsAskedFirst : MaximumCoordinatorsAsked;
+        const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, maximumAsked);
         for (const coordinator of askedCoordinators) {
             const choice = await this.requestOnlineSlot(
                 coordinator,
@@ -211,7 +218,8 @@
             usable.forEach(returnSlot);
             return undefined;
         }
-        const { upstream, waiting, free } = reply.message;
+        const { upstream, waiting, free, speeds } = reply.message;
+        this.parts.speeds?.takeOverRows(speeds, coordinator);
         this.order.recordFreeSlots(coordinator, free, clock.now());
         if (upstream === undefined) {
             return undefined;
@@ -237,11 +245,18 @@
      * is granted it.
      */
     private grantOnline(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
+        const reply = this.chooseGrant(message, from);
+        const speeds = this.parts.speeds?.createReplyRows(message.service, from);
+        return speeds === undefined ? reply : { ...reply, speeds };
+    }
+
+    private chooseGrant(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
         const { slotTable, coordinators, clock, dataCentre, requestYield, onGranted } = this.parts;
         const except = new Set(message.except);
-        const candidates = coordinators
+        const usable = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
+        const candidates = this.annotate(message.service, usable);
         const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
@@ -250,6 +265,10 @@
         if (choice.waiting > 0) {
             return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
         }
+        if (this.isDeferred(candidates, choice.id)) {
+            // The requester comes back to this engine if the others it asks are full.
+            return { kind, upstream: choice.id, waiting: 1, free: 0 };
+        }
         if (choice.yielder !== undefined) {
             requestYield(choice.id, choice.yielder);
         }
@@ -282,7 +301,7 @@
     private tryGrantBatch(service: string, from: core.InstanceId): core.UpstreamId | undefined {
         const { slotTable, coordinators, clock, dataCentre } = this.parts;
         const upstream = slotTable.tryChooseBatch(
-            coordinators.getOwnEngines(service),
+            this.annotate(service, coordinators.getOwnEngines(service)),
             ReservedSlots,
             dataCentre,
             clock.now(),
@@ -294,6 +313,15 @@
         return upstream;
     }
 
+    private annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
+        return this.parts.speeds?.annotate(service, candidates) ?? candidates;
+    }
+
+    private isDeferred(candidates: readonly decisions.SlotCandidate[], id: core.UpstreamId): boolean {
+        const chosen = candidates.find(candidate => candidate.id === id);
+        return chosen !== undefined && this.parts.slotTable.isDeferred(chosen);
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
@@ -314,7 +342,11 @@
     }
 
     private rank(coordinators: readonly core.InstanceId[]): readonly core.InstanceId[] {
-        const choices = coordinators.map(id => ({ id, isNear: this.parts.coordinators.isInSameDataCentre(id) }));
+        const choices = coordinators.map(id => ({
+            id,
+            isNear: this.parts.coordinators.isInSameDataCentre(id),
+            relativeSpeed: this.parts.speeds?.getCoordinatorSpeed(id) ?? 1,
+        }));
         return this.order.rank(choices, this.parts.clock.now());
     }
 }
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
 import * as slotGranting from "./slotLending.js";
@@ -41,6 +42,10 @@
     readonly onCoordinatorUnresponsive: (coordinator: core.InstanceId, text: string) => void;
     /** `DefaultLoadPolicy` if absent. */
     readonly policy?: loadPolicy.LoadPolicy;
+    /** Called if an engine that this member coordinates is excluded for being slow, or returns. */
+    readonly onEngineExclusion?: (change: decisions.ExclusionChange) => void;
+    /** Called once for each engine that this member coordinates, with a function that returns its relative speed. */
+    readonly onEngineMeasured?: (upstream: core.UpstreamId, getSpeed: () => number) => void;
 }
 
 /**
@@ -63,15 +68,20 @@
     private readonly network: protocol.PeerNetwork;
     private readonly clock: core.Clock;
     readonly slotTable: decisions.SlotTable;
+    /** Undefined if the policy ignores the speeds of engines. */
+    readonly speeds: engineSpeeds.EngineSpeedSharing | undefined;
 
     constructor(private readonly parts: SlotSharingParts) {
         const { network, clock, slotTable } = parts;
         this.network = network;
         this.clock = clock;
         this.slotTable = slotTable;
+        const policy = parts.policy ?? loadPolicy.DefaultLoadPolicy;
+        this.speeds = policy.engineSpeeds === loadPolicy.EngineSpeeds.Measured ? this.createSpeeds() : undefined;
         this.granting = new slotGranting.SlotGranting({
             ...parts,
-            policy: parts.policy ?? loadPolicy.DefaultLoadPolicy,
+            speeds: this.speeds,
+            policy,
             requestYield: (upstream, yielder) => this.requestYield(upstream, yielder),
             returnSlot: upstream => this.returnSlot(upstream),
             onGranted: requester => this.lastNoticeAt.set(requester, clock.now()),
@@ -115,7 +125,7 @@
         }
         const { dataCentre } = this.parts;
         const choice = this.slotTable.tryChooseOnline(
-            candidates,
+            this.annotate(service, candidates),
             dataCentre,
             slotGranting.ReservedSlots,
             this.clock.now(),
@@ -131,8 +141,14 @@
         this.granting.requestBatchSlots(service, wanted, use);
     }
 
+    /** Adds the measured speeds of engines to candidates. */
+    annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
+        return this.speeds?.annotate(service, candidates) ?? candidates;
+    }
+
     /** Frees the slots of removed members. */
     forget(removed: readonly core.InstanceId[]): void {
+        this.speeds?.forget(removed);
         removed.forEach(member => this.forgetPeer(member));
         this.granting.forget(removed);
     }
@@ -212,6 +228,26 @@
         this.stopper.abort();
     }
 
+    private createSpeeds(): engineSpeeds.EngineSpeedSharing {
+        const { coordinators, onEngineExclusion, onEngineMeasured } = this.parts;
+        const speeds: engineSpeeds.EngineSpeedSharing = new engineSpeeds.EngineSpeedSharing({
+            clock: this.clock,
+            slotTable: this.slotTable,
+            coordinators,
+            onSlowdown: upstream => {
+                if (coordinators.areSlotsGranted()) {
+                    this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
+                }
+            },
+            onExclusion: change => onEngineExclusion?.(change),
+            onOwnEngine: upstream => {
+                const service = coordinators.tryGetService(upstream) ?? "";
+                onEngineMeasured?.(upstream, () => speeds.getRelativeSpeed(service, upstream));
+            },
+        });
+        return speeds;
+    }
+
     private grant(
         requester: core.InstanceId,
         upstream: { id: core.UpstreamId; slots: number },
@@ -244,7 +280,11 @@
             return;
         }
         for (const [coordinator, coordinated] of this.groupByCoordinator(upstreams)) {
-            this.network.notify(coordinator, this.createNotice(coordinated, isWhole), protocol.Lane.Control);
+            this.network.notify(
+                coordinator,
+                this.createNotice(coordinated, isWhole, coordinator),
+                protocol.Lane.Control,
+            );
         }
     }
 
@@ -263,16 +303,24 @@
         return byCoordinator;
     }
 
-    private createNotice(upstreams: readonly core.UpstreamId[], isWhole: boolean): protocol.SlotUses {
+    /** `coordinator`: the only receiver, which is also sent the speeds measured at its engines. */
+    private createNotice(
+        upstreams: readonly core.UpstreamId[],
+        isWhole: boolean,
+        coordinator?: core.InstanceId,
+    ): protocol.SlotUses {
         const uses = upstreams.map((upstream): readonly [string, number, number] => {
             const own = this.slotTable.getOwn(upstream);
             return [upstream, own.online, own.batch];
         });
         const listed = isWhole ? uses.filter(([, online, batch]) => online > 0 || batch > 0) : uses;
-        return { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed };
+        const speeds = coordinator === undefined ? undefined : this.speeds?.takeRows(coordinator);
+        const notice = { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed } as const;
+        return speeds === undefined ? notice : { ...notice, speeds };
     }
 
     private applyNotice(message: protocol.SlotUses, from: core.InstanceId): void {
+        this.speeds?.addRows(message.speeds);
         this.lastNoticeAt.set(from, this.clock.now());
         if (message.isWhole) {
             this.slotTable.removePeer(from);
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -325,6 +325,18 @@
     EventLevel.Warn,
     "An upstream failed some of its recent requests and receives none for a while.",
 );
+export const EngineExcluded = defineEvent(
+    736,
+    "EngineExcluded",
+    EventLevel.Warn,
+    "An engine has become slower than it usually is; it receives requests only if other engines are full.",
+);
+export const EngineReturned = defineEvent(
+    737,
+    "EngineReturned",
+    EventLevel.Info,
+    "An engine that was excluded for being slow is used again, with a growing share of its slots.",
+);
 export const MembersChanged = defineEvent(716, "MembersChanged", EventLevel.Info, "Members joined or left.");
 export const SubmissionAccepted = defineEvent(
     720,
