--- a/packages/decisions/src/engineSpeed.ts
+++ b/packages/decisions/src/engineSpeed.ts
@@ -55,10 +55,12 @@
     /** Whether the engine has become slow and receives requests only if all others are full. */
     readonly isExcluded: boolean;
     /**
-     * Fraction of the slots that online requests use while other engines have free slots, and batch items at any time.
-     * Below 1 for a new engine and for one that returns after an exclusion.
+     * Fraction of the slots that online requests use while other engines have free slots. Below 1 for a new engine and
+     * for one that returns after an exclusion.
      */
     readonly usableShare: number;
+    /** Whether there are too few samples of this engine, while others are known. */
+    readonly isNew: boolean;
 }
 
 /** Reported if an engine is excluded or returns. */
@@ -69,7 +71,7 @@
     readonly slowdown: number;
 }
 
-export const UsualStanding: EngineStanding = { relativeSpeed: 1, isExcluded: false, usableShare: 1 };
+export const UsualStanding: EngineStanding = { relativeSpeed: 1, isExcluded: false, usableShare: 1, isNew: false };
 
 /** All times are in milliseconds; times per event are converted to the mean load. */
 class EngineRecord {
@@ -198,14 +200,16 @@
 
     getStanding(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): EngineStanding {
         const record = this.records.get(upstream);
+        // After a restart of all instances no engine is known, and none needs to be treated with more care than others.
+        const isNew = (record?.events ?? 0) < EventsToTrust && this.getMedian(now) !== undefined;
         if (record === undefined) {
-            return { ...UsualStanding, usableShare: NewEngineShare };
+            return isNew ? { ...UsualStanding, usableShare: NewEngineShare, isNew } : UsualStanding;
         }
         this.endSilentExclusion(upstream, record, now);
         const relativeSpeed = this.getRelativeSpeed(record, now);
-        const learnedShare = NewEngineShare + (1 - NewEngineShare) * Math.min(1, record.events / EventsToTrust);
-        const usableShare = Math.min(learnedShare, this.getReturnShare(record, now));
-        return { relativeSpeed, isExcluded: record.isExcluded, usableShare };
+        const learnedShare = NewEngineShare + (1 - NewEngineShare) * (record.events / EventsToTrust);
+        const usableShare = Math.min(isNew ? learnedShare : 1, this.getReturnShare(record, now));
+        return { relativeSpeed, isExcluded: record.isExcluded, usableShare, isNew };
     }
 
     private getRelativeSpeed(record: EngineRecord, now: core.MonotonicMilliseconds): number {
@@ -215,7 +219,8 @@
         const trust = freshness * Math.min(1, record.events / EventsToTrust);
         let speed = 1;
         if (reference !== undefined && record.usual > 0) {
-            speed = clampTo(reference / record.usual, LowestRelativeSpeed, HighestRelativeSpeed) ** trust;
+            const milliseconds = record.isExcluded ? record.recent : record.usual;
+            speed = clampTo(reference / milliseconds, LowestRelativeSpeed, HighestRelativeSpeed) ** trust;
         }
         else if (this.medianFirstEvent !== undefined && record.firstEvent > 0) {
             // Streams of a single event have no times between events.
--- a/packages/decisions/src/homeOrder.ts
+++ b/packages/decisions/src/homeOrder.ts
@@ -39,7 +39,7 @@
  * Weight of the engines' speed: a coordinator of engines at 1.6 is asked before others, unless it reported that it had
  * no free slot.
  */
-const SpeedScore = 0.4;
+const SpeedScore = 0.3;
 const HighestSpeedDifference = 0.8;
 
 /**
@@ -64,6 +64,12 @@
         this.skippedUntil.set(coordinator, now + NoAnswerMilliseconds);
     }
 
+    /** Whether the coordinator reported free slots a moment ago. */
+    hasFreeSlots(coordinator: core.InstanceId, now: core.MonotonicMilliseconds): boolean {
+        const hint = this.hints.get(coordinator);
+        return hint !== undefined && hint.free > 0 && now - hint.at <= HintExpiryMilliseconds;
+    }
+
     remove(coordinator: core.InstanceId): void {
         this.hints.delete(coordinator);
         this.skippedUntil.delete(coordinator);
--- a/packages/decisions/src/slotTable.ts
+++ b/packages/decisions/src/slotTable.ts
@@ -17,8 +17,10 @@
     readonly relativeSpeed?: number;
     /** Whether it has become slow and is used only if no other upstream has a free slot. */
     readonly isExcluded?: boolean;
-    /** Fraction of its slots that are used while others have free slots. Absent: 1. */
+    /** Fraction of its slots that online requests use while others have free slots. Absent: 1. */
     readonly usableShare?: number;
+    /** Whether too little is known about its speed to use more than that fraction. */
+    readonly isNew?: boolean;
 }
 
 /** Where a request should go. */
@@ -187,13 +189,13 @@
         let bestScore = 0;
         for (const candidate of candidates) {
             const total = this.getTotal(candidate.id);
-            const usable = Math.floor(candidate.slots * (candidate.usableShare ?? 1));
-            const free = usable - reserve - total.online - total.batch;
-            if (free <= 0 || candidate.isExcluded === true || this.getUse(candidate.id).penaltyUntil > now) {
+            const free = candidate.slots - reserve - total.online - total.batch;
+            if (free <= 0 || this.getUse(candidate.id).penaltyUntil > now) {
                 continue;
             }
             // A batch item holds its slot for seconds, so that speed matters more than a few free slots.
-            const share = free / candidate.slots + ((candidate.relativeSpeed ?? 1) - 1) * BatchSpeedWeight;
+            const speed = candidate.isExcluded === true ? 0 : (candidate.relativeSpeed ?? 1);
+            const share = free / candidate.slots + (speed - 1) * BatchSpeedWeight;
             const score =
                 Math.max(LowestBatchShare, share) +
                 this.random() * TieBreakSpread +
@@ -217,7 +219,12 @@
         const occupied = (total.online + total.batch) / candidate.slots;
         const online = total.online / candidate.slots;
         // A free slot is better than one that batch work has to yield, which is better than a queue.
-        const base = occupied < 1 ? this.scoreFree(candidate, occupied) : online < 1 ? 1 + online : 2 + online;
+        const base =
+            occupied < 1
+                ? this.scoreFree(candidate, occupied)
+                : online < 1
+                  ? 1 + online
+                  : scoreQueue(candidate, online);
         const penalty = use.penaltyUntil > now ? PenaltyScore : 0;
         const distance = candidate.dataCentre === dataCentre ? 0 : SameDataCentreBonus;
         const connection = candidate.hasIdleConnection === true ? 0 : ConnectionBonus;
@@ -264,6 +271,12 @@
     }
 }
 
+/** A queue is scored by the time that it takes: the queue of an engine at 1.6 moves 1.6 times as fast. */
+function scoreQueue(candidate: SlotCandidate, online: number): number {
+    const speed = candidate.relativeSpeed ?? 1;
+    return speed === 1 ? 2 + online : 3 + (online - 1) / speed;
+}
+
 /** One slot of eight: the preference decides among upstreams whose load differs by at most one request. */
 const PreferenceSpread = 0.125;
 /** A quarter of a slot, so that instances with similar preferences choose differently. */
--- a/packages/gateway/src/engineSpeeds.ts
+++ b/packages/gateway/src/engineSpeeds.ts
@@ -8,10 +8,16 @@
 /** Age up to which a mean at another engine shows whether this sender itself is slow. */
 const RatioExpiryMilliseconds = 200;
 /** Factor by which uncollected times for a notice lose weight at each collection, so that a late notice reports recent times. */
-const PendingDecay = 0.8;
+const PendingDecay = 0.9;
+/** Factor between two times per event above which the engine, and not only its load, has changed. */
+const SuddenChange = 1.5;
 /** A time per event that is this multiple of the usual one is reported at once. */
 const SlowdownToReport = 1.7;
 const ReportIntervalMilliseconds = 250;
+/** Interval at which a notice repeats a time per event that has not changed. Most notices need no row, which doubles their size. */
+const UnchangedRowIntervalMilliseconds = 400;
+/** Time for which each notice repeats a time per event that has changed: the coordinator needs several samples. */
+const ChangeReportedMilliseconds = 300;
 /** Shortest interval between two replies with speeds to the same requester, and interval at which unchanged ones are repeated. */
 const ReplyIntervalMilliseconds = 250;
 const RepeatIntervalMilliseconds = 2_500;
@@ -51,6 +57,7 @@
         this.firstEvents *= factor;
     }
 
+    /** The means, divided by a factor. */
     toSample(factor = 1): decisions.SpeedSample {
         return {
             eventMilliseconds: this.events === 0 ? 0 : this.eventMilliseconds / this.events / factor,
@@ -71,6 +78,10 @@
     ratio = 1;
     ratioAt: core.MonotonicMilliseconds = -Infinity;
     reportedAt: core.MonotonicMilliseconds = -Infinity;
+    /** Time per event in the last notice. */
+    sentMilliseconds = 0;
+    sentAt: core.MonotonicMilliseconds = -Infinity;
+    changedAt: core.MonotonicMilliseconds = -Infinity;
     isOwnReported = false;
 
     constructor(
@@ -133,6 +144,8 @@
     private readonly meters = new Map<core.UpstreamId, EngineMeter>();
     private readonly estimates = new Map<string, decisions.EngineSpeed>();
     private readonly sent = new Map<core.InstanceId, SentSpeeds>();
+    private readonly coordinatorSpeeds = new Map<core.InstanceId, number>();
+    private coordinatorSpeedsAt: core.MonotonicMilliseconds = -Infinity;
     private measured: EngineMeter[] = [];
     private collectedAt: core.MonotonicMilliseconds = -Infinity;
     private retainedAt: core.MonotonicMilliseconds = -Infinity;
@@ -161,8 +174,9 @@
         const now = this.parts.clock.now();
         return candidates.map(candidate => {
             const standing = this.getEstimate(service).getStanding(candidate.id, now);
-            // The coordinator limits the use of a new engine.
-            const usableShare = this.isOwn(candidate.id) ? standing.usableShare : 1;
+            // Only the coordinator knows enough about an engine to find that it is new.
+            const isKnown = !standing.isNew || this.isOwn(candidate.id);
+            const usableShare = isKnown ? standing.usableShare : 1;
             return standing.relativeSpeed === 1 && !standing.isExcluded && usableShare === 1
                 ? candidate
                 : { ...candidate, ...standing, usableShare };
@@ -173,8 +187,19 @@
         return this.estimates.get(service)?.getStanding(upstream, this.parts.clock.now()).relativeSpeed ?? 1;
     }
 
-    /** The speed of the fastest engine that a member coordinates. */
+    /** The speed of the fastest engine that a member coordinates, computed a few times in a second. */
     getCoordinatorSpeed(coordinator: core.InstanceId): number {
+        const now = this.parts.clock.now();
+        if (now - this.coordinatorSpeedsAt >= CollectIntervalMilliseconds) {
+            this.coordinatorSpeedsAt = now;
+            this.coordinatorSpeeds.clear();
+        }
+        const known = this.coordinatorSpeeds.get(coordinator) ?? this.computeCoordinatorSpeed(coordinator);
+        this.coordinatorSpeeds.set(coordinator, known);
+        return known;
+    }
+
+    private computeCoordinatorSpeed(coordinator: core.InstanceId): number {
         let fastest = 0;
         for (const service of this.estimates.keys()) {
             for (const upstream of this.parts.coordinators.getEnginesOf(coordinator, service)) {
@@ -184,18 +209,25 @@
         return fastest === 0 ? 1 : fastest;
     }
 
-    /** Returns what was measured at a coordinator's engines since its last notice. */
+    /**
+     * Returns what was measured at a coordinator's engines since its last notice. Times that are about the same as in
+     * that notice are sent less often.
+     */
     takeRows(coordinator: core.InstanceId): readonly protocol.EngineSpeedRow[] | undefined {
-        this.collect(this.parts.clock.now());
+        const now = this.parts.clock.now();
+        this.collect(now);
         const rows: protocol.EngineSpeedRow[] = [];
         for (const meter of this.meters.values()) {
             const { pending } = meter;
-            if (pending.events + pending.firstEvents < 1) {
+            const sample = pending.events + pending.firstEvents < 1 ? undefined : pending.toSample();
+            if (sample === undefined || !isWorthReporting(meter, sample, now)) {
                 continue;
             }
             if (this.parts.coordinators.tryGetCoordinator(meter.upstream) === coordinator) {
-                rows.push(toRow(meter.upstream, pending.toSample()));
+                rows.push(toRow(meter.upstream, sample));
                 pending.scale(0);
+                meter.sentMilliseconds = sample.eventMilliseconds;
+                meter.sentAt = now;
             }
         }
         return rows.length === 0 ? undefined : rows;
@@ -302,7 +334,11 @@
             }
         }
         else {
-            pending.scale(PendingDecay);
+            const sample = sums.toSample(factor);
+            const change = sample.eventMilliseconds / pending.toSample().eventMilliseconds;
+            // Times from before a change would hide it.
+            const hasChanged = change > SuddenChange || (change > 0 && change < 1 / SuddenChange);
+            pending.scale(hasChanged ? 0 : PendingDecay);
             pending.add(sums, factor);
             const isSlow = sums.events > 0 && meter.ratio / factor > SlowdownToReport;
             if (isSlow && now - meter.reportedAt >= ReportIntervalMilliseconds) {
@@ -353,6 +389,15 @@
     }
 }
 
+function isWorthReporting(meter: EngineMeter, sample: decisions.SpeedSample, now: core.MonotonicMilliseconds): boolean {
+    if (!decisions.isUsualSpeed(sample.eventMilliseconds / Math.max(0.1, meter.sentMilliseconds))) {
+        meter.changedAt = now;
+    }
+    return (
+        now - meter.changedAt <= ChangeReportedMilliseconds || now - meter.sentAt >= UnchangedRowIntervalMilliseconds
+    );
+}
+
 function isWorthSending(
     sample: decisions.SpeedSample,
     last: { readonly milliseconds: number; readonly at: core.MonotonicMilliseconds },
@@ -365,6 +410,7 @@
 }
 
 function toRow(upstream: core.UpstreamId, sample: decisions.SpeedSample): protocol.EngineSpeedRow {
-    const round = (value: number): number => Math.round(value * 10) / 10;
+    // Whole numbers are shorter on the wire; a few milliseconds need a decimal.
+    const round = (value: number): number => (value < 20 ? Math.round(value * 10) / 10 : Math.round(value));
     return [upstream, round(sample.eventMilliseconds), round(sample.firstEventMilliseconds), Math.round(sample.events)];
 }
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -13,8 +13,8 @@
  * full, six find a free slot in 98 of 100 cases and cost at most a dozen milliseconds.
  */
 const MaximumCoordinatorsAsked = 6;
-/** The same if an own engine has a free slot, but is slow. */
-const MaximumCoordinatorsAskedFirst = 3;
+/** Coordinators with free slots that are asked before a free slot of an own engine that is slow is used. */
+const MaximumCoordinatorsAskedFirst = 2;
 /**
  * A coordinator answers within a few milliseconds. One that does not is slow or cut off, and must not delay the callers
  * of others.
@@ -101,20 +101,24 @@
         const { slotTable, coordinators, clock, dataCentre } = this.parts;
         // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
         const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
-        const candidates = this.annotate(service, healthy.length > 0 ? healthy : usable);
-        const ownEngines = candidates.filter(
-            candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
-        );
+        const candidates = healthy.length > 0 ? healthy : usable;
+        const isOwn = (candidate: decisions.SlotCandidate): boolean =>
+            coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance;
+        const ownEngines = this.annotate(service, candidates.filter(isOwn));
         const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, ReservedSlots, clock.now());
-        const isOwnFree = ownChoice?.waiting === 0;
+        const isOwnFree = ownChoice !== undefined && ownChoice.waiting === 0;
         if (ownChoice !== undefined && isOwnFree && !this.isDeferred(ownEngines, ownChoice.id)) {
             return { ...ownChoice, isCounted: false };
         }
         const byCoordinator = this.groupByCoordinator(candidates);
         let best: GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
-        const maximumAsked = isOwnFree ? MaximumCoordinatorsAskedFirst : MaximumCoordinatorsAsked;
-        const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, maximumAsked);
+        const ranked = this.rank([...byCoordinator.keys()], true);
+        const askedCoordinators = isOwnFree
+            ? ranked
+                  .filter(coordinator => this.order.hasFreeSlots(coordinator, clock.now()))
+                  .slice(0, MaximumCoordinatorsAskedFirst)
+            : ranked.slice(0, MaximumCoordinatorsAsked);
         for (const coordinator of askedCoordinators) {
             const choice = await this.requestOnlineSlot(
                 coordinator,
@@ -124,20 +128,19 @@
             if (choice?.isCounted === true) {
                 return choice;
             }
-            if (choice !== undefined && choice.waiting < (best?.waiting ?? Infinity)) {
+            if (choice !== undefined && this.getWait(service, choice) < this.getWait(service, best)) {
                 best = choice;
             }
         }
-        if (askedCoordinators.length === MaximumCoordinatorsAsked) {
+        if (isOwnFree || askedCoordinators.length === MaximumCoordinatorsAsked) {
             return best;
         }
         // If there are few links, as right after a start, engines of coordinators that cannot be asked are chosen by
         // the local slot table.
         const linked = new Set([...byCoordinator.values()].flatMap(ids => [...ids]));
-        const unreachable = candidates.filter(
-            candidate => !linked.has(candidate.id) && !ownEngines.includes(candidate),
-        );
-        const fallback = slotTable.tryChooseOnline(unreachable, dataCentre, ReservedSlots, clock.now());
+        const unreachable = candidates.filter(candidate => !linked.has(candidate.id) && !isOwn(candidate));
+        const annotated = this.annotate(service, unreachable);
+        const fallback = slotTable.tryChooseOnline(annotated, dataCentre, ReservedSlots, clock.now());
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
             ? { ...fallback, isCounted: false }
             : best;
@@ -152,7 +155,7 @@
             this.getLinkedCoordinators().filter(coordinator => !this.pendingBatchRequests.has(coordinator)),
         );
         const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - this.pendingBatchRequests.size;
-        for (const coordinator of this.rank([...coordinators]).slice(0, Math.max(0, requestCount))) {
+        for (const coordinator of this.rank([...coordinators], false).slice(0, Math.max(0, requestCount))) {
             void this.requestBatchSlot(coordinator, service, use);
         }
     }
@@ -256,7 +259,7 @@
         const usable = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
-        const candidates = this.annotate(message.service, usable);
+        const candidates: readonly decisions.SlotCandidate[] = this.annotate(message.service, usable);
         const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
@@ -265,8 +268,9 @@
         if (choice.waiting > 0) {
             return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
         }
-        if (this.isDeferred(candidates, choice.id)) {
-            // The requester comes back to this engine if the others it asks are full.
+        const chosen = candidates.find(candidate => candidate.id === choice.id);
+        if (chosen?.isNew === true && slotTable.isDeferred(chosen)) {
+            // The requester comes back to this engine if the others that it asks are full.
             return { kind, upstream: choice.id, waiting: 1, free: 0 };
         }
         if (choice.yielder !== undefined) {
@@ -300,8 +304,10 @@
 
     private tryGrantBatch(service: string, from: core.InstanceId): core.UpstreamId | undefined {
         const { slotTable, coordinators, clock, dataCentre } = this.parts;
+        const engines = coordinators.getOwnEngines(service);
         const upstream = slotTable.tryChooseBatch(
-            this.annotate(service, coordinators.getOwnEngines(service)),
+            // A single engine is chosen whatever its speed. This runs for each waiting item whenever a slot may be free.
+            engines.length > 1 ? this.annotate(service, engines) : engines,
             ReservedSlots,
             dataCentre,
             clock.now(),
@@ -317,6 +323,13 @@
         return this.parts.speeds?.annotate(service, candidates) ?? candidates;
     }
 
+    /** The requests that wait before a choice, set against the speed at which they are served. */
+    private getWait(service: string, choice: decisions.SlotChoice | undefined): number {
+        return choice === undefined
+            ? Infinity
+            : choice.waiting / (this.parts.speeds?.getRelativeSpeed(service, choice.id) ?? 1);
+    }
+
     private isDeferred(candidates: readonly decisions.SlotCandidate[], id: core.UpstreamId): boolean {
         const chosen = candidates.find(candidate => candidate.id === id);
         return chosen !== undefined && this.parts.slotTable.isDeferred(chosen);
@@ -341,11 +354,12 @@
         return this.parts.network.getConnectedPeers().filter(peer => this.parts.coordinators.isCoordinator(peer));
     }
 
-    private rank(coordinators: readonly core.InstanceId[]): readonly core.InstanceId[] {
+    private rank(coordinators: readonly core.InstanceId[], usesSpeeds: boolean): readonly core.InstanceId[] {
+        const speeds = usesSpeeds ? this.parts.speeds : undefined;
         const choices = coordinators.map(id => ({
             id,
             isNear: this.parts.coordinators.isInSameDataCentre(id),
-            relativeSpeed: this.parts.speeds?.getCoordinatorSpeed(id) ?? 1,
+            relativeSpeed: speeds?.getCoordinatorSpeed(id) ?? 1,
         }));
         return this.order.rank(choices, this.parts.clock.now());
     }
