--- a/packages/decisions/src/engineSpeed.ts
+++ b/packages/decisions/src/engineSpeed.ts
@@ -25,6 +25,8 @@
 /** Steps of a return, and the time between them: the load of one step must be measured before the next. */
 const ReturnSteps = 4;
 const ReturnStepMilliseconds = 250;
+/** Fraction of its speed that other members are told of in the first half of a return. */
+const ReportedReturnShare = 0.6;
 /** Largest fraction of a service's engines that are excluded at a time. */
 const MaximumExcludedFraction = 0.3;
 /** An estimate is used fully up to the first age, and not at all from the second. */
@@ -184,9 +186,10 @@
         if (record === undefined || record.usual === 0 || now - record.sampledAt > FreshMilliseconds) {
             return undefined;
         }
-        const share = this.getReturnShare(record, now);
+        // Other members are told of one step of the return, since each change of an estimate costs them all a row.
+        const returning = this.getReturnShare(record, now) <= 0.5 ? record.usual / ReportedReturnShare : record.usual;
         return {
-            eventMilliseconds: record.isExcluded ? Math.max(record.usual, record.recent) : record.usual / share,
+            eventMilliseconds: record.isExcluded ? Math.max(record.usual, record.recent) : returning,
             firstEventMilliseconds: record.firstEvent,
             events: record.events,
         };
