--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -1,13 +1,12 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
+import * as batchSlotGranting from "./batchSlotGranting.js";
+import type * as demandReserve from "./demandReserve.js";
 import type * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
 
-/** Slots that batch work leaves free on each upstream, so that an online request finds one without asking. */
-export const ReservedSlots = 1;
-
 /**
  * Coordinators that an online request asks before it joins the shortest known queue. With half of the coordinators
  * full, six find a free slot in 98 of 100 cases and cost at most a dozen milliseconds.
@@ -15,22 +14,16 @@
 const MaximumCoordinatorsAsked = 6;
 /** Coordinators with free slots that are asked before a free slot of an own engine that is slow is used. */
 const MaximumCoordinatorsAskedFirst = 2;
+/**
+ * Coordinators among them that are asked for a free slot before batch work yields one, where that is avoided. Each
+ * further one finds a slot less often, and costs a message each way and a trip.
+ */
+const FreeSlotAttempts = 3;
 /**
  * A coordinator answers within a few milliseconds. One that does not is slow or cut off, and must not delay the callers
  * of others.
  */
 const OnlineTimeoutMilliseconds = 25;
-/** A batch item's request waits at the coordinator until a slot is freed, so that members do not poll. */
-const BatchWaitMilliseconds = 600;
-const BatchTimeoutMilliseconds = BatchWaitMilliseconds + 200;
-/** Coordinators at which this member's items wait at the same time. */
-const MaximumPendingBatchRequests = 6;
-/**
- * Requests of peers that wait here. More than all neighbours together send indicates a defect, and further ones are
- * rejected.
- */
-const MaximumWaitingItems = 400;
-
 export interface SlotGrantingParts {
     readonly slotTable: decisions.SlotTable;
     readonly coordinators: coordinatorDirectory.CoordinatorDirectory;
@@ -41,6 +34,9 @@
     readonly policy: loadPolicy.LoadPolicy;
     /** Undefined if speeds are ignored. */
     readonly speeds?: engineSpeeds.EngineSpeedSharing | undefined;
+    readonly reserve: demandReserve.DemandReserve;
+    /** The most urgent item of this member that waits for a slot; undefined if none does. */
+    readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
     readonly requestYield: (upstream: core.UpstreamId, yielder: core.InstanceId) => void;
     /**
      * Called with the member that was granted a slot. If that member never sends a notice again, it must not keep the
@@ -62,13 +58,6 @@
     readonly isCounted: boolean;
 }
 
-/** A batch item of a peer that waits here for a slot. */
-interface WaitingItem {
-    readonly service: string;
-    readonly from: core.InstanceId;
-    readonly finish: (upstream: core.UpstreamId | undefined) => void;
-}
-
 /**
  * Grants slots of the engines that this member coordinates, and requests slots from its linked neighbours.
  *
@@ -79,17 +68,18 @@
  */
 export class SlotGranting {
     private readonly order: decisions.CoordinatorOrder;
-    private readonly waiting = new Set<WaitingItem>();
-    private readonly pendingBatchRequests = new Set<core.InstanceId>();
+    /** The part that grants and requests slots for batch items. */
+    readonly batch: batchSlotGranting.BatchSlotGranting;
 
     constructor(private readonly parts: SlotGrantingParts) {
         this.order = new decisions.CoordinatorOrder(parts.random);
         const { network } = parts;
         network.handle(protocol.MessageKind.SlotRequest, async (message, from) => this.grantOnline(message, from));
-        network.handle(protocol.MessageKind.BatchSlotRequest, async (message, from) => {
-            const upstream = await this.grantBatch(message.service, from);
-            const kind = protocol.MessageKind.BatchSlotReply;
-            return upstream === undefined ? { kind } : { kind, upstream };
+        this.batch = new batchSlotGranting.BatchSlotGranting({
+            ...parts,
+            annotate: (service, candidates) => this.annotate(service, candidates),
+            rank: coordinators => this.rank(coordinators, false),
+            noteUnresponsive: (coordinator, reply) => this.noteUnresponsive(coordinator, reply),
         });
     }
 
@@ -105,25 +95,29 @@
         const isOwn = (candidate: decisions.SlotCandidate): boolean =>
             coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance;
         const ownEngines = this.annotate(service, candidates.filter(isOwn));
-        const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, ReservedSlots, clock.now());
-        const isOwnFree = ownChoice !== undefined && ownChoice.waiting === 0;
-        if (ownChoice !== undefined && isOwnFree && !this.isDeferred(ownEngines, ownChoice.id)) {
+        const reserve = this.getOnlineReserve();
+        const avoidsYields = this.parts.reserve.isActive();
+        const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, reserve, clock.now());
+        const isSlow = this.isDeferred(ownEngines, ownChoice);
+        if (ownChoice?.waiting === 0 && !isSlow && (!avoidsYields || ownChoice.yielder === undefined)) {
             return { ...ownChoice, isCounted: false };
         }
         const byCoordinator = this.groupByCoordinator(candidates);
         let best: GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
-        const ranked = this.rank([...byCoordinator.keys()], true);
-        const askedCoordinators = isOwnFree
-            ? ranked
-                  .filter(coordinator => this.order.hasFreeSlots(coordinator, clock.now()))
-                  .slice(0, MaximumCoordinatorsAskedFirst)
-            : ranked.slice(0, MaximumCoordinatorsAsked);
-        for (const coordinator of askedCoordinators) {
+        const askedCoordinators = this.listCoordinatorsToAsk([...byCoordinator.keys()], isSlow);
+        let yieldable: { readonly coordinator: core.InstanceId; readonly slots: number } | undefined;
+        for (const [index, coordinator] of askedCoordinators.entries()) {
+            const isYieldKnown = yieldable !== undefined || best?.waiting === 0;
+            if (avoidsYields && index >= FreeSlotAttempts && isYieldKnown) {
+                break;
+            }
             const choice = await this.requestOnlineSlot(
                 coordinator,
                 service,
                 byCoordinator.get(coordinator) ?? new Set(),
+                !avoidsYields || index >= FreeSlotAttempts,
+                slots => (yieldable = slots > (yieldable?.slots ?? 0) ? { coordinator, slots } : yieldable),
             );
             if (choice?.isCounted === true) {
                 return choice;
@@ -132,7 +126,14 @@
                 best = choice;
             }
         }
-        if (isOwnFree || askedCoordinators.length === MaximumCoordinatorsAsked) {
+        if (yieldable !== undefined && best?.waiting !== 0) {
+            const usableThere = byCoordinator.get(yieldable.coordinator) ?? new Set();
+            const choice = await this.requestOnlineSlot(yieldable.coordinator, service, usableThere, true);
+            if (choice?.isCounted === true) {
+                return choice;
+            }
+        }
+        if (best?.waiting === 0 || askedCoordinators.length === MaximumCoordinatorsAsked) {
             return best;
         }
         // If there are few links, as right after a start, engines of coordinators that cannot be asked are chosen by
@@ -140,79 +141,39 @@
         const linked = new Set([...byCoordinator.values()].flatMap(ids => [...ids]));
         const unreachable = candidates.filter(candidate => !linked.has(candidate.id) && !isOwn(candidate));
         const annotated = this.annotate(service, unreachable);
-        const fallback = slotTable.tryChooseOnline(annotated, dataCentre, ReservedSlots, clock.now());
+        const fallback = slotTable.tryChooseOnline(annotated, dataCentre, reserve, clock.now());
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
             ? { ...fallback, isCounted: false }
             : best;
     }
 
-    /**
-     * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
-     * returns whether it is used.
-     */
-    requestBatchSlots(service: string, wanted: number, use: (upstream: core.UpstreamId) => boolean): void {
-        const coordinators = new Set(
-            this.getLinkedCoordinators().filter(coordinator => !this.pendingBatchRequests.has(coordinator)),
-        );
-        const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - this.pendingBatchRequests.size;
-        for (const coordinator of this.rank([...coordinators], false).slice(0, Math.max(0, requestCount))) {
-            void this.requestBatchSlot(coordinator, service, use);
-        }
-    }
-
-    /** Grants slots that may have been freed here to the waiting items of peers, in the order in which they arrived. */
-    serveWaiting(): void {
-        for (const item of this.waiting) {
-            const upstream = this.tryGrantBatch(item.service, item.from);
-            if (upstream !== undefined) {
-                item.finish(upstream);
-            }
-        }
-    }
-
     /** Drops the waiting items of removed members, and stops ranking these members as coordinators. */
     forget(removed: readonly core.InstanceId[]): void {
         removed.forEach(member => this.order.remove(member));
-        [...this.waiting].filter(item => removed.includes(item.from)).forEach(item => item.finish(undefined));
-    }
-
-    private async requestBatchSlot(
-        coordinator: core.InstanceId,
-        service: string,
-        use: (upstream: core.UpstreamId) => boolean,
-    ): Promise<void> {
-        this.pendingBatchRequests.add(coordinator);
-        const message = { kind: protocol.MessageKind.BatchSlotRequest, service } as const;
-        const reply = await this.parts.network.request(coordinator, message, {
-            lane: protocol.Lane.Control,
-            timeoutMilliseconds: BatchTimeoutMilliseconds,
-        });
-        this.pendingBatchRequests.delete(coordinator);
-        if (!reply.ok || reply.message.kind !== protocol.MessageKind.BatchSlotReply) {
-            this.noteUnresponsive(coordinator, reply);
-            // The coordinator may have granted a slot as the wait ended.
-            this.parts.coordinators.getEnginesOf(coordinator, service).forEach(this.parts.returnSlot);
-            return;
-        }
-        const { upstream } = reply.message;
-        if (upstream !== undefined && !use(upstream)) {
-            this.parts.returnSlot(upstream);
-        }
+        this.batch.forget(removed);
     }
 
     /**
      * `usable`: the coordinator's engines that the request may use. Its other engines are excluded by name in the
-     * message.
+     * message. `onYieldable` is called with the slots that batch work could yield there if that isn't allowed and no slot
+     * is free.
      */
     private async requestOnlineSlot(
         coordinator: core.InstanceId,
         service: string,
         usable: ReadonlySet<core.UpstreamId>,
+        allowsYield: boolean,
+        onYieldable?: (slots: number) => void,
     ): Promise<GrantedSlotChoice | undefined> {
         const { network, clock, returnSlot, coordinators } = this.parts;
         const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
         const kind = protocol.MessageKind.SlotRequest;
-        const message = except.length === 0 ? ({ kind, service } as const) : ({ kind, service, except } as const);
+        const message = {
+            kind,
+            service,
+            ...(except.length === 0 ? {} : { except }),
+            ...(allowsYield ? {} : { allowsYield }),
+        } as const;
         const options = { lane: protocol.Lane.Control, timeoutMilliseconds: OnlineTimeoutMilliseconds };
         const reply = await network.request(coordinator, message, options);
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.SlotReply) {
@@ -223,8 +184,9 @@
         }
         const { upstream, waiting, free, speeds } = reply.message;
         this.parts.speeds?.takeOverRows(speeds, coordinator);
-        this.order.recordFreeSlots(coordinator, free, clock.now());
+        this.order.recordFreeSlots(coordinator, upstream === undefined ? 0 : free, clock.now());
         if (upstream === undefined) {
+            onYieldable?.(free);
             return undefined;
         }
         if (!usable.has(upstream)) {
@@ -254,13 +216,13 @@
     }
 
     private chooseGrant(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
-        const { slotTable, coordinators, clock, dataCentre, requestYield, onGranted } = this.parts;
+        const { slotTable, coordinators, clock, dataCentre, requestYield, reserve, onGranted } = this.parts;
         const except = new Set(message.except);
         const usable = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
         const candidates: readonly decisions.SlotCandidate[] = this.annotate(message.service, usable);
-        const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
+        const choice = slotTable.tryChooseOnline(candidates, dataCentre, this.getOnlineReserve(), clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
             return { kind, waiting: 0, free: 0 };
@@ -268,55 +230,33 @@
         if (choice.waiting > 0) {
             return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
         }
-        const chosen = candidates.find(candidate => candidate.id === choice.id);
-        if (chosen?.isNew === true && slotTable.isDeferred(chosen)) {
+        if (this.isHeldBack(candidates, choice)) {
             // The requester comes back to this engine if the others that it asks are full.
             return { kind, upstream: choice.id, waiting: 1, free: 0 };
         }
+        const avoidsYields = reserve.isActive();
+        if (choice.yielder !== undefined && avoidsYields && message.allowsYield === false) {
+            const yieldable = candidates.map(entry => slotTable.getTotal(entry.id).batch);
+            return { kind, waiting: 0, free: yieldable.reduce((sum, batch) => sum + batch, 0) };
+        }
         if (choice.yielder !== undefined) {
             requestYield(choice.id, choice.yielder);
         }
         slotTable.addPeer(from, choice.id, { online: 1, batch: 0 });
         onGranted(from);
-        const free = candidates.reduce((sum, entry) => sum + entry.slots - slotTable.getTotal(entry.id).online, 0);
+        const free = candidates.reduce((sum, entry) => {
+            const { online, batch } = slotTable.getTotal(entry.id);
+            return sum + entry.slots - online - (avoidsYields ? batch : 0);
+        }, 0);
         return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
     }
 
-    private async grantBatch(service: string, from: core.InstanceId): Promise<core.UpstreamId | undefined> {
-        const upstream = this.tryGrantBatch(service, from);
-        if (upstream !== undefined || this.waiting.size >= MaximumWaitingItems) {
-            return upstream;
-        }
-        return new Promise(resolve => {
-            const item: WaitingItem = {
-                service,
-                from,
-                finish: granted => {
-                    cancelTimeout();
-                    this.waiting.delete(item);
-                    resolve(granted);
-                },
-            };
-            const cancelTimeout = this.parts.clock.schedule(BatchWaitMilliseconds, () => item.finish(undefined));
-            this.waiting.add(item);
-        });
-    }
-
-    private tryGrantBatch(service: string, from: core.InstanceId): core.UpstreamId | undefined {
-        const { slotTable, coordinators, clock, dataCentre } = this.parts;
-        const engines = coordinators.getOwnEngines(service);
-        const upstream = slotTable.tryChooseBatch(
-            // A single engine is chosen whatever its speed. This runs for each waiting item whenever a slot may be free.
-            engines.length > 1 ? this.annotate(service, engines) : engines,
-            ReservedSlots,
-            dataCentre,
-            clock.now(),
-        );
-        if (upstream !== undefined) {
-            slotTable.addPeer(from, upstream, { online: 0, batch: 1 });
-            this.parts.onGranted(from);
-        }
-        return upstream;
+    /**
+     * Slots that an online request leaves free before it makes batch work yield. Where batch starts follow the demand,
+     * the free slots are there for online requests, and batch work yields only if there is none.
+     */
+    private getOnlineReserve(): number {
+        return this.parts.reserve.isActive() ? 0 : batchSlotGranting.ReservedSlots;
     }
 
     private annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
@@ -330,11 +270,25 @@
             : choice.waiting / (this.parts.speeds?.getRelativeSpeed(service, choice.id) ?? 1);
     }
 
-    private isDeferred(candidates: readonly decisions.SlotCandidate[], id: core.UpstreamId): boolean {
-        const chosen = candidates.find(candidate => candidate.id === id);
+    /** Whether the choice is a free slot of an engine that is used only if no other is free: excluded, or returning. */
+    private isDeferred(
+        candidates: readonly decisions.SlotCandidate[],
+        choice: decisions.SlotChoice | undefined,
+    ): boolean {
+        const isYieldAvoided = this.parts.reserve.isActive();
+        const chosen =
+            this.parts.speeds === undefined || choice?.waiting !== 0 || (isYieldAvoided && choice.yielder !== undefined)
+                ? undefined
+                : candidates.find(candidate => candidate.id === choice.id);
         return chosen !== undefined && this.parts.slotTable.isDeferred(chosen);
     }
 
+    /** Whether the choice is the part of a new engine that is kept free until its speed is known. */
+    private isHeldBack(candidates: readonly decisions.SlotCandidate[], choice: decisions.SlotChoice): boolean {
+        const isNew = candidates.some(candidate => candidate.id === choice.id && candidate.isNew === true);
+        return isNew && this.isDeferred(candidates, choice);
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
@@ -350,8 +304,17 @@
         return byCoordinator;
     }
 
-    private getLinkedCoordinators(): readonly core.InstanceId[] {
-        return this.parts.network.getConnectedPeers().filter(peer => this.parts.coordinators.isCoordinator(peer));
+    /** The coordinators that are asked in turn. If an own engine has a free slot but is slow, few are worth the trip. */
+    private listCoordinatorsToAsk(
+        coordinators: readonly core.InstanceId[],
+        isOwnEngineSlow: boolean,
+    ): readonly core.InstanceId[] {
+        const ranked = this.rank(coordinators, true);
+        return isOwnEngineSlow
+            ? ranked
+                  .filter(coordinator => this.order.hasFreeSlots(coordinator, this.parts.clock.now()))
+                  .slice(0, MaximumCoordinatorsAskedFirst)
+            : ranked.slice(0, MaximumCoordinatorsAsked);
     }
 
     private rank(coordinators: readonly core.InstanceId[], usesSpeeds: boolean): readonly core.InstanceId[] {
