--- a/packages/daemon/test/endToEnd.test.ts
+++ b/packages/daemon/test/endToEnd.test.ts
@@ -1,3 +1,4 @@
+import * as gateway from "@boragedale/gateway";
 import * as platform from "@boragedale/platform";
 import * as standins from "@boragedale/platform-standins";
 import * as uvu from "uvu";
@@ -56,6 +57,20 @@
     assert.is(answer.isComplete, true);
 });
 
+// Guards against a composition that doesn't pass the setting on, and against a speed that operators don't see.
+suite("with measured engine speeds, the metrics contain the speed of an engine that has served a stream", async () => {
+    const policy = { ...gateway.DefaultLoadPolicy, engineSpeeds: gateway.EngineSpeeds.Measured };
+    await using testPlatform = await fixtures.startPlatform(1, 1, policy);
+    const { caller, metrics } = testPlatform.gateways[0]!.addresses;
+    assert.type(metrics, "string");
+    await fixtures.waitUntil(async () => {
+        const answer = await fixtures.send(caller, "/stream/x", { headers: { [AttemptId]: "r1" }, body: "prompt" });
+        assert.is(answer.body, formatEvents(8));
+        const { body } = await fixtures.get(metrics ?? "", "/metrics");
+        return body.includes('boragedale_engine_speed{upstream="engine-0"} 1\n');
+    });
+});
+
 // The engine closes the connection in the middle of an event. The route allows resuming, so the caller sees one whole response.
 suite("an interrupted stream is resumed on another engine within the same response", async () => {
     await using testPlatform = await fixtures.startPlatform(1);
--- a/packages/decisions/src/engineSpeed.ts
+++ b/packages/decisions/src/engineSpeed.ts
@@ -25,8 +25,6 @@
 /** Steps of a return, and the time between them: the load of one step must be measured before the next. */
 const ReturnSteps = 4;
 const ReturnStepMilliseconds = 250;
-/** Fraction of its speed that other members are told of in the first half of a return. */
-const ReportedReturnShare = 0.6;
 /** Largest fraction of a service's engines that are excluded at a time. */
 const MaximumExcludedFraction = 0.3;
 /** An estimate is used fully up to the first age, and not at all from the second. */
@@ -180,16 +178,17 @@
         record.isExcluded = false;
     }
 
-    /** The estimate for other members: the usual time, or the recent one while the engine is excluded. */
+    /**
+     * The estimate for other members: the usual time, or the recent one while the engine is excluded. They aren't told of
+     * the steps of a return, since each change of an estimate costs them all a row.
+     */
     tryGetEstimate(upstream: core.UpstreamId, now: core.MonotonicMilliseconds): SpeedSample | undefined {
         const record = this.records.get(upstream);
         if (record === undefined || record.usual === 0 || now - record.sampledAt > FreshMilliseconds) {
             return undefined;
         }
-        // Other members are told of one step of the return, since each change of an estimate costs them all a row.
-        const returning = this.getReturnShare(record, now) <= 0.5 ? record.usual / ReportedReturnShare : record.usual;
         return {
-            eventMilliseconds: record.isExcluded ? Math.max(record.usual, record.recent) : returning,
+            eventMilliseconds: record.isExcluded ? Math.max(record.usual, record.recent) : record.usual,
             firstEventMilliseconds: record.firstEvent,
             events: record.events,
         };
@@ -215,6 +214,25 @@
         return { relativeSpeed, isExcluded: record.isExcluded, usableShare, isNew };
     }
 
+    /**
+     * Whether all engines have the usual standing. Only the `own` engines count as new while they have few samples: a
+     * member that does not coordinate an engine has few of it in any case.
+     */
+    isUniform(own: readonly core.UpstreamId[], now: core.MonotonicMilliseconds): boolean {
+        const isKnown = this.getMedian(now) !== undefined;
+        if (isKnown && own.some(upstream => (this.records.get(upstream)?.events ?? 0) < EventsToTrust)) {
+            return false;
+        }
+        for (const [upstream, record] of this.records) {
+            this.endSilentExclusion(upstream, record, now);
+            const isUsual = !record.isExcluded && this.getReturnShare(record, now) === 1;
+            if (!isUsual || this.getRelativeSpeed(record, now) !== 1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private getRelativeSpeed(record: EngineRecord, now: core.MonotonicMilliseconds): number {
         const reference = this.getMedian(now);
         const age = now - record.sampledAt;
@@ -337,6 +355,15 @@
  */
 const SenderExponent = 0.85;
 
+/** Whether `getSenderFactor` is 1 for all engines, because most of the sender's times are usual. */
+export function isSenderUsual(ratios: readonly SenderRatio[]): boolean {
+    let unusual = 0;
+    for (const { ratio } of ratios) {
+        unusual += ratio > SenderTolerance || ratio < 1 / SenderTolerance ? 1 : 0;
+    }
+    return unusual === 0 || 2 * unusual < ratios.length - 1;
+}
+
 /**
  * The factor by which the sender itself lengthened a time that it measured at an engine: the median of its ratios at its
  * other engines. A sender whose event loop stalls measures long times everywhere, and must not mark its engines slow.
--- a/packages/gateway/src/engineSpeeds.ts
+++ b/packages/gateway/src/engineSpeeds.ts
@@ -4,23 +4,29 @@
 import type * as coordinatorDirectory from "./homeDirectory.js";
 
 /** Interval at which measured times are added up to the estimates. Streams have an event each 40 to 60 ms. */
-const CollectIntervalMilliseconds = 50;
+const CollectIntervalMilliseconds = 100;
 /** Age up to which a mean at another engine shows whether this sender itself is slow. */
 const RatioExpiryMilliseconds = 200;
 /** Factor by which uncollected times for a notice lose weight at each collection, so that a late notice reports recent times. */
-const PendingDecay = 0.9;
+const PendingDecay = 0.8;
 /** Factor between two times per event above which the engine, and not only its load, has changed. */
 const SuddenChange = 1.5;
-/** A time per event that is this multiple of the usual one is reported at once. */
-const SlowdownToReport = 1.7;
-const ReportIntervalMilliseconds = 250;
-/** Interval at which a notice repeats a time per event that has not changed. Most notices need no row, which doubles their size. */
-const UnchangedRowIntervalMilliseconds = 400;
-/** Time for which each notice repeats a time per event that has changed: the coordinator needs several samples. */
-const ChangeReportedMilliseconds = 300;
-/** Shortest interval between two replies with speeds to the same requester, and interval at which unchanged ones are repeated. */
-const ReplyIntervalMilliseconds = 250;
-const RepeatIntervalMilliseconds = 2_500;
+/** A time that has changed by more than this is reported with the next notice or reply. */
+const ReportedChange = 1.25;
+/** Shortest interval between two rows about an engine whose time has not changed but is unusual for that engine. */
+const UnusualRowIntervalMilliseconds = 1_000;
+/**
+ * The same if it is usual: the first interval, and the longest one after each row has doubled it. A new coordinator
+ * learns from the first rows; later it has times of its own, and a row nearly doubles the size of a notice.
+ */
+const FirstRowIntervalMilliseconds = 1_000;
+const LongestRowIntervalMilliseconds = 8_000;
+/** Shortest interval between two replies with speeds to the same requester, unless an engine is excluded or returns. */
+const ReplyIntervalMilliseconds = 1_000;
+/** Interval at which unchanged speeds are repeated, before the requester's estimate has decayed by half. */
+const RepeatIntervalMilliseconds = 5_000;
+/** How long it is known whether all engines of a service are of usual speed, and how fast a coordinator's are. */
+const SpreadExpiryMilliseconds = 250;
 /** Interval at which the engines of each service are listed again. */
 const RetainIntervalMilliseconds = 1_000;
 
@@ -28,8 +34,6 @@
     readonly clock: core.Clock;
     readonly slotTable: decisions.SlotTable;
     readonly coordinators: coordinatorDirectory.CoordinatorDirectory;
-    /** Called with an engine that has become slow, to send its coordinator a notice soon. */
-    readonly onSlowdown: (upstream: core.UpstreamId) => void;
     /** Called if an engine that this member coordinates is excluded or returns. */
     readonly onExclusion: (change: decisions.ExclusionChange) => void;
     /** Called once for each engine that this member coordinates and whose speed it has measured. */
@@ -77,11 +81,11 @@
     /** Mean time per event of the last collection as a multiple of the engine's usual time. */
     ratio = 1;
     ratioAt: core.MonotonicMilliseconds = -Infinity;
-    reportedAt: core.MonotonicMilliseconds = -Infinity;
     /** Time per event in the last notice. */
     sentMilliseconds = 0;
     sentAt: core.MonotonicMilliseconds = -Infinity;
-    changedAt: core.MonotonicMilliseconds = -Infinity;
+    rowIntervalMilliseconds = 0;
+    coordinator: core.InstanceId | undefined;
     isOwnReported = false;
 
     constructor(
@@ -130,7 +134,21 @@
 /** What a requester was last told. */
 interface SentSpeeds {
     sentAt: core.MonotonicMilliseconds;
-    readonly byEngine: Map<core.UpstreamId, { readonly milliseconds: number; readonly at: core.MonotonicMilliseconds }>;
+    /** Exclusions and returns that were considered. */
+    exclusionChanges: number;
+    readonly byEngine: Map<core.UpstreamId, SentSpeed>;
+}
+
+interface SentSpeed {
+    readonly milliseconds: number;
+    readonly at: core.MonotonicMilliseconds;
+    readonly standing: decisions.EngineStanding;
+}
+
+/** Whether all engines of a service are of usual speed. */
+interface Spread {
+    readonly isUniform: boolean;
+    readonly until: core.MonotonicMilliseconds;
 }
 
 /**
@@ -146,7 +164,14 @@
     private readonly sent = new Map<core.InstanceId, SentSpeeds>();
     private readonly coordinatorSpeeds = new Map<core.InstanceId, number>();
     private coordinatorSpeedsAt: core.MonotonicMilliseconds = -Infinity;
+    private readonly spreads = new Map<string, Spread>();
+    /** Meters with times that the engine's coordinator should know. */
+    private readonly reportable = new Set<EngineMeter>();
     private measured: EngineMeter[] = [];
+    /** Meters whose ratios may show that this member itself is slow. */
+    private recent: readonly EngineMeter[] = [];
+    /** Exclusions and returns of this member's engines so far. */
+    private exclusionChanges = 0;
     private collectedAt: core.MonotonicMilliseconds = -Infinity;
     private retainedAt: core.MonotonicMilliseconds = -Infinity;
 
@@ -167,13 +192,13 @@
 
     /** Adds the known speeds to candidates. Candidates of usual speed stay as they are. */
     annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
-        const estimate = this.estimates.get(service);
-        if (estimate === undefined && !this.parts.coordinators.isEngineService(service)) {
+        const now = this.parts.clock.now();
+        if (this.isUniform(service, now)) {
             return candidates;
         }
-        const now = this.parts.clock.now();
+        const estimate = this.getEstimate(service);
         return candidates.map(candidate => {
-            const standing = this.getEstimate(service).getStanding(candidate.id, now);
+            const standing = estimate.getStanding(candidate.id, now);
             // Only the coordinator knows enough about an engine to find that it is new.
             const isKnown = !standing.isNew || this.isOwn(candidate.id);
             const usableShare = isKnown ? standing.usableShare : 1;
@@ -190,7 +215,7 @@
     /** The speed of the fastest engine that a member coordinates, computed a few times in a second. */
     getCoordinatorSpeed(coordinator: core.InstanceId): number {
         const now = this.parts.clock.now();
-        if (now - this.coordinatorSpeedsAt >= CollectIntervalMilliseconds) {
+        if (now - this.coordinatorSpeedsAt >= SpreadExpiryMilliseconds) {
             this.coordinatorSpeedsAt = now;
             this.coordinatorSpeeds.clear();
         }
@@ -199,6 +224,29 @@
         return known;
     }
 
+    /** Whether any service has engines of unusual speed. */
+    hasUnevenEngines(): boolean {
+        const now = this.parts.clock.now();
+        for (const service of this.estimates.keys()) {
+            if (!this.isUniform(service, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether all engines of a service have the usual standing, as far as is known. Then there is nothing to consider or to send. */
+    private isUniform(service: string, now: core.MonotonicMilliseconds): boolean {
+        const spread = this.spreads.get(service);
+        if (spread !== undefined && now < spread.until) {
+            return spread.isUniform;
+        }
+        const own = this.parts.coordinators.getOwnEngines(service).map(entry => entry.id);
+        const isUniform = this.estimates.get(service)?.isUniform(own, now) ?? true;
+        this.spreads.set(service, { isUniform, until: now + SpreadExpiryMilliseconds });
+        return isUniform;
+    }
+
     private computeCoordinatorSpeed(coordinator: core.InstanceId): number {
         let fastest = 0;
         for (const service of this.estimates.keys()) {
@@ -215,19 +263,20 @@
      */
     takeRows(coordinator: core.InstanceId): readonly protocol.EngineSpeedRow[] | undefined {
         const now = this.parts.clock.now();
-        this.collect(now);
+        this.collectIfDue(now);
         const rows: protocol.EngineSpeedRow[] = [];
-        for (const meter of this.meters.values()) {
-            const { pending } = meter;
-            const sample = pending.events + pending.firstEvents < 1 ? undefined : pending.toSample();
-            if (sample === undefined || !isWorthReporting(meter, sample, now)) {
-                continue;
-            }
+        for (const meter of this.reportable) {
             if (this.parts.coordinators.tryGetCoordinator(meter.upstream) === coordinator) {
+                const sample = meter.pending.toSample();
                 rows.push(toRow(meter.upstream, sample));
-                pending.scale(0);
+                meter.pending.scale(0);
                 meter.sentMilliseconds = sample.eventMilliseconds;
                 meter.sentAt = now;
+                meter.rowIntervalMilliseconds = Math.min(
+                    LongestRowIntervalMilliseconds,
+                    Math.max(FirstRowIntervalMilliseconds, meter.rowIntervalMilliseconds * 2),
+                );
+                this.reportable.delete(meter);
             }
         }
         return rows.length === 0 ? undefined : rows;
@@ -246,24 +295,38 @@
     }
 
     /**
-     * Returns the estimates of this member's engines that the requester does not know yet. Estimates that have changed
-     * by less than the dead band are repeated only so often that the requester does not forget them.
+     * Returns the estimates of this member's engines that the requester does not know yet. Unchanged ones are repeated
+     * only so often that the requester does not forget them, and those of engines of usual speed are left out.
      */
     createReplyRows(service: string, requester: core.InstanceId): readonly protocol.EngineSpeedRow[] | undefined {
         const now = this.parts.clock.now();
-        const sent = this.sent.get(requester) ?? { sentAt: -Infinity, byEngine: new Map() };
-        if (now - sent.sentAt < ReplyIntervalMilliseconds) {
+        const known = this.sent.get(requester);
+        if (known === undefined && this.isUniform(service, now)) {
             return undefined;
         }
+        const estimate = this.estimates.get(service);
+        const sent = known ?? {
+            sentAt: -Infinity,
+            exclusionChanges: 0,
+            byEngine: new Map<core.UpstreamId, SentSpeed>(),
+        };
+        const isDue = now - sent.sentAt >= ReplyIntervalMilliseconds;
+        if (!isDue && sent.exclusionChanges === this.exclusionChanges) {
+            return undefined;
+        }
+        sent.exclusionChanges = this.exclusionChanges;
         const rows: protocol.EngineSpeedRow[] = [];
-        for (const { id } of this.parts.coordinators.getOwnEngines(service)) {
-            const sample = this.estimates.get(service)?.tryGetEstimate(id, now);
+        for (const { id } of estimate === undefined ? [] : this.parts.coordinators.getOwnEngines(service)) {
+            const standing = estimate?.getStanding(id, now) ?? decisions.UsualStanding;
             const last = sent.byEngine.get(id);
-            if (sample === undefined || (last !== undefined && !isWorthSending(sample, last, now))) {
+            if (!isDue && standing.isExcluded === (last?.standing.isExcluded ?? false)) {
                 continue;
             }
-            rows.push(toRow(id, sample));
-            sent.byEngine.set(id, { milliseconds: sample.eventMilliseconds, at: now });
+            const sample = estimate?.tryGetEstimate(id, now);
+            if (sample !== undefined && isWorthSending(sample, standing, last, now)) {
+                rows.push(toRow(id, sample));
+                sent.byEngine.set(id, { milliseconds: sample.eventMilliseconds, at: now, standing });
+            }
         }
         if (rows.length === 0) {
             return undefined;
@@ -281,6 +344,7 @@
             if (service !== undefined && this.parts.coordinators.tryGetCoordinator(upstream) === coordinator) {
                 const sample = { eventMilliseconds, firstEventMilliseconds, events };
                 this.getEstimate(service).takeOver(upstream, sample, now);
+                this.spreads.delete(service);
             }
         }
     }
@@ -315,15 +379,22 @@
                 meter.ratioAt = now;
             }
         }
-        const recent = [...this.meters.values()].filter(meter => now - meter.ratioAt <= RatioExpiryMilliseconds);
+        const mayBeRecent = [...new Set([...this.recent, ...measured])];
+        this.recent = mayBeRecent.filter(meter => now - meter.ratioAt <= RatioExpiryMilliseconds);
+        const isUsual = decisions.isSenderUsual(this.recent);
         for (const meter of measured) {
-            this.collectMeter(meter, decisions.getSenderFactor(recent, meter.upstream), now);
+            this.collectMeter(meter, isUsual ? 1 : decisions.getSenderFactor(this.recent, meter.upstream), now);
         }
     }
 
     private collectMeter(meter: EngineMeter, factor: number, now: core.MonotonicMilliseconds): void {
         const { upstream, sums, pending } = meter;
-        const isOwn = this.isOwn(upstream);
+        const coordinator = this.parts.coordinators.tryGetCoordinator(upstream);
+        const isOwn = coordinator === decisions.SelfInstance;
+        if (meter.coordinator !== coordinator) {
+            meter.coordinator = coordinator;
+            meter.rowIntervalMilliseconds = 0;
+        }
         const requests = isOwn ? this.countRequests(upstream) : undefined;
         this.getEstimate(meter.service).add(upstream, sums.toSample(factor), requests, now);
         if (isOwn) {
@@ -340,15 +411,34 @@
             const hasChanged = change > SuddenChange || (change > 0 && change < 1 / SuddenChange);
             pending.scale(hasChanged ? 0 : PendingDecay);
             pending.add(sums, factor);
-            const isSlow = sums.events > 0 && meter.ratio / factor > SlowdownToReport;
-            if (isSlow && now - meter.reportedAt >= ReportIntervalMilliseconds) {
-                meter.reportedAt = now;
-                this.parts.onSlowdown(upstream);
+            if (this.isWorthReporting(meter, now)) {
+                this.reportable.add(meter);
+            }
+            else {
+                this.reportable.delete(meter);
             }
         }
         sums.scale(0);
     }
 
+    /** Whether a notice reports what was measured at an engine of another coordinator. */
+    private isWorthReporting(meter: EngineMeter, now: core.MonotonicMilliseconds): boolean {
+        const { eventMilliseconds } = meter.pending.toSample();
+        const usual = this.getEstimate(meter.service).tryGetUsualMilliseconds(meter.upstream);
+        if (eventMilliseconds === 0 || usual === undefined) {
+            return false;
+        }
+        const sinceSent = now - meter.sentAt;
+        const isUnusual = hasChanged(eventMilliseconds, usual);
+        if (!isUnusual && this.isUniform(meter.service, now)) {
+            return false;
+        }
+        return (
+            sinceSent >= (isUnusual ? UnusualRowIntervalMilliseconds : meter.rowIntervalMilliseconds) ||
+            (isUnusual && hasChanged(eventMilliseconds, meter.sentMilliseconds))
+        );
+    }
+
     /** Forgets engines that are no longer usable. */
     private retainEngines(now: core.MonotonicMilliseconds): void {
         if (now - this.retainedAt < RetainIntervalMilliseconds) {
@@ -361,6 +451,7 @@
         for (const meter of this.meters.values()) {
             if (this.parts.coordinators.tryGetService(meter.upstream) === undefined) {
                 this.meters.delete(meter.upstream);
+                this.reportable.delete(meter);
             }
         }
     }
@@ -378,7 +469,9 @@
         let estimate = this.estimates.get(service);
         if (estimate === undefined) {
             estimate = new decisions.EngineSpeed(change => {
+                this.spreads.delete(service);
                 if (this.isOwn(change.upstream)) {
+                    this.exclusionChanges++;
                     this.parts.onExclusion(change);
                 }
             });
@@ -389,26 +482,32 @@
     }
 }
 
-function isWorthReporting(meter: EngineMeter, sample: decisions.SpeedSample, now: core.MonotonicMilliseconds): boolean {
-    if (!decisions.isUsualSpeed(sample.eventMilliseconds / Math.max(0.1, meter.sentMilliseconds))) {
-        meter.changedAt = now;
-    }
-    return (
-        now - meter.changedAt <= ChangeReportedMilliseconds || now - meter.sentAt >= UnchangedRowIntervalMilliseconds
-    );
-}
-
+/** Whether a requester is told of an estimate, after it was told `last`. */
 function isWorthSending(
     sample: decisions.SpeedSample,
-    last: { readonly milliseconds: number; readonly at: core.MonotonicMilliseconds },
+    standing: decisions.EngineStanding,
+    last: SentSpeed | undefined,
     now: core.MonotonicMilliseconds,
 ): boolean {
+    const isUsual = isUsualStanding(standing);
+    if (last === undefined) {
+        return !isUsual;
+    }
     return (
-        now - last.at >= RepeatIntervalMilliseconds ||
-        !decisions.isUsualSpeed(sample.eventMilliseconds / Math.max(0.1, last.milliseconds))
+        isUsual !== isUsualStanding(last.standing) ||
+        hasChanged(sample.eventMilliseconds, last.milliseconds) ||
+        (!isUsual && now - last.at >= RepeatIntervalMilliseconds)
     );
 }
 
+function isUsualStanding({ relativeSpeed, isExcluded }: decisions.EngineStanding): boolean {
+    return relativeSpeed === 1 && !isExcluded;
+}
+
+function hasChanged(milliseconds: number, before: number): boolean {
+    return milliseconds > before * ReportedChange || milliseconds * ReportedChange < before;
+}
+
 function toRow(upstream: core.UpstreamId, sample: decisions.SpeedSample): protocol.EngineSpeedRow {
     // Whole numbers are shorter on the wire; a few milliseconds need a decimal.
     const round = (value: number): number => (value < 20 ? Math.round(value * 10) / 10 : Math.round(value));
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -318,7 +318,7 @@
     }
 
     private rank(coordinators: readonly core.InstanceId[], usesSpeeds: boolean): readonly core.InstanceId[] {
-        const speeds = usesSpeeds ? this.parts.speeds : undefined;
+        const speeds = usesSpeeds && this.parts.speeds?.hasUnevenEngines() === true ? this.parts.speeds : undefined;
         const choices = coordinators.map(id => ({
             id,
             isNear: this.parts.coordinators.isInSameDataCentre(id),
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -183,9 +183,9 @@
         }
     }
 
-    /** Adds the measured speeds of engines to candidates. */
+    /** Adds the measured speeds of engines to candidates. A single candidate is chosen whatever its speed. */
     annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
-        return this.speeds?.annotate(service, candidates) ?? candidates;
+        return candidates.length > 1 ? (this.speeds?.annotate(service, candidates) ?? candidates) : candidates;
     }
 
     /** Frees the slots of removed members. */
@@ -286,11 +286,6 @@
             clock: this.clock,
             slotTable: this.slotTable,
             coordinators,
-            onSlowdown: upstream => {
-                if (coordinators.areSlotsGranted()) {
-                    this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
-                }
-            },
             onExclusion: change => onEngineExclusion?.(change),
             onOwnEngine: upstream => {
                 const service = coordinators.tryGetService(upstream) ?? "";
