--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
 import * as eventSplitter from "./eventSplitter.js";
-import type * as engineSpeeds from "./engineSpeeds.js";
+import type * as engineMeter from "./engineMeter.js";
 import * as upstreamExchange from "./upstreamExchange.js";
 import type * as wire from "./wire.js";
 
@@ -53,7 +53,7 @@
     readonly onSent: () => void;
     readonly onProgress: () => void;
     /** Measures the times between the events of a stream; undefined if they are not needed. */
-    readonly meter?: engineSpeeds.StreamMeter | undefined;
+    readonly meter?: engineMeter.StreamMeter | undefined;
 }
 
 /**
--- a/packages/gateway/src/engineSpeeds.ts
+++ b/packages/gateway/src/engineSpeeds.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import type * as protocol from "@boragedale/protocol";
+import * as engineMeter from "./engineMeter.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 
 /** Interval at which measured times are added up to the estimates. Streams have an event each 40 to 60 ms. */
@@ -40,97 +41,6 @@
     readonly onOwnEngine: (upstream: core.UpstreamId) => void;
 }
 
-/** Sums of the times that were measured at one engine. */
-class TimeSums {
-    eventMilliseconds = 0;
-    events = 0;
-    firstEventMilliseconds = 0;
-    firstEvents = 0;
-
-    add(other: TimeSums, factor: number): void {
-        this.eventMilliseconds += other.eventMilliseconds / factor;
-        this.events += other.events;
-        this.firstEventMilliseconds += other.firstEventMilliseconds / factor;
-        this.firstEvents += other.firstEvents;
-    }
-
-    scale(factor: number): void {
-        this.eventMilliseconds *= factor;
-        this.events *= factor;
-        this.firstEventMilliseconds *= factor;
-        this.firstEvents *= factor;
-    }
-
-    /** The means, divided by a factor. */
-    toSample(factor = 1): decisions.SpeedSample {
-        return {
-            eventMilliseconds: this.events === 0 ? 0 : this.eventMilliseconds / this.events / factor,
-            firstEventMilliseconds:
-                this.firstEvents === 0 ? 0 : this.firstEventMilliseconds / this.firstEvents / factor,
-            events: Math.max(this.events, this.firstEvents),
-        };
-    }
-}
-
-/** What this member measures at one engine. */
-class EngineMeter {
-    /** Since the last collection. */
-    readonly sums = new TimeSums();
-    /** Since the last notice, without the part that is attributed to this member itself. */
-    readonly pending = new TimeSums();
-    /** Mean time per event of the last collection as a multiple of the engine's usual time. */
-    ratio = 1;
-    ratioAt: core.MonotonicMilliseconds = -Infinity;
-    /** Time per event in the last notice. */
-    sentMilliseconds = 0;
-    sentAt: core.MonotonicMilliseconds = -Infinity;
-    rowIntervalMilliseconds = 0;
-    coordinator: core.InstanceId | undefined;
-    isOwnReported = false;
-
-    constructor(
-        readonly upstream: core.UpstreamId,
-        readonly service: string,
-    ) {}
-}
-
-/** Measures the times between the events of one stream. */
-export class StreamMeter {
-    private lastAt: core.MonotonicMilliseconds | undefined;
-
-    constructor(
-        private readonly speeds: EngineSpeedSharing,
-        private readonly meter: EngineMeter,
-        private readonly startedAt: core.MonotonicMilliseconds,
-    ) {}
-
-    /**
-     * Records that `count` events arrived together. Their mean is right even if this process was stopped while they
-     * arrived.
-     */
-    onEvents(count: number, now: core.MonotonicMilliseconds): void {
-        const { sums } = this.meter;
-        if (sums.events === 0 && sums.firstEvents === 0) {
-            this.speeds.noteMeasured(this.meter);
-        }
-        if (this.lastAt === undefined) {
-            sums.firstEventMilliseconds += now - this.startedAt;
-            sums.firstEvents++;
-        }
-        else {
-            sums.eventMilliseconds += now - this.lastAt;
-            sums.events += count;
-        }
-        this.lastAt = now;
-        this.speeds.collectIfDue(now);
-    }
-
-    /** Excludes the time since the last event, because the caller read slowly and the stream was paused. */
-    onResumed(now: core.MonotonicMilliseconds): void {
-        this.lastAt = now;
-    }
-}
-
 /** What a requester was last told. */
 interface SentSpeeds {
     sentAt: core.MonotonicMilliseconds;
@@ -159,17 +69,17 @@
  * receives the times of all members that use it, and returns its estimate with the slots that it grants.
  */
 export class EngineSpeedSharing {
-    private readonly meters = new Map<core.UpstreamId, EngineMeter>();
+    private readonly meters = new Map<core.UpstreamId, engineMeter.EngineMeter>();
     private readonly estimates = new Map<string, decisions.EngineSpeed>();
     private readonly sent = new Map<core.InstanceId, SentSpeeds>();
     private readonly coordinatorSpeeds = new Map<core.InstanceId, number>();
     private coordinatorSpeedsAt: core.MonotonicMilliseconds = -Infinity;
     private readonly spreads = new Map<string, Spread>();
     /** Meters with times that the engine's coordinator should know. */
-    private readonly reportable = new Set<EngineMeter>();
-    private measured: EngineMeter[] = [];
+    private readonly reportable = new Set<engineMeter.EngineMeter>();
+    private measured: engineMeter.EngineMeter[] = [];
     /** Meters whose ratios may show that this member itself is slow. */
-    private recent: readonly EngineMeter[] = [];
+    private recent: readonly engineMeter.EngineMeter[] = [];
     /** Exclusions and returns of this member's engines so far. */
     private exclusionChanges = 0;
     private collectedAt: core.MonotonicMilliseconds = -Infinity;
@@ -178,16 +88,16 @@
     constructor(private readonly parts: EngineSpeedSharingParts) {}
 
     /** Starts measuring a stream of an engine. Returns undefined for an upstream that is not an engine. */
-    startStream(upstream: core.UpstreamId, service: string): StreamMeter | undefined {
+    startStream(upstream: core.UpstreamId, service: string): engineMeter.StreamMeter | undefined {
         if (!this.parts.coordinators.isEngineService(service)) {
             return undefined;
         }
         let meter = this.meters.get(upstream);
         if (meter === undefined) {
-            meter = new EngineMeter(upstream, service);
+            meter = new engineMeter.EngineMeter(upstream, service);
             this.meters.set(upstream, meter);
         }
-        return new StreamMeter(this, meter, this.parts.clock.now());
+        return new engineMeter.StreamMeter(this, meter, this.parts.clock.now());
     }
 
     /** Adds the known speeds to candidates. Candidates of usual speed stay as they are. */
@@ -353,7 +263,7 @@
         removed.forEach(member => this.sent.delete(member));
     }
 
-    noteMeasured(meter: EngineMeter): void {
+    noteMeasured(meter: engineMeter.EngineMeter): void {
         this.measured.push(meter);
     }
 
@@ -387,12 +297,13 @@
         }
     }
 
-    private collectMeter(meter: EngineMeter, factor: number, now: core.MonotonicMilliseconds): void {
+    private collectMeter(meter: engineMeter.EngineMeter, factor: number, now: core.MonotonicMilliseconds): void {
         const { upstream, sums, pending } = meter;
         const coordinator = this.parts.coordinators.tryGetCoordinator(upstream);
         const isOwn = coordinator === decisions.SelfInstance;
         if (meter.coordinator !== coordinator) {
             meter.coordinator = coordinator;
+            this.reportable.delete(meter);
             meter.rowIntervalMilliseconds = 0;
         }
         const requests = isOwn ? this.countRequests(upstream) : undefined;
@@ -422,7 +333,7 @@
     }
 
     /** Whether a notice reports what was measured at an engine of another coordinator. */
-    private isWorthReporting(meter: EngineMeter, now: core.MonotonicMilliseconds): boolean {
+    private isWorthReporting(meter: engineMeter.EngineMeter, now: core.MonotonicMilliseconds): boolean {
         const { eventMilliseconds } = meter.pending.toSample();
         const usual = this.getEstimate(meter.service).tryGetUsualMilliseconds(meter.upstream);
         if (eventMilliseconds === 0 || usual === undefined) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./customerQuotas.js";
 export * from "./callerIdentity.js";
 export * from "./loadPolicy.js";
+export * from "./engineMeter.js";
 export * from "./engineSpeeds.js";
 export * from "./batchSlotGranting.js";
 export * from "./demandReserve.js";
