--- a/packages/bench/src/slots/hardLoadBatch.ts
+++ b/packages/bench/src/slots/hardLoadBatch.ts
@@ -88,9 +88,12 @@
             const upstream = isBlocked
                 ? undefined
                 : slots.slotTable.tryChooseBatch(
-                      followsDemand
-                          ? slots.reserve.filterStarts(slotsFleet.Service, ownEngines, waiting.estimate)
-                          : ownEngines,
+                      slots.annotate(
+                          slotsFleet.Service,
+                          followsDemand
+                              ? slots.reserve.filterStarts(slotsFleet.Service, ownEngines, waiting.estimate)
+                              : ownEngines,
+                      ),
                       gateway.ReservedSlots,
                       ownEngines[0]?.dataCentre ?? "",
                       this.time.now(),
@@ -124,7 +127,9 @@
         this.counts.resumed += eventsBefore > 0 ? 1 : 0;
         this.waiting.delete(item);
         slots.take(upstream, true, isCounted);
+        const meter = slots.speeds?.startStream(upstream, slotsFleet.Service);
         const onEvent = (): void => {
+            meter?.onEvents(1, this.time.now());
             item.events++;
         };
         const onEnd = (): void => {
--- a/packages/decisions/src/homeOrder.ts
+++ b/packages/decisions/src/homeOrder.ts
@@ -10,6 +10,8 @@
 export interface CoordinatorCandidate {
     readonly id: core.InstanceId;
     readonly isNear: boolean;
+    /** Speed of its engines relative to others. Absent: 1. */
+    readonly relativeSpeed?: number;
 }
 
 /**
@@ -33,6 +35,12 @@
  */
 const SameDataCentreScore = 0.2;
 const TieBreakSpread = 0.15;
+/**
+ * Weight of the engines' speed: a coordinator of engines at 1.6 is asked before others, unless it reported that it had
+ * no free slot.
+ */
+const SpeedScore = 0.3;
+const HighestSpeedDifference = 0.8;
 
 /**
  * Orders the coordinators that are asked for a slot.
@@ -56,6 +64,12 @@
         this.skippedUntil.set(coordinator, now + NoAnswerMilliseconds);
     }
 
+    /** Whether the coordinator reported free slots a moment ago. */
+    hasFreeSlots(coordinator: core.InstanceId, now: core.MonotonicMilliseconds): boolean {
+        const hint = this.hints.get(coordinator);
+        return hint !== undefined && hint.free > 0 && now - hint.at <= HintExpiryMilliseconds;
+    }
+
     remove(coordinator: core.InstanceId): void {
         this.hints.delete(coordinator);
         this.skippedUntil.delete(coordinator);
@@ -74,6 +88,7 @@
         const hint = this.hints.get(coordinator.id);
         const isFresh = hint !== undefined && now - hint.at <= HintExpiryMilliseconds;
         const known = isFresh ? Math.min(1, hint.free) : UnknownScore;
-        return known + (coordinator.isNear ? SameDataCentreScore : 0) + this.random() * TieBreakSpread;
+        const speed = Math.min(HighestSpeedDifference, (coordinator.relativeSpeed ?? 1) - 1) * SpeedScore;
+        return known + speed + (coordinator.isNear ? SameDataCentreScore : 0) + this.random() * TieBreakSpread;
     }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,3 +27,4 @@
 export * from "./homes.js";
 export * from "./homeOrder.js";
 export * from "./failureWatch.js";
+export * from "./engineSpeed.js";
--- a/packages/gateway/src/batchSlotGranting.ts
+++ b/packages/gateway/src/batchSlotGranting.ts
@@ -27,6 +27,11 @@
     readonly reserve: demandReserve.DemandReserve;
     /** The most urgent item of this member that waits for a slot; undefined if none does. */
     readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
+    /** Adds the measured speeds of engines to candidates. */
+    readonly annotate: (
+        service: string,
+        candidates: readonly decisions.SlotCandidate[],
+    ) => readonly decisions.SlotCandidate[];
     /** Called with the member that was granted a slot. */
     readonly onGranted: (requester: core.InstanceId) => void;
     /** Notifies the coordinator of the actual use of a slot that it counts for this member. */
@@ -226,8 +231,10 @@
     ): core.UpstreamId | undefined {
         const { slotTable, clock, dataCentre, reserve } = this.parts;
         const isActive = reserve.isActive();
+        const usable = isActive ? reserve.filterStarts(service, engines, estimate) : engines;
         const upstream = slotTable.tryChooseBatch(
-            isActive ? reserve.filterStarts(service, engines, estimate) : engines,
+            // A single engine is chosen whatever its speed. This runs for each waiting item whenever a slot may be free.
+            usable.length > 1 ? this.parts.annotate(service, usable) : usable,
             ReservedSlots,
             dataCentre,
             clock.now(),
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -3,6 +3,7 @@
 import * as protocol from "@boragedale/protocol";
 import * as batchSlotGranting from "./batchSlotGranting.js";
 import type * as demandReserve from "./demandReserve.js";
+import type * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
 
@@ -11,6 +12,8 @@
  * full, six find a free slot in 98 of 100 cases and cost at most a dozen milliseconds.
  */
 const MaximumCoordinatorsAsked = 6;
+/** Coordinators with free slots that are asked before a free slot of an own engine that is slow is used. */
+const MaximumCoordinatorsAskedFirst = 2;
 /**
  * Coordinators among them that are asked for a free slot before batch work yields one, where that is avoided. Each
  * further one finds a slot less often, and costs a message each way and a trip.
@@ -29,6 +32,8 @@
     readonly random: () => number;
     readonly dataCentre: core.DataCentre;
     readonly policy: loadPolicy.LoadPolicy;
+    /** Undefined if speeds are ignored. */
+    readonly speeds?: engineSpeeds.EngineSpeedSharing | undefined;
     readonly reserve: demandReserve.DemandReserve;
     /** The most urgent item of this member that waits for a slot; undefined if none does. */
     readonly tryGetMostUrgent: (service: string) => decisions.ItemEstimate | undefined;
@@ -72,7 +77,8 @@
         network.handle(protocol.MessageKind.SlotRequest, async (message, from) => this.grantOnline(message, from));
         this.batch = new batchSlotGranting.BatchSlotGranting({
             ...parts,
-            rank: coordinators => this.rank(coordinators),
+            annotate: (service, candidates) => this.annotate(service, candidates),
+            rank: coordinators => this.rank(coordinators, false),
             noteUnresponsive: (coordinator, reply) => this.noteUnresponsive(coordinator, reply),
         });
     }
@@ -86,19 +92,20 @@
         // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
         const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
         const candidates = healthy.length > 0 ? healthy : usable;
-        const ownEngines = candidates.filter(
-            candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
-        );
+        const isOwn = (candidate: decisions.SlotCandidate): boolean =>
+            coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance;
+        const ownEngines = this.annotate(service, candidates.filter(isOwn));
         const reserve = this.getOnlineReserve();
         const avoidsYields = this.parts.reserve.isActive();
         const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, reserve, clock.now());
-        if (ownChoice?.waiting === 0 && (!avoidsYields || ownChoice.yielder === undefined)) {
+        const isSlow = this.isDeferred(ownEngines, ownChoice);
+        if (ownChoice?.waiting === 0 && !isSlow && (!avoidsYields || ownChoice.yielder === undefined)) {
             return { ...ownChoice, isCounted: false };
         }
         const byCoordinator = this.groupByCoordinator(candidates);
         let best: GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
-        const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, MaximumCoordinatorsAsked);
+        const askedCoordinators = this.listCoordinatorsToAsk([...byCoordinator.keys()], isSlow);
         let yieldable: { readonly coordinator: core.InstanceId; readonly slots: number } | undefined;
         for (const [index, coordinator] of askedCoordinators.entries()) {
             const isYieldKnown = yieldable !== undefined || best?.waiting === 0;
@@ -115,7 +122,7 @@
             if (choice?.isCounted === true) {
                 return choice;
             }
-            if (choice !== undefined && choice.waiting < (best?.waiting ?? Infinity)) {
+            if (choice !== undefined && this.getWait(service, choice) < this.getWait(service, best)) {
                 best = choice;
             }
         }
@@ -126,16 +133,15 @@
                 return choice;
             }
         }
-        if (askedCoordinators.length === MaximumCoordinatorsAsked) {
+        if (best?.waiting === 0 || askedCoordinators.length === MaximumCoordinatorsAsked) {
             return best;
         }
         // If there are few links, as right after a start, engines of coordinators that cannot be asked are chosen by
         // the local slot table.
         const linked = new Set([...byCoordinator.values()].flatMap(ids => [...ids]));
-        const unreachable = candidates.filter(
-            candidate => !linked.has(candidate.id) && !ownEngines.includes(candidate),
-        );
-        const fallback = slotTable.tryChooseOnline(unreachable, dataCentre, reserve, clock.now());
+        const unreachable = candidates.filter(candidate => !linked.has(candidate.id) && !isOwn(candidate));
+        const annotated = this.annotate(service, unreachable);
+        const fallback = slotTable.tryChooseOnline(annotated, dataCentre, reserve, clock.now());
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
             ? { ...fallback, isCounted: false }
             : best;
@@ -176,7 +182,8 @@
             usable.forEach(returnSlot);
             return undefined;
         }
-        const { upstream, waiting, free } = reply.message;
+        const { upstream, waiting, free, speeds } = reply.message;
+        this.parts.speeds?.takeOverRows(speeds, coordinator);
         this.order.recordFreeSlots(coordinator, upstream === undefined ? 0 : free, clock.now());
         if (upstream === undefined) {
             onYieldable?.(free);
@@ -203,11 +210,18 @@
      * is granted it.
      */
     private grantOnline(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
+        const reply = this.chooseGrant(message, from);
+        const speeds = this.parts.speeds?.createReplyRows(message.service, from);
+        return speeds === undefined ? reply : { ...reply, speeds };
+    }
+
+    private chooseGrant(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
         const { slotTable, coordinators, clock, dataCentre, requestYield, reserve, onGranted } = this.parts;
         const except = new Set(message.except);
-        const candidates = coordinators
+        const usable = coordinators
             .getOwnEngines(message.service)
             .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
+        const candidates: readonly decisions.SlotCandidate[] = this.annotate(message.service, usable);
         const choice = slotTable.tryChooseOnline(candidates, dataCentre, this.getOnlineReserve(), clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
@@ -216,6 +230,10 @@
         if (choice.waiting > 0) {
             return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
         }
+        if (this.isHeldBack(candidates, choice)) {
+            // The requester comes back to this engine if the others that it asks are full.
+            return { kind, upstream: choice.id, waiting: 1, free: 0 };
+        }
         const avoidsYields = reserve.isActive();
         if (choice.yielder !== undefined && avoidsYields && message.allowsYield === false) {
             const yieldable = candidates.map(entry => slotTable.getTotal(entry.id).batch);
@@ -241,6 +259,36 @@
         return this.parts.reserve.isActive() ? 0 : batchSlotGranting.ReservedSlots;
     }
 
+    private annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
+        return this.parts.speeds?.annotate(service, candidates) ?? candidates;
+    }
+
+    /** The requests that wait before a choice, set against the speed at which they are served. */
+    private getWait(service: string, choice: decisions.SlotChoice | undefined): number {
+        return choice === undefined
+            ? Infinity
+            : choice.waiting / (this.parts.speeds?.getRelativeSpeed(service, choice.id) ?? 1);
+    }
+
+    /** Whether the choice is a free slot of an engine that is used only if no other is free: excluded, or returning. */
+    private isDeferred(
+        candidates: readonly decisions.SlotCandidate[],
+        choice: decisions.SlotChoice | undefined,
+    ): boolean {
+        const isYieldAvoided = this.parts.reserve.isActive();
+        const chosen =
+            this.parts.speeds === undefined || choice?.waiting !== 0 || (isYieldAvoided && choice.yielder !== undefined)
+                ? undefined
+                : candidates.find(candidate => candidate.id === choice.id);
+        return chosen !== undefined && this.parts.slotTable.isDeferred(chosen);
+    }
+
+    /** Whether the choice is the part of a new engine that is kept free until its speed is known. */
+    private isHeldBack(candidates: readonly decisions.SlotCandidate[], choice: decisions.SlotChoice): boolean {
+        const isNew = candidates.some(candidate => candidate.id === choice.id && candidate.isNew === true);
+        return isNew && this.isDeferred(candidates, choice);
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
@@ -256,8 +304,26 @@
         return byCoordinator;
     }
 
-    private rank(coordinators: readonly core.InstanceId[]): readonly core.InstanceId[] {
-        const choices = coordinators.map(id => ({ id, isNear: this.parts.coordinators.isInSameDataCentre(id) }));
+    /** The coordinators that are asked in turn. If an own engine has a free slot but is slow, few are worth the trip. */
+    private listCoordinatorsToAsk(
+        coordinators: readonly core.InstanceId[],
+        isOwnEngineSlow: boolean,
+    ): readonly core.InstanceId[] {
+        const ranked = this.rank(coordinators, true);
+        return isOwnEngineSlow
+            ? ranked
+                  .filter(coordinator => this.order.hasFreeSlots(coordinator, this.parts.clock.now()))
+                  .slice(0, MaximumCoordinatorsAskedFirst)
+            : ranked.slice(0, MaximumCoordinatorsAsked);
+    }
+
+    private rank(coordinators: readonly core.InstanceId[], usesSpeeds: boolean): readonly core.InstanceId[] {
+        const speeds = usesSpeeds && this.parts.speeds?.hasUnevenEngines() === true ? this.parts.speeds : undefined;
+        const choices = coordinators.map(id => ({
+            id,
+            isNear: this.parts.coordinators.isInSameDataCentre(id),
+            relativeSpeed: speeds?.getCoordinatorSpeed(id) ?? 1,
+        }));
         return this.order.rank(choices, this.parts.clock.now());
     }
 }
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -3,6 +3,7 @@
 import * as protocol from "@boragedale/protocol";
 import * as batchSlotGranting from "./batchSlotGranting.js";
 import * as demandReserve from "./demandReserve.js";
+import * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
 import * as slotGranting from "./slotLending.js";
@@ -44,6 +45,10 @@
     readonly onCoordinatorUnresponsive: (coordinator: core.InstanceId, text: string) => void;
     /** `DefaultLoadPolicy` if absent. */
     readonly policy?: loadPolicy.LoadPolicy;
+    /** Called if an engine that this member coordinates is excluded for being slow, or returns. */
+    readonly onEngineExclusion?: (change: decisions.ExclusionChange) => void;
+    /** Called once for each engine that this member coordinates, with a function that returns its relative speed. */
+    readonly onEngineMeasured?: (upstream: core.UpstreamId, getSpeed: () => number) => void;
     /** Called when batch work is asked to give up a slot. */
     readonly onYieldRequested?: (reason: yieldRequests.YieldReason) => void;
 }
@@ -80,6 +85,8 @@
     private readonly network: protocol.PeerNetwork;
     private readonly clock: core.Clock;
     readonly slotTable: decisions.SlotTable;
+    /** Undefined if the policy ignores the speeds of engines. */
+    readonly speeds: engineSpeeds.EngineSpeedSharing | undefined;
 
     constructor(private readonly parts: SlotSharingParts) {
         const { network, clock, slotTable } = parts;
@@ -87,6 +94,7 @@
         this.clock = clock;
         this.slotTable = slotTable;
         const policy = parts.policy ?? loadPolicy.DefaultLoadPolicy;
+        this.speeds = policy.engineSpeeds === loadPolicy.EngineSpeeds.Measured ? this.createSpeeds() : undefined;
         this.reserve = new demandReserve.DemandReserve({ ...parts, policy });
         this.yields = new yieldRequests.YieldRequests({
             ...parts,
@@ -100,6 +108,7 @@
         });
         this.granting = new slotGranting.SlotGranting({
             ...parts,
+            speeds: this.speeds,
             policy,
             reserve: this.reserve,
             tryGetMostUrgent: service => this.outlook?.tryGetMostUrgent(service),
@@ -147,7 +156,7 @@
         }
         const { dataCentre } = this.parts;
         const choice = this.slotTable.tryChooseOnline(
-            candidates,
+            this.annotate(service, candidates),
             dataCentre,
             batchSlotGranting.ReservedSlots,
             this.clock.now(),
@@ -175,8 +184,14 @@
         }
     }
 
+    /** Adds the measured speeds of engines to candidates. A single candidate is chosen whatever its speed. */
+    annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
+        return candidates.length > 1 ? (this.speeds?.annotate(service, candidates) ?? candidates) : candidates;
+    }
+
     /** Frees the slots of removed members. */
     forget(removed: readonly core.InstanceId[]): void {
+        this.speeds?.forget(removed);
         removed.forEach(member => this.forgetPeer(member));
         this.granting.forget(removed);
     }
@@ -266,6 +281,21 @@
         this.stopper.abort();
     }
 
+    private createSpeeds(): engineSpeeds.EngineSpeedSharing {
+        const { coordinators, onEngineExclusion, onEngineMeasured } = this.parts;
+        const speeds: engineSpeeds.EngineSpeedSharing = new engineSpeeds.EngineSpeedSharing({
+            clock: this.clock,
+            slotTable: this.slotTable,
+            coordinators,
+            onExclusion: change => onEngineExclusion?.(change),
+            onOwnEngine: upstream => {
+                const service = coordinators.tryGetService(upstream) ?? "";
+                onEngineMeasured?.(upstream, () => speeds.getRelativeSpeed(service, upstream));
+            },
+        });
+        return speeds;
+    }
+
     private grant(
         requester: core.InstanceId,
         upstream: { id: core.UpstreamId; slots: number },
@@ -298,7 +328,11 @@
             return;
         }
         for (const [coordinator, coordinated] of this.groupByCoordinator(upstreams)) {
-            this.network.notify(coordinator, this.createNotice(coordinated, isWhole), protocol.Lane.Control);
+            this.network.notify(
+                coordinator,
+                this.createNotice(coordinated, isWhole, coordinator),
+                protocol.Lane.Control,
+            );
         }
     }
 
@@ -317,16 +351,27 @@
         return byCoordinator;
     }
 
-    private createNotice(upstreams: readonly core.UpstreamId[], isWhole: boolean): protocol.SlotUses {
+    /** `coordinator`: the only receiver, which is also sent the speeds measured at its engines. */
+    private createNotice(
+        upstreams: readonly core.UpstreamId[],
+        isWhole: boolean,
+        coordinator?: core.InstanceId,
+    ): protocol.SlotUses {
         const uses = upstreams.map((upstream): readonly [string, number, number] => {
             const own = this.slotTable.getOwn(upstream);
             return [upstream, own.online, own.batch];
         });
         const listed = isWhole ? uses.filter(([, online, batch]) => online > 0 || batch > 0) : uses;
-        const notice = { kind: protocol.MessageKind.SlotUses, isWhole, uses: listed } as const;
         const slacks = this.reserve.isActive() ? this.listSlacks(listed) : [];
-        // Most notices report online requests only, and an empty list would be sent with a placeholder before it.
-        return slacks.length === 0 ? notice : { ...notice, slacks };
+        const speeds = coordinator === undefined ? undefined : this.speeds?.takeRows(coordinator);
+        return {
+            kind: protocol.MessageKind.SlotUses,
+            isWhole,
+            uses: listed,
+            // Most notices report online requests only, and an empty list would be sent with a placeholder before it.
+            ...(slacks.length === 0 ? {} : { slacks }),
+            ...(speeds === undefined ? {} : { speeds }),
+        };
     }
 
     private listSlacks(uses: protocol.SlotUses["uses"]): [core.UpstreamId, number][] {
@@ -337,6 +382,7 @@
     }
 
     private applyNotice(message: protocol.SlotUses, from: core.InstanceId): void {
+        this.speeds?.addRows(message.speeds);
         this.lastNoticeAt.set(from, this.clock.now());
         if (message.isWhole) {
             this.slotTable.removePeer(from);
