--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -6,6 +6,7 @@
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
+import * as silenceTimers from "./silenceTimer.js";
 import * as slotGranting from "./slotLending.js";
 import type * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
@@ -289,13 +290,10 @@
             ...this.parts.slots.slotTable.getTotal(upstream.id),
         });
         owned.state = ownedSubmission.ItemState.Running;
-        let stopSilenceTimer = (): void => undefined;
-        const restartSilenceTimer = (): void => {
-            stopSilenceTimer();
-            stopSilenceTimer = this.parts.clock.schedule(SilenceTimeoutMilliseconds, () =>
-                run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
-            );
-        };
+        const silenceTimer = new silenceTimers.SilenceTimer(this.parts.clock, () =>
+            run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
+        );
+        const restartSilenceTimer = (): void => silenceTimer.restart(SilenceTimeoutMilliseconds);
         const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer);
         this.running.set(owned, { upstream: upstream.id, run });
         this.parts.slots.take(upstream.id, true, isCounted);
@@ -318,7 +316,7 @@
         run.attach(this.parts.channels.get(upstream).start(request, run));
         restartSilenceTimer();
         const outcome = await run.outcome;
-        stopSilenceTimer();
+        silenceTimer.stop();
         this.running.delete(owned);
         if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
             const events = owned.texts.length;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -7,6 +7,7 @@
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as routeTable from "./routeTable.js";
+import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
@@ -229,14 +230,15 @@
         const lastEventId = delivery.lastEventId === undefined ? undefined : String(delivery.lastEventId);
         const startedAt = clock.now();
         const runsBefore = progress.runs;
-        let stopSilenceTimer = (): void => undefined;
+        let silenceLimit = 0;
+        const silenceTimer = new silenceTimers.SilenceTimer(clock, () =>
+            relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${Math.round(silenceLimit)} ms`),
+        );
         const restartSilenceTimer = (): void => {
-            stopSilenceTimer();
             const limit = this.getSilenceLimit(progress, runsBefore);
             if (limit !== undefined) {
-                stopSilenceTimer = clock.schedule(limit, () =>
-                    relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${Math.round(limit)} ms`),
-                );
+                silenceLimit = limit;
+                silenceTimer.restart(limit);
             }
         };
         const relay = new answerRelay.AnswerRelay({
@@ -270,7 +272,7 @@
             relay.stop(answerRelay.AttemptOutcomeKind.Stopped, "ended before it was sent");
         }
         const outcome = await relay.outcome;
-        stopSilenceTimer();
+        silenceTimer.stop();
         stopFirstEventTimer();
         progress.relay = undefined;
         this.parts.slots.release(upstream.id, false);
