--- a/deploy/instance.tpl
+++ b/deploy/instance.tpl
@@ -12,5 +12,6 @@
     "retentionMilliseconds": {{Bounds.StatusS}}000,
     "quotaWindowSeconds": "{{Bounds.QuotaWindowS}}",
     "quotaOverShare": "{{Bounds.QuotaOver}}",
-    "quotaSlack": "{{Bounds.QuotaSlack}}"
+    "quotaSlack": "{{Bounds.QuotaSlack}}",
+    "batchReserve": "demand"
 }
