--- a/packages/gateway/src/homeDirectory.ts
+++ b/packages/gateway/src/homeDirectory.ts
@@ -11,17 +11,31 @@
  */
 export const NeighbourCount = 15;
 
+/** The subset of each list of other members, which stays the same object until the members change. */
+const subsets = new WeakMap<readonly memberDirectory.Member[], readonly core.InstanceId[]>();
+
 /** The members that this one stays linked to: a subset of the fleet, and those that watch the store for it. */
 export function chooseNeighbours(
     members: memberDirectory.MemberDirectory,
     watchers: readonly core.InstanceId[],
 ): readonly core.InstanceId[] {
-    const others = members.getOthers().map(member => member.id);
+    const others = members.getOthers();
     if (others.length <= NeighbourCount) {
-        return others;
+        return others.map(member => member.id);
+    }
+    return [...new Set([...chooseSubset(members), ...watchers.filter(id => id !== members.self.id)])];
+}
+
+function chooseSubset(members: memberDirectory.MemberDirectory): readonly core.InstanceId[] {
+    const others = members.getOthers();
+    const known = subsets.get(others);
+    if (known !== undefined) {
+        return known;
     }
-    const chosen = decisions.chooseSubset(members.self.id, others, NeighbourCount);
-    return [...new Set([...chosen, ...watchers.filter(id => id !== members.self.id)])];
+    const ids = others.map(member => member.id);
+    const chosen = decisions.chooseSubset(members.self.id, ids, NeighbourCount);
+    subsets.set(others, chosen);
+    return chosen;
 }
 
 /** Determines which member coordinates which engine. The coordinator decides who may use the engine's slots. */
--- a/packages/gateway/src/memberDirectory.ts
+++ b/packages/gateway/src/memberDirectory.ts
@@ -30,15 +30,22 @@
     private readonly members = new Map<core.InstanceId, Member>();
     private readonly revisions = new Map<string, types.Revision>();
     private readonly listeners = new Set<(removed: readonly core.InstanceId[]) => void>();
+    /** The results of `getMembers` and `getOthers`, computed on first use after a change: each request asks for them. */
+    private all: readonly Member[] | undefined;
+    private others: readonly Member[] | undefined;
 
     constructor(readonly self: Member) {}
 
+    /** Returns the same list until a member is added, replaced or removed. */
     getMembers(): readonly Member[] {
-        return [...this.members.values()];
+        this.all ??= [...this.members.values()];
+        return this.all;
     }
 
+    /** Returns the same list until a member is added, replaced or removed. */
     getOthers(): readonly Member[] {
-        return this.getMembers().filter(member => member.id !== this.self.id);
+        this.others ??= this.getMembers().filter(member => member.id !== this.self.id);
+        return this.others;
     }
 
     /** Number of listed instances other than this one. A restarted instance may be listed with several incarnations. */
@@ -112,6 +119,8 @@
             const id = entry.key.slice(MemberPrefix.length);
             const member = entry.value === undefined ? undefined : tryDecodeMember(entry.value);
             hasChanged = true;
+            this.all = undefined;
+            this.others = undefined;
             if (member !== undefined) {
                 this.members.set(id, member);
             }
