--- a/packages/gateway/src/channelDirectory.ts
+++ b/packages/gateway/src/channelDirectory.ts
@@ -14,7 +14,8 @@
 
 interface CachedChannel {
     readonly channel: upstreamExchange.UpstreamChannel;
-    readonly identity: string;
+    readonly address: string;
+    readonly bornMilliseconds: number;
     lastUsed: core.MonotonicMilliseconds;
 }
 
@@ -36,27 +37,27 @@
     }
 
     override get(upstream: types.UpstreamEntry): upstreamExchange.Channel {
-        const identity = getIdentity(upstream);
         const now = this.clock.now();
         const known = this.channels.get(upstream.id);
-        if (known !== undefined && known.identity === identity) {
+        if (known !== undefined && isFor(known, upstream)) {
             known.lastUsed = now;
             return known.channel;
         }
         known?.channel.replaceConnections();
         this.closeUnused(now);
+        const { address, bornMilliseconds } = upstream;
         const channel = new upstreamExchange.UpstreamChannel({
-            address: upstream.address,
+            address,
             connectTimeoutMilliseconds: ConnectTimeoutMilliseconds,
             maximumConnections: ConnectionsPerUpstream,
         });
-        this.channels.set(upstream.id, { channel, identity, lastUsed: now });
+        this.channels.set(upstream.id, { channel, address, bornMilliseconds, lastUsed: now });
         return channel;
     }
 
     override hasIdleConnection(upstream: types.UpstreamEntry): boolean {
         const known = this.channels.get(upstream.id);
-        return known?.identity === getIdentity(upstream) && known.channel.hasIdleConnection();
+        return known !== undefined && isFor(known, upstream) && known.channel.hasIdleConnection();
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
@@ -75,6 +76,6 @@
     }
 }
 
-function getIdentity(upstream: types.UpstreamEntry): string {
-    return `${upstream.address}/${upstream.bornMilliseconds}`;
+function isFor(known: CachedChannel, upstream: types.UpstreamEntry): boolean {
+    return known.address === upstream.address && known.bornMilliseconds === upstream.bornMilliseconds;
 }
