--- a/packages/protocol/src/webSocketPeerNetwork.ts
+++ b/packages/protocol/src/webSocketPeerNetwork.ts
@@ -57,6 +57,8 @@
 export class WebSocketPeerNetwork extends types.PeerNetwork implements AsyncDisposable {
     private readonly handlers = new Map<types.MessageKind, AnyHandler>();
     private readonly links = new Map<string, peerLinks.PeerLink[]>();
+    /** The peers of `links`, computed on first use after a change. */
+    private connectedPeers: readonly core.InstanceId[] | undefined;
     /** Peers whose links were closed because they went silent, and when. */
     private readonly closedSilentPeers = new Map<core.InstanceId, core.MonotonicMilliseconds>();
     private readonly pendingDials = new Map<string, Promise<peerLinks.PeerLink | undefined>>();
@@ -144,8 +146,8 @@
     }
 
     override getConnectedPeers(): readonly core.InstanceId[] {
-        const peers = [...this.links.values()].flat().map(link => link.peer);
-        return [...new Set(peers)];
+        this.connectedPeers ??= [...new Set([...this.links.values()].flat().map(link => link.peer))];
+        return this.connectedPeers;
     }
 
     override getSilentPeers(): readonly core.InstanceId[] {
@@ -228,7 +230,7 @@
 
     private async runLink(link: peerLinks.PeerLink, onRegistered?: () => void): Promise<void> {
         const key = getLinkKey(link.peer, link.lane);
-        this.links.set(key, [...(this.links.get(key) ?? []), link]);
+        this.setLinks(key, [...(this.links.get(key) ?? []), link]);
         this.closedSilentPeers.delete(link.peer);
         this.options.telemetry.record(telemetry.events.PeerConnected, { text: `${link.peer} ${link.lane}` });
         if (link.lane === types.Lane.Control) {
@@ -237,10 +239,7 @@
         onRegistered?.();
         const finding = await link.run((message, from) => this.dispatch(message, from));
         const others = (this.links.get(key) ?? []).filter(other => other !== link);
-        this.links.set(key, others);
-        if (others.length === 0) {
-            this.links.delete(key);
-        }
+        this.setLinks(key, others);
         const name = `${link.peer} ${link.lane}`;
         if (finding !== undefined) {
             const text = `${name} ${finding.kind}: ${finding.text}`;
@@ -249,6 +248,16 @@
         this.options.telemetry.record(telemetry.events.PeerLost, { text: name });
     }
 
+    private setLinks(key: string, links: peerLinks.PeerLink[]): void {
+        if (links.length === 0) {
+            this.links.delete(key);
+        }
+        else {
+            this.links.set(key, links);
+        }
+        this.connectedPeers = undefined;
+    }
+
     private async dispatch(message: types.Message, from: core.InstanceId): Promise<types.Message | undefined> {
         if (message.kind === types.MessageKind.Heartbeat) {
             this.options.telemetry.timeLine.observe(message.logicalTime);
