--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -4,6 +4,7 @@
     readonly id: number | undefined;
 }
 
+const NoBytes = Buffer.alloc(0);
 const LineFeed = 0x0a;
 const CarriageReturn = 0x0d;
 /** Maximum size of an event. A stream with a longer one is rejected as not an event stream, which bounds the buffer. */
@@ -15,16 +16,18 @@
  * that a stream that breaks within an event can be continued at another upstream.
  */
 export class EventSplitter {
-    private remainder: Buffer = Buffer.alloc(0);
+    private remainder: Buffer = NoBytes;
 
     /** Returns the events that `data` completes, or undefined if the data is not an event stream. */
     push(data: Buffer): RawEvent[] | undefined {
         let buffer = this.remainder.length === 0 ? data : Buffer.concat([this.remainder, data]);
         const events: RawEvent[] = [];
         for (let end = findEventEnd(buffer); end > 0; end = findEventEnd(buffer)) {
-            const bytes = buffer.subarray(0, end);
+            // Most often the network delivers exactly one event, which needs no partial view.
+            const isWhole = end === buffer.length;
+            const bytes = isWhole ? buffer : buffer.subarray(0, end);
             events.push({ bytes, id: tryReadId(bytes) });
-            buffer = buffer.subarray(end);
+            buffer = isWhole ? NoBytes : buffer.subarray(end);
         }
         this.remainder = buffer;
         return buffer.length > MaximumEventBytes ? undefined : events;
@@ -49,12 +52,16 @@
     return 0;
 }
 
+/** Reads the id from the first line that has one. Decodes only that line, since events are long and ids short. */
 function tryReadId(bytes: Buffer): number | undefined {
-    for (const line of bytes.toString("latin1").split("\n")) {
-        if (line.startsWith("id:")) {
-            const id = Number(line.slice(3).trim());
+    let start = 0;
+    for (let end = bytes.indexOf(LineFeed); end >= 0; end = bytes.indexOf(LineFeed, start)) {
+        // The characters of "id:".
+        if (bytes[start] === 0x69 && bytes[start + 1] === 0x64 && bytes[start + 2] === 0x3a) {
+            const id = Number(bytes.toString("latin1", start + 3, end).trim());
             return Number.isSafeInteger(id) ? id : undefined;
         }
+        start = end + 1;
     }
     return undefined;
 }
--- a/packages/gateway/test/eventSplitter.test.ts
+++ b/packages/gateway/test/eventSplitter.test.ts
@@ -47,4 +47,28 @@
     assert.is(splitter.getRemainder().toString(), "id: 2\nda");
 });
 
+// A wrong id makes a stream that resumes at another upstream lose or repeat events. The id is that of the first line which begins with
+// "id:", in any position, and is ignored if it is no integer.
+suite("the id is read from the first line that begins with it", () => {
+    const line = fastCheck.oneof(
+        fastCheck.constantFrom("id:", "id", "i", " id: 4", "data: id: 5", "id: x", "id: 1.5", "id:9007199254740993"),
+        fastCheck.nat(1_000).map(id => `id: ${id}`),
+        fastCheck.string({ unit: "binary", minLength: 1 }).map(text => `data: ${text.replace(/[\r\n]/g, "")}`),
+    );
+    const property = fastCheck.property(
+        fastCheck.array(line, { minLength: 1, maxLength: 5 }),
+        fastCheck.constantFrom("\n", "\r\n"),
+        (lines, ending) => {
+            const value = lines.find(text => text.startsWith("id:"))?.slice(3);
+            const id = value === undefined ? undefined : Number(value.trim());
+            const events = new gateway.EventSplitter().push(Buffer.from(lines.join(ending) + ending + ending));
+            assert.equal(
+                events?.map(event => event.id),
+                [Number.isSafeInteger(id) ? id : undefined],
+            );
+        },
+    );
+    fastCheck.assert(property, { seed: 5, numRuns: 300 });
+});
+
 suite.run();
