--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -197,9 +197,19 @@
     );
 }
 
+/** An instance's fixed order of upstreams. Each hash is kept, since every placement asks for those of all engines. */
+function createPreference(self: core.InstanceId): (upstream: core.UpstreamId) => number {
+    const known = new Map<core.UpstreamId, number>();
+    return upstream => {
+        const preference = known.get(upstream) ?? decisions.hashToUnit(`${self}/${upstream}`);
+        known.set(upstream, preference);
+        return preference;
+    };
+}
+
 function createSlots({ members, network, clock, coordinators, settings, log }: Components): gateway.SlotSharing {
     const self = members.self.id;
-    const slotTable = new decisions.SlotTable(Math.random, upstream => decisions.hashToUnit(`${self}/${upstream}`));
+    const slotTable = new decisions.SlotTable(Math.random, createPreference(self));
     const slots = new gateway.SlotSharing({
         slotTable,
         network,
