--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./loadPolicy.js";
 export * from "./engineMeter.js";
 export * from "./engineSpeeds.js";
+export * from "./silenceTimer.js";
 export * from "./batchSlotGranting.js";
 export * from "./demandReserve.js";
 export * from "./yieldRequests.js";
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -8,6 +8,7 @@
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
+import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
@@ -364,13 +365,10 @@
             ...this.parts.slots.slotTable.getTotal(upstream.id),
         });
         owned.state = ownedSubmission.ItemState.Running;
-        let stopSilenceTimer = (): void => undefined;
-        const restartSilenceTimer = (): void => {
-            stopSilenceTimer();
-            stopSilenceTimer = this.parts.clock.schedule(SilenceTimeoutMilliseconds, () =>
-                run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
-            );
-        };
+        const silenceTimer = new silenceTimers.SilenceTimer(this.parts.clock, () =>
+            run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
+        );
+        const restartSilenceTimer = (): void => silenceTimer.restart(SilenceTimeoutMilliseconds);
         const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
         const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, events =>
             meter?.onEvents(events, this.parts.clock.now()),
@@ -396,7 +394,7 @@
         run.attach(this.parts.channels.get(upstream).start(request, run));
         restartSilenceTimer();
         const outcome = await run.outcome;
-        stopSilenceTimer();
+        silenceTimer.stop();
         this.running.delete(owned);
         if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
             const events = owned.texts.length;
