--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,7 +1,6 @@
 import * as fileSystem from "node:fs";
 import { createRequire } from "node:module";
 import * as path from "node:path";
-import * as url from "node:url";
 import * as vm from "node:vm";
 import * as esbuild from "esbuild";
 
@@ -119,42 +118,12 @@
     return `(async(requireBuiltin,moduleUrl)=>{${body}\n})`;
 }
 
-/**
- * Stores the code that is compiled when the bundle has been loaded and a small fleet of gateways has served requests. If the fleet
- * can't run here, stores what loading the bundle compiled.
- */
+/** Runs the bundle with the role `load`, which loads all modules, and stores the code compiled by then. */
 async function writeCompiledCode() {
     const script = new vm.Script(code, { filename: CodeFile });
-    const evaluate = () => script.runInThisContext()(require, import.meta.url);
     process.argv[2] = "load";
-    await evaluate();
-    try {
-        const { warmUp } = await importWarmUp();
-        await warmUp(evaluate);
-    }
-    catch (error) {
-        process.stderr.write(`the compiled code contains no functions that run after the start: ${String(error)}\n`);
-    }
+    await script.runInThisContext()(require, import.meta.url);
     fileSystem.writeFileSync(path.join(OutputFolder, "boragedale.cache"), script.createCachedData());
-    // The gateways of the warm-up would run on.
-    process.exit(0);
-}
-
-/** Bundles the warm-up as well, since the stand-ins that it uses may not be compiled when the daemon is bundled. */
-async function importWarmUp() {
-    const file = path.resolve(OutputFolder, "warmUp.mjs");
-    await esbuild.build({
-        entryPoints: [path.join(import.meta.dirname, "warmUp.mjs")],
-        outfile: file,
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "esm",
-        conditions: ["source"],
-        external: ExcludedModules,
-        banner: { js: Banner },
-    });
-    return import(url.pathToFileURL(file).href);
 }
 
 /** Returns the path of a file in an installed library, even if the library's manifest doesn't export it. */
