--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -210,7 +210,11 @@
         onCoordinatorUnresponsive: (coordinator, text) =>
             log.recordEvent(gateway.GatewayEvent.HomeSilent, { home: coordinator, text }),
         policy: settings,
+        onWaitEnded: outcome => log.metrics.count("boragedale_online_waits_total", { outcome }),
     });
+    if (settings.onlineOrder === gateway.OnlineOrder.Shares) {
+        log.metrics.observeGauge("boragedale_online_waiting", {}, () => slots.getWaitingOnlineCount());
+    }
     members.onChange(removedMembers => slots.forget(removedMembers));
     return slots;
 }
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -3,6 +3,7 @@
 import * as telemetry from "@boragedale/telemetry";
 import bunyan from "bunyan";
 import sonicBoom from "sonic-boom";
+import * as customerLabels from "./customerLabels.js";
 
 /** Maximum bytes buffered while standard output is not being read. Further lines are dropped and counted. */
 const MaxBufferedBytes = 1_048_576;
@@ -12,6 +13,8 @@
 /** Maximum lines per event and second. Further lines are counted and reported in a single line. */
 const MaxLinesPerSecond = 200;
 
+const OnlineWaitMetric = "boragedale_online_wait_seconds";
+
 const GatewayEvents: Readonly<Record<gateway.GatewayEvent, telemetry.events.EventDefinition>> = {
     [gateway.GatewayEvent.StoreLost]: telemetry.events.StoreLost,
     [gateway.GatewayEvent.StoreRegained]: telemetry.events.StoreRegained,
@@ -58,6 +61,13 @@
     private readonly logger: bunyan | undefined;
     private readonly lineCounts = new Map<string, LineCount>();
     private readonly flushTimer: NodeJS.Timeout;
+    private readonly customerLabels = new customerLabels.CustomerLabels(released =>
+        this.metrics.mergeDurations(
+            OnlineWaitMetric,
+            { customer: released },
+            { customer: customerLabels.OtherCustomers },
+        ),
+    );
     private dropped = 0;
 
     constructor(
@@ -115,6 +125,7 @@
             text,
             milliseconds: Math.round(now - request.arrivedAt),
             firstMilliseconds: firstAt === undefined ? undefined : Math.round(firstAt - request.arrivedAt),
+            ...this.recordWait(request, progress),
             sends: progress.sends,
             online: progress.estimatedUse.online,
             batch: progress.estimatedUse.batch,
@@ -134,6 +145,7 @@
             reason,
             detail,
             milliseconds: Math.round(this.clock.now() - request.arrivedAt),
+            ...this.recordWait(request, progress),
             sends: progress.sends,
             runs: progress.runs,
             hasBegun: progress.delivery.firstByteAt !== undefined,
@@ -178,6 +190,18 @@
         });
     }
 
+    /** Records the wait for a slot by customer, and returns the fields of the request's line that tell it. */
+    private recordWait(request: gateway.LoggedRequest, progress: gateway.LoggedProgress): gateway.LogFields {
+        const { customer } = request;
+        const { waitMilliseconds } = progress;
+        if (waitMilliseconds === undefined) {
+            return { customer };
+        }
+        const label = customer === undefined ? customerLabels.NoCustomer : this.customerLabels.getLabel(customer);
+        this.metrics.recordDuration(OnlineWaitMetric, { customer: label }, waitMilliseconds);
+        return { customer, waitMilliseconds: Math.round(waitMilliseconds) };
+    }
+
     private countLine(definition: telemetry.events.EventDefinition): boolean {
         const second = Math.floor(this.clock.now() / 1_000);
         const lineCount = this.lineCounts.get(definition.name) ?? { second, written: 0, suppressed: 0 };
--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as priorityQueue from "./priorityQueue.js";
 import * as serviceTime from "./serviceTime.js";
+import * as shareOrder from "./shareOrder.js";
 
 /** A request that asks for admission. */
 export interface AdmissionItem<T> {
@@ -15,6 +16,10 @@
     readonly cost: number;
     /** When the answer is due. */
     readonly deadlineAt: core.MonotonicMilliseconds;
+    /** 0, the default, is the most urgent. */
+    readonly priority?: number;
+    /** Latest time at which the item may start. Derived from the deadline and the usual service times if absent. */
+    readonly latestStartAt?: core.MonotonicMilliseconds;
 }
 
 export enum AdmissionKind {
@@ -26,10 +31,10 @@
     Refused = "Refused",
 }
 
-export type AdmissionDecision =
-    | { readonly kind: AdmissionKind.Admitted }
-    | { readonly kind: AdmissionKind.Queued; readonly waitMilliseconds: number }
-    | AdmissionRefusal;
+export type QueuedOrRefused =
+    { readonly kind: AdmissionKind.Queued; readonly waitMilliseconds: number } | AdmissionRefusal;
+
+export type AdmissionDecision = { readonly kind: AdmissionKind.Admitted } | QueuedOrRefused;
 
 export interface AdmissionRefusal {
     readonly kind: AdmissionKind.Refused;
@@ -49,6 +54,8 @@
      * Returns a number from 0 up to 1; adds jitter to retry times, so that refused callers don't all return together.
      */
     readonly random: () => number;
+    /** Whether a caller's requests are served earliest deadline first. By default, they are served in order of arrival. */
+    readonly isEarliestDeadlineFirst?: boolean;
 }
 
 /** Fraction of the remaining time that a request may spend waiting; the rest is for being served and for one retry. */
@@ -60,18 +67,14 @@
 const MaximumSkippedRequests = 16;
 const MaximumSkipsPerRequest = 32;
 
-interface Entry<T> {
-    readonly item: AdmissionItem<T>;
-    readonly startTag: number;
-    isWaiting: boolean;
-    /** How often another request was taken although it was this one's turn. */
-    skipCount: number;
-}
+/**
+ * After this many consecutive requests of one priority, a waiting one of a lower priority is taken: a tenth of the
+ * capacity, so that requests of low priority are delayed but do not starve.
+ */
+const MaximumPrecedence = 9;
 
-interface CallerState<T> {
-    readonly waiting: Entry<T>[];
-    finishTag: number;
-}
+type Entry<T> = shareOrder.ShareEntry<AdmissionItem<T>>;
+type Order<T> = shareOrder.ShareOrder<AdmissionItem<T>>;
 
 /**
  * Admits, queues or refuses the requests of one class for one model.
@@ -87,17 +90,13 @@
  * Each class and model has its own queue, so that no request waits behind the other class.
  */
 export class AdmissionQueue<T> {
-    private readonly callers = new Map<core.CallerId, CallerState<T>>();
-    private readonly byStartTag = new priorityQueue.PriorityQueue<Entry<T>>();
+    /** The waiting requests by priority, most urgent first. */
+    private readonly orders = new Map<number, Order<T>>();
     private readonly byDeadline = new priorityQueue.PriorityQueue<Entry<T>>();
     private readonly service: serviceTime.ServiceTime;
     private expired: AdmissionItem<T>[] = [];
-    private virtualTime = 0;
     private running = 0;
     private waitingCount = 0;
-    private waitingCost = 0;
-    private waitingWeight = 0;
-    private waitingCallers = 0;
     private limit: number;
 
     constructor(private readonly settings: AdmissionSettings) {
@@ -110,17 +109,35 @@
         this.limit = Math.max(0, limit);
     }
 
+    /**
+     * Sets how many requests run, as observed by the caller. Used instead of `complete` if requests run that this queue
+     * did not admit.
+     */
+    setRunning(running: number): void {
+        this.running = running;
+    }
+
+    /** Adds the time that a request of this cost ran to the service time estimate. */
+    recordServiceTime(cost: number, milliseconds: number): void {
+        this.service.add(cost, milliseconds);
+    }
+
     offer(item: AdmissionItem<T>, now: core.MonotonicMilliseconds): AdmissionDecision {
         if (this.waitingCount === 0 && this.running < this.limit) {
             this.running++;
-            this.advanceVirtualTime(item);
+            this.getOrder(item).recordAdmitted(item);
             return { kind: AdmissionKind.Admitted };
         }
+        return this.offerWaiting(item, now);
+    }
+
+    /** Queues or refuses a request for which the caller found no free capacity, whatever the number of running ones. */
+    offerWaiting(item: AdmissionItem<T>, now: core.MonotonicMilliseconds): QueuedOrRefused {
         const waitMilliseconds = this.estimateWait(item);
-        const allowedMilliseconds = Math.min(
-            (item.deadlineAt - now) * MaximumWaitFraction,
-            this.getLatestStart(item) - now,
-        );
+        const allowedMilliseconds =
+            item.latestStartAt === undefined
+                ? Math.min((item.deadlineAt - now) * MaximumWaitFraction, this.getLatestStart(item) - now)
+                : item.latestStartAt - now;
         if (waitMilliseconds > allowedMilliseconds) {
             return this.createRefusal(waitMilliseconds, Math.max(0, allowedMilliseconds));
         }
@@ -141,17 +158,15 @@
         if (this.running >= this.limit) {
             return undefined;
         }
-        const entry = this.takePreferred(now, isPreferred);
-        if (entry === undefined) {
+        return this.takeInTurn(order => this.takePreferred(order, now, isPreferred));
+    }
+
+    /** Like `take`, but returns only a request that satisfies `isEligible`. The others keep their places. */
+    takeEligible(now: core.MonotonicMilliseconds, isEligible: (value: T) => boolean): AdmissionItem<T> | undefined {
+        if (this.running >= this.limit) {
             return undefined;
         }
-        this.removeWaiting(entry);
-        this.virtualTime = Math.max(
-            this.virtualTime,
-            Math.min(entry.startTag, this.byStartTag.peek()?.startTag ?? Infinity),
-        );
-        this.running++;
-        return entry.item;
+        return this.takeInTurn(order => this.takeFirstEligible(order, now, isEligible));
     }
 
     /**
@@ -184,19 +199,32 @@
         return result;
     }
 
+    /** Earliest time at which a waiting request may have to be expired; Infinity if none waits. */
+    getNextExpiryAt(): core.MonotonicMilliseconds {
+        const entry = this.byDeadline.peek();
+        return entry === undefined ? Infinity : this.getLatestStart(entry.item);
+    }
+
     /** Removes a waiting request whose caller has disconnected; returns false if it isn't waiting. */
     cancel(value: T, caller: core.CallerId): boolean {
-        const entry = this.callers.get(caller)?.waiting.find(waiting => waiting.item.value === value);
-        if (entry === undefined) {
-            return false;
+        for (const order of this.orders.values()) {
+            const entry = order.find(caller, item => item.value === value);
+            if (entry !== undefined) {
+                this.removeWaiting(entry);
+                return true;
+            }
         }
-        this.removeWaiting(entry);
-        return true;
+        return false;
+    }
+
+    /** How long a new request is expected to wait if none can start at once. */
+    estimateWait(item: AdmissionItem<unknown>): number {
+        return this.estimateMilliseconds(this.estimateCostAhead(item) + item.cost);
     }
 
     /** Time after which a refused or expired request should be retried, in milliseconds. */
     getRetryAfterMilliseconds(): number {
-        return this.addJitter(this.estimateMilliseconds(this.waitingCost / 2));
+        return this.addJitter(this.estimateMilliseconds(this.sumWaitingCost(() => true) / 2));
     }
 
     getWaitingCount(): number {
@@ -207,14 +235,33 @@
         return this.running;
     }
 
+    /** Takes a request from the first priority in turn that has one. */
+    private takeInTurn(takeFrom: (order: Order<T>) => Entry<T> | undefined): AdmissionItem<T> | undefined {
+        const waiting = [...this.orders.values()].filter(order => order.getWaitingCount() > 0);
+        for (const order of sortByTurn(waiting)) {
+            const entry = takeFrom(order);
+            if (entry !== undefined) {
+                const position = waiting.indexOf(order);
+                waiting.slice(0, position).forEach(urgent => (urgent.precedenceCount = 0));
+                order.precedenceCount += position + 1 < waiting.length ? 1 : 0;
+                this.removeWaiting(entry);
+                order.recordTaken(entry);
+                this.running++;
+                return entry.item;
+            }
+        }
+        return undefined;
+    }
+
     private takePreferred(
+        order: Order<T>,
         now: core.MonotonicMilliseconds,
         isPreferred: ((value: T) => boolean) | undefined,
     ): Entry<T> | undefined {
         const skipped: Entry<T>[] = [];
         let chosen: Entry<T> | undefined;
         while (chosen === undefined && skipped.length < MaximumSkippedRequests) {
-            const entry = this.popWaiting(now);
+            const entry = this.popWaiting(order, now);
             if (entry === undefined) {
                 break;
             }
@@ -230,37 +277,59 @@
         chosen ??= skipped.shift();
         for (const entry of skipped) {
             entry.skipCount++;
-            this.byStartTag.push(entry, entry.startTag);
+            order.putBack(entry);
         }
         return chosen;
     }
 
+    private takeFirstEligible(
+        order: Order<T>,
+        now: core.MonotonicMilliseconds,
+        isEligible: (value: T) => boolean,
+    ): Entry<T> | undefined {
+        const skipped: Entry<T>[] = [];
+        let entry = this.popWaiting(order, now);
+        while (entry !== undefined && !isEligible(entry.item.value)) {
+            skipped.push(entry);
+            entry = this.popWaiting(order, now);
+        }
+        skipped.forEach(other => order.putBack(other));
+        return entry;
+    }
+
     /**
      * Removes and returns the first waiting request that can still be served in time. Those that can't are set aside
      * for `expire`.
      */
-    private popWaiting(now: core.MonotonicMilliseconds): Entry<T> | undefined {
-        for (let entry = this.byStartTag.pop(); entry !== undefined; entry = this.byStartTag.pop()) {
-            if (entry.isWaiting && this.getLatestStart(entry.item) >= now) {
+    private popWaiting(order: Order<T>, now: core.MonotonicMilliseconds): Entry<T> | undefined {
+        for (let entry = order.pop(); entry !== undefined; entry = order.pop()) {
+            if (this.getLatestStart(entry.item) >= now) {
                 return entry;
             }
-            if (entry.isWaiting) {
-                // Running it would spend capacity on an answer that comes too late.
-                this.removeWaiting(entry);
-                this.expired.push(entry.item);
-            }
+            // Running it would spend capacity on an answer that comes too late.
+            this.removeWaiting(entry);
+            this.expired.push(entry.item);
         }
         return undefined;
     }
 
     /**
-     * Estimates the wait of a new item. Ahead of it are all waiting requests, but of each other caller only as much as
-     * that caller's share allows, plus the request at the head of each caller's queue.
+     * Estimates the cost ahead of a new item: that of more urgent requests, as far as they precede it, and of those
+     * before it within its priority.
      */
-    private estimateWait(item: AdmissionItem<T>): number {
-        const costWithinShares = (this.getStartTag(item) - this.virtualTime) * (this.waitingWeight + item.weight);
-        const costOfHeads = (this.waitingCallers * this.waitingCost) / Math.max(1, this.waitingCount);
-        return this.estimateMilliseconds(Math.min(this.waitingCost, costWithinShares + costOfHeads) + item.cost);
+    private estimateCostAhead(item: AdmissionItem<unknown>): number {
+        const priority = item.priority ?? 0;
+        const own = this.orders.get(priority)?.estimateCostAhead(item) ?? 0;
+        const urgent = this.sumWaitingCost(other => other < priority);
+        const less = this.sumWaitingCost(other => other > priority);
+        const ahead = own + Math.min(urgent, (own + item.cost) * MaximumPrecedence);
+        return ahead + Math.min(less, ahead / MaximumPrecedence);
+    }
+
+    private sumWaitingCost(isCounted: (priority: number) => boolean): number {
+        let sum = 0;
+        this.orders.forEach((order, priority) => (sum += isCounted(priority) ? order.getWaitingCost() : 0));
+        return sum;
     }
 
     private estimateMilliseconds(cost: number): number {
@@ -270,7 +339,7 @@
 
     /** Latest time at which the item can start and still be answered in time, given the usual service times. */
     private getLatestStart(item: AdmissionItem<T>): core.MonotonicMilliseconds {
-        return item.deadlineAt - this.service.getHighEstimate(item.cost);
+        return item.latestStartAt ?? item.deadlineAt - this.service.getHighEstimate(item.cost);
     }
 
     private createRefusal(waitMilliseconds: number, allowedMilliseconds: number): AdmissionRefusal {
@@ -286,63 +355,39 @@
     }
 
     private enqueue(item: AdmissionItem<T>): void {
-        const startTag = this.getStartTag(item);
-        const entry: Entry<T> = { item, startTag, isWaiting: true, skipCount: 0 };
-        const state = this.getCallerState(item.caller);
-        if (state.waiting.length === 0) {
-            this.waitingWeight += item.weight;
-            this.waitingCallers++;
-        }
-        state.waiting.push(entry);
-        state.finishTag = startTag + item.cost / item.weight;
-        this.byStartTag.push(entry, startTag);
-        this.byDeadline.push(entry, item.deadlineAt);
+        const entry = this.getOrder(item).enqueue(item);
+        this.byDeadline.push(entry, item.latestStartAt ?? item.deadlineAt);
         this.waitingCount++;
-        this.waitingCost += item.cost;
     }
 
     private removeWaiting(entry: Entry<T>): void {
-        const state = this.getCallerState(entry.item.caller);
-        state.waiting.splice(state.waiting.indexOf(entry), 1);
-        entry.isWaiting = false;
+        this.getOrder(entry.item).remove(entry);
         this.waitingCount--;
-        this.waitingCost -= entry.item.cost;
-        if (state.waiting.length === 0) {
-            this.waitingWeight -= entry.item.weight;
-            this.waitingCallers--;
-        }
         if (this.waitingCount === 0) {
-            this.reset();
+            this.byDeadline.filter(() => false);
         }
     }
 
-    /** Resets an idle queue. Otherwise old tags would penalize callers for past usage, and the maps would only grow. */
-    private reset(): void {
-        this.callers.clear();
-        this.byStartTag.filter(() => false);
-        this.byDeadline.filter(() => false);
-        this.virtualTime = 0;
-        this.waitingCost = 0;
-        this.waitingWeight = 0;
-        this.waitingCallers = 0;
-    }
-
-    private advanceVirtualTime(item: AdmissionItem<T>): void {
-        if (this.callers.size > 0) {
-            this.getCallerState(item.caller).finishTag = this.getStartTag(item) + item.cost / item.weight;
+    private getOrder(item: AdmissionItem<T>): Order<T> {
+        const priority = item.priority ?? 0;
+        let order = this.orders.get(priority);
+        if (order === undefined) {
+            order = new shareOrder.ShareOrder(this.settings.isEarliestDeadlineFirst === true);
+            this.orders.set(priority, order);
+            const sorted = [...this.orders].sort(([left], [right]) => left - right);
+            this.orders.clear();
+            sorted.forEach(([key, value]) => this.orders.set(key, value));
         }
+        return order;
     }
+}
 
-    private getStartTag(item: AdmissionItem<T>): number {
-        return Math.max(this.virtualTime, this.callers.get(item.caller)?.finishTag ?? 0);
-    }
-
-    private getCallerState(caller: core.CallerId): CallerState<T> {
-        let state = this.callers.get(caller);
-        if (state === undefined) {
-            state = { waiting: [], finishTag: 0 };
-            this.callers.set(caller, state);
-        }
-        return state;
+/** Sorts by priority, but puts the lower priorities before one that has preceded them as often as it may. */
+function sortByTurn<T>(orders: readonly Order<T>[]): readonly Order<T>[] {
+    const [first, ...others] = orders;
+    if (first === undefined || others.length === 0) {
+        return orders;
     }
+    const rest = sortByTurn(others);
+    return first.precedenceCount >= MaximumPrecedence ? [...rest, first] : [first, ...rest];
 }
--- a/packages/decisions/src/onlineAdmission.ts
+++ b/packages/decisions/src/onlineAdmission.ts
@@ -43,10 +43,54 @@
     }
     // The jitter ranges from half of the wait to one and a half times the wait, so that callers refused together don't
     // return together.
-    const waitWithJitter = wait * (0.5 + random());
-    const retryAfterMilliseconds = Math.min(
-        MaximumRetryMilliseconds,
-        Math.max(MinimumRetryMilliseconds, waitWithJitter),
-    );
-    return { isAdmitted: false, retryAfterMilliseconds };
+    return { isAdmitted: false, retryAfterMilliseconds: limitRetry(wait * (0.5 + random())) };
+}
+
+/** What limits the time for which an online request may wait for a slot. */
+export interface OnlineWaitLimits {
+    /** Time since the request arrived. */
+    readonly elapsedMilliseconds: number;
+    readonly firstAnswerMilliseconds: number;
+    readonly latencyTargetMilliseconds: number;
+    /** Time that the caller gave the request when it sent it, and what is left of it. */
+    readonly givenMilliseconds: number;
+    readonly remainingMilliseconds: number;
+    /** Time that the route gives a request. */
+    readonly timeoutMilliseconds: number;
+    /** Whether an attempt was made, so that the caller has lost time already. */
+    readonly hasAttempts: boolean;
+}
+
+/** Share of the remaining time for which a request that lost time may wait; the rest is for being served. */
+const ReturnedWaitShare = 0.5;
+/** A request with this much less time than its route gives has come back after a refusal, which takes longer than this. */
+const ReturnedMilliseconds = 100;
+
+/**
+ * Returns how long an online request may wait for a slot.
+ *
+ * At a peak, a newcomer whose first event would come after the latency target is better refused at once: it returns
+ * with the spread of Retry-After when slots are free. One that has come back, or whose upstream failed, has no such
+ * second chance, and may wait for up to half of the time that it has left.
+ */
+export function getMaximumOnlineWait(limits: OnlineWaitLimits): number {
+    const hasReturned = limits.givenMilliseconds < limits.timeoutMilliseconds - ReturnedMilliseconds;
+    const share = Math.max(0, limits.remainingMilliseconds * ReturnedWaitShare);
+    if (hasReturned || limits.hasAttempts) {
+        return share;
+    }
+    const inTarget = limits.latencyTargetMilliseconds - limits.elapsedMilliseconds - limits.firstAnswerMilliseconds;
+    return Math.max(0, Math.min(inTarget, share));
+}
+
+/**
+ * Returns when a caller may retry after its request was refused: after the expected wait and up to twice as long, so
+ * that callers refused together return one after the other.
+ */
+export function getOnlineRetryAfter(expectedWaitMilliseconds: number, random: () => number): number {
+    return limitRetry(expectedWaitMilliseconds * (1 + random()));
+}
+
+function limitRetry(milliseconds: number): number {
+    return Math.min(MaximumRetryMilliseconds, Math.max(MinimumRetryMilliseconds, milliseconds));
 }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -197,7 +197,9 @@
         }
         const timeout = Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity);
         const deadline = arrivedAt + timeout;
-        const read = { raw, head, route, body, arrivedAt, deadline, customer: customer?.name };
+        const weight = customer?.limit?.requestsPerSecond;
+        const share = { customer: customer?.name, weight, priority: customer?.priority };
+        const read = { raw, head, route, body, arrivedAt, deadline, ...share };
         const mayHaveRun = await this.parts.forwarder.forward(read, response);
         if (!mayHaveRun) {
             this.refundQuota(quota);
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -6,12 +6,16 @@
     readonly head: types.RequestHead;
     readonly route: types.Route;
     readonly arrivedAt: core.MonotonicMilliseconds;
+    /** Name of the customer; undefined if the request needed no key. */
+    readonly customer?: string | undefined;
 }
 
 /** State of a request that log lines use: attempts so far, and delivery to the caller. */
 export interface LoggedProgress {
     readonly runs: number;
     readonly sends: number;
+    /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
+    readonly waitMilliseconds?: number | undefined;
     readonly delivery: { readonly firstByteAt: number | undefined };
     /** Estimated number of requests at the upstream at the time it was chosen. */
     readonly estimatedUse: { readonly online: number; readonly batch: number };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,8 @@
 export * from "./customerQuotas.js";
 export * from "./callerIdentity.js";
 export * from "./loadPolicy.js";
+export * from "./onlineWaiting.js";
+export * from "./onlinePlacement.js";
 export * from "./slotLending.js";
 export * from "./slotSharing.js";
 export * from "./upstreamExchange.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -6,6 +6,7 @@
 import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
+import * as onlinePlacement from "./onlinePlacement.js";
 import * as routeTable from "./routeTable.js";
 import type * as slotSharing from "./slotSharing.js";
 import * as types from "./types.js";
@@ -34,6 +35,10 @@
     readonly deadline: core.MonotonicMilliseconds;
     /** Name of the customer; undefined if the request needed no key. */
     readonly customer: string | undefined;
+    /** Relative share of the customer. Absent: 1. */
+    readonly weight?: number | undefined;
+    /** Priority of the customer. Absent: that of the route. */
+    readonly priority?: number | undefined;
 }
 
 /** State of a request over all its attempts. */
@@ -48,6 +53,8 @@
     runs: number;
     /** Attempts started, including those that provably did not run. */
     sends: number;
+    /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
+    waitMilliseconds: number | undefined;
     relay: answerRelay.AnswerRelay | undefined;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
@@ -105,6 +112,7 @@
             tried: new Set(),
             runs: 0,
             sends: 0,
+            waitMilliseconds: undefined,
             relay: undefined,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
@@ -150,9 +158,9 @@
     }
 
     /** Ends a request whose caller disconnected or whose deadline passed while a slot was requested, and returns the slot. */
-    private abandon(progress: Progress, placement: Placement): void {
-        const { id } = placement.upstream;
-        if (placement.isCounted) {
+    private abandon(progress: Progress, placement: Placement | undefined): void {
+        const id = placement?.upstream.id ?? "";
+        if (placement?.isCounted === true) {
             this.parts.slots.returnSlot(id);
         }
         if (progress.isCallerDisconnected) {
@@ -185,7 +193,22 @@
             ...entry,
             hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
         }));
-        const choice = service === undefined ? undefined : await this.parts.slots.chooseOnline(service, candidates);
+        const outcome = await this.choose(progress, service, candidates);
+        if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
+            const { expectedWaitMilliseconds } = outcome;
+            if (progress.isCallerDisconnected || progress.isTimedOut) {
+                this.abandon(progress, undefined);
+                return undefined;
+            }
+            this.refuse(
+                progress,
+                types.RefusalReason.Overloaded,
+                decisions.getOnlineRetryAfter(expectedWaitMilliseconds, this.parts.random),
+                `expected wait of ${Math.round(expectedWaitMilliseconds)} ms, ${candidates.length} candidates`,
+            );
+            return undefined;
+        }
+        const choice = outcome.kind === onlinePlacement.OnlineOutcomeKind.Chosen ? outcome.choice : undefined;
         const chosen = candidates.find(candidate => candidate.id === choice?.id);
         if (service === undefined || choice === undefined || chosen === undefined) {
             this.refuse(
@@ -222,6 +245,48 @@
         return { upstream: chosen, isCounted: choice.isCounted };
     }
 
+    /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
+    private async choose(
+        progress: Progress,
+        service: string | undefined,
+        candidates: readonly decisions.SlotCandidate[],
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        const { slots, clock } = this.parts;
+        if (service === undefined) {
+            return { kind: onlinePlacement.OnlineOutcomeKind.None };
+        }
+        if (!slots.ordersOnline(service)) {
+            const choice = await slots.chooseOnline(service, candidates);
+            return choice === undefined
+                ? { kind: onlinePlacement.OnlineOutcomeKind.None }
+                : { kind: onlinePlacement.OnlineOutcomeKind.Chosen, choice };
+        }
+        const { request } = progress;
+        const { route } = request;
+        const startedAt = clock.now();
+        const remainingMilliseconds = request.deadline - startedAt;
+        const waitMilliseconds = decisions.getMaximumOnlineWait({
+            elapsedMilliseconds: startedAt - request.arrivedAt,
+            firstAnswerMilliseconds: ExpectedFirstAnswerMilliseconds,
+            latencyTargetMilliseconds: route.latencyTargetMilliseconds,
+            givenMilliseconds: request.deadline - request.arrivedAt,
+            remainingMilliseconds,
+            timeoutMilliseconds: route.timeoutMilliseconds,
+            hasAttempts: progress.sends > 0,
+        });
+        const outcome = await slots.placeOnline(service, candidates, {
+            share: request.customer ?? `route/${route.name}`,
+            weight: request.weight ?? 1,
+            priority: request.priority ?? route.priority,
+            remainingMilliseconds,
+            waitMilliseconds,
+            isRefusable: progress.runs === 0,
+            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
+        });
+        progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
+        return outcome;
+    }
+
     private async attempt(progress: Progress, placement: Placement): Promise<answerRelay.AttemptOutcome> {
         const { upstream } = placement;
         const { request, delivery } = progress;
@@ -458,6 +523,7 @@
     }
 
     private recordDuration(service: string, milliseconds: number): void {
+        this.parts.slots.recordServiceTime(service, milliseconds);
         const mean = this.meanServiceMilliseconds.get(service);
         this.meanServiceMilliseconds.set(
             service,
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -2,7 +2,9 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import type * as coordinatorDirectory from "./homeDirectory.js";
-import type * as loadPolicy from "./loadPolicy.js";
+import * as loadPolicy from "./loadPolicy.js";
+import * as onlinePlacement from "./onlinePlacement.js";
+import * as onlineWaiting from "./onlineWaiting.js";
 
 /** Slots that batch work leaves free on each upstream, so that an online request finds one without asking. */
 export const ReservedSlots = 1;
@@ -49,12 +51,8 @@
      * actual use.
      */
     readonly returnSlot: (upstream: core.UpstreamId) => void;
-}
-
-/** A slot for an online request. */
-export interface GrantedSlotChoice extends decisions.SlotChoice {
-    /** Whether the coordinator already counts the slot as used by this member. */
-    readonly isCounted: boolean;
+    /** Called when the wait of an online request at this coordinator has ended. */
+    readonly onWaitEnded?: (outcome: onlineWaiting.WaitOutcomeKind) => void;
 }
 
 /** A batch item of a peer that waits here for a slot. */
@@ -76,9 +74,28 @@
     private readonly order: decisions.CoordinatorOrder;
     private readonly waiting = new Set<WaitingItem>();
     private readonly pendingBatchRequests = new Set<core.InstanceId>();
+    /** Slots of own engines that were granted to a waiting request here which has not taken them yet. */
+    private readonly ownGrants = new Map<core.UpstreamId, number>();
+    private readonly onlineWaiting: onlineWaiting.OnlineWaiting;
+    private readonly placement: onlinePlacement.OnlinePlacement;
 
     constructor(private readonly parts: SlotGrantingParts) {
         this.order = new decisions.CoordinatorOrder(parts.random);
+        this.onlineWaiting = new onlineWaiting.OnlineWaiting({
+            ...parts,
+            getEngines: service => this.getUsableOwnEngines(service, new Set()),
+            tryChooseFree: (service, except) => this.tryChooseFree(service, except),
+            grant: (choice, from) => this.countGranted(choice, from),
+            onWaitEnded: parts.onWaitEnded ?? (() => undefined),
+        });
+        this.placement = new onlinePlacement.OnlinePlacement({
+            ...parts,
+            waiting: this.onlineWaiting,
+            tryChooseLocally: candidates =>
+                parts.slotTable.tryChooseOnline(candidates, parts.dataCentre, ReservedSlots, parts.clock.now()),
+            rank: coordinators => this.rank(coordinators),
+            ask: (coordinator, service, usable, request) => this.askOnline(coordinator, service, usable, request),
+        });
         const { network } = parts;
         network.handle(protocol.MessageKind.SlotRequest, async (message, from) => this.grantOnline(message, from));
         network.handle(protocol.MessageKind.BatchSlotRequest, async (message, from) => {
@@ -92,20 +109,14 @@
     async chooseOnline(
         service: string,
         usable: readonly decisions.SlotCandidate[],
-    ): Promise<GrantedSlotChoice | undefined> {
-        const { slotTable, coordinators, clock, dataCentre } = this.parts;
-        // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
-        const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
-        const candidates = healthy.length > 0 ? healthy : usable;
-        const ownEngines = candidates.filter(
-            candidate => coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance,
-        );
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
+        const { slotTable, clock, dataCentre } = this.parts;
+        const { all: candidates, own: ownEngines, byCoordinator } = this.group(usable);
         const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, ReservedSlots, clock.now());
         if (ownChoice !== undefined && ownChoice.waiting === 0) {
             return { ...ownChoice, isCounted: false };
         }
-        const byCoordinator = this.groupByCoordinator(candidates);
-        let best: GrantedSlotChoice | undefined =
+        let best: onlinePlacement.GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
         const askedCoordinators = this.rank([...byCoordinator.keys()]).slice(0, MaximumCoordinatorsAsked);
         for (const coordinator of askedCoordinators) {
@@ -136,6 +147,41 @@
             : best;
     }
 
+    /** Finds a slot for an online request by the order among customers. */
+    async placeOnline(
+        service: string,
+        usable: readonly decisions.SlotCandidate[],
+        request: onlinePlacement.OnlineRequest,
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        return this.placement.place(service, this.group(usable), request);
+    }
+
+    getWaitingOnlineCount(): number {
+        return this.onlineWaiting.getWaitingCount();
+    }
+
+    recordServiceTime(service: string, milliseconds: number): void {
+        if (this.ordersOnline()) {
+            this.onlineWaiting.recordServiceTime(service, milliseconds);
+        }
+    }
+
+    /** Whether requests may wait at the upstream's coordinator, so that it should learn of a freed slot at once. */
+    isContended(upstream: core.UpstreamId): boolean {
+        const coordinator = this.parts.coordinators.tryGetCoordinator(upstream);
+        return coordinator !== undefined && this.placement.isContended(coordinator);
+    }
+
+    /** Ends the count of a slot that was granted to a waiting request here, when the request takes or returns it. */
+    settleOwnGrant(upstream: core.UpstreamId): boolean {
+        const count = this.ownGrants.get(upstream) ?? 0;
+        if (count === 0) {
+            return false;
+        }
+        this.setOwnGrants(upstream, count - 1);
+        return true;
+    }
+
     /**
      * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
      * returns whether it is used.
@@ -150,8 +196,12 @@
         }
     }
 
-    /** Grants slots that may have been freed here to the waiting items of peers, in the order in which they arrived. */
+    /**
+     * Grants slots that may have been freed here: first to waiting online requests, then to the waiting items of peers,
+     * in the order in which they arrived.
+     */
     serveWaiting(): void {
+        this.onlineWaiting.serve();
         for (const item of this.waiting) {
             const upstream = this.tryGrantBatch(item.service, item.from);
             if (upstream !== undefined) {
@@ -163,7 +213,10 @@
     /** Drops the waiting items of removed members, and stops ranking these members as coordinators. */
     forget(removed: readonly core.InstanceId[]): void {
         removed.forEach(member => this.order.remove(member));
+        this.placement.forget(removed);
+        this.onlineWaiting.forget(removed);
         [...this.waiting].filter(item => removed.includes(item.from)).forEach(item => item.finish(undefined));
+        this.onlineWaiting.serve();
     }
 
     private async requestBatchSlot(
@@ -198,32 +251,52 @@
         coordinator: core.InstanceId,
         service: string,
         usable: ReadonlySet<core.UpstreamId>,
-    ): Promise<GrantedSlotChoice | undefined> {
-        const { network, clock, returnSlot, coordinators } = this.parts;
-        const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
-        const kind = protocol.MessageKind.SlotRequest;
-        const message = except.length === 0 ? ({ kind, service } as const) : ({ kind, service, except } as const);
-        const options = { lane: protocol.Lane.Control, timeoutMilliseconds: OnlineTimeoutMilliseconds };
-        const reply = await network.request(coordinator, message, options);
-        if (!reply.ok || reply.message.kind !== protocol.MessageKind.SlotReply) {
-            this.noteUnresponsive(coordinator, reply);
-            // The coordinator may have counted a slot before it stopped answering.
-            usable.forEach(returnSlot);
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
+        const reply = await this.askOnline(coordinator, service, usable);
+        if (reply === undefined) {
             return undefined;
         }
-        const { upstream, waiting, free } = reply.message;
-        this.order.recordFreeSlots(coordinator, free, clock.now());
+        const { upstream, waiting } = reply;
         if (upstream === undefined) {
             return undefined;
         }
         if (!usable.has(upstream)) {
             // The coordinator knows an engine that is not known here yet, or that has been removed here.
-            returnSlot(upstream);
+            this.parts.returnSlot(upstream);
             return undefined;
         }
         return { id: upstream, waiting, yielder: undefined, isCounted: waiting === 0 };
     }
 
+    /** Sends a request for an online slot. `request` is given if the order among customers matters. */
+    private async askOnline(
+        coordinator: core.InstanceId,
+        service: string,
+        usable: ReadonlySet<core.UpstreamId>,
+        request?: onlineWaiting.SharedRequest,
+    ): Promise<protocol.SlotReply | undefined> {
+        const { network, clock, returnSlot, coordinators } = this.parts;
+        const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
+        const kind = protocol.MessageKind.SlotRequest;
+        const shareFields = request === undefined ? {} : onlinePlacement.createShareFields(request);
+        const message = { kind, service, ...(except.length === 0 ? {} : { except }), ...shareFields } as const;
+        const waitMilliseconds = request?.waitMilliseconds ?? 0;
+        const timeoutMilliseconds = waitMilliseconds + OnlineTimeoutMilliseconds;
+        const reply = await network.request(coordinator, message, { lane: protocol.Lane.Control, timeoutMilliseconds });
+        if (reply.ok && reply.message.kind === protocol.MessageKind.SlotReply) {
+            this.order.recordFreeSlots(coordinator, reply.message.free, clock.now());
+            return reply.message;
+        }
+        this.noteUnresponsive(coordinator, reply);
+        // The coordinator may have counted a slot before it stopped answering.
+        usable.forEach(returnSlot);
+        if (waitMilliseconds > 0) {
+            // If only the link was lost, the request waits there until this time and may still be granted a slot.
+            clock.schedule(timeoutMilliseconds, () => usable.forEach(returnSlot));
+        }
+        return undefined;
+    }
+
     private noteUnresponsive(coordinator: core.InstanceId, reply: protocol.PeerResult): void {
         this.order.recordNoAnswer(coordinator, this.parts.clock.now());
         this.parts.onCoordinatorUnresponsive(
@@ -236,27 +309,92 @@
      * Answers as coordinator. The slot is counted as the requester's before the answer is sent, so that no other member
      * is granted it.
      */
-    private grantOnline(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
-        const { slotTable, coordinators, clock, dataCentre, requestYield, onGranted } = this.parts;
+    private async grantOnline(message: protocol.SlotRequest, from: core.InstanceId): Promise<protocol.SlotReply> {
+        const { slotTable, dataCentre, clock } = this.parts;
+        const { service } = message;
         const except = new Set(message.except);
-        const candidates = coordinators
-            .getOwnEngines(message.service)
-            .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
+        const candidates = this.getUsableOwnEngines(service, except);
         const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
         const kind = protocol.MessageKind.SlotReply;
         if (choice === undefined) {
             return { kind, waiting: 0, free: 0 };
         }
-        if (choice.waiting > 0) {
-            return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
+        const isFree = choice.waiting === 0 && !this.onlineWaiting.hasWaiting(service);
+        if (!isFree && this.ordersOnline() && message.remainingMilliseconds !== undefined) {
+            return this.grantInOrder(message, from, except);
+        }
+        if (!isFree) {
+            return { kind, upstream: choice.id, waiting: Math.max(1, choice.waiting), free: 0 };
+        }
+        this.countGranted(choice, from);
+        const free = candidates.reduce((sum, entry) => sum + entry.slots - slotTable.getTotal(entry.id).online, 0);
+        return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
+    }
+
+    /** Answers a request that found no free slot: when it is granted one in its turn, or with the expected wait. */
+    private async grantInOrder(
+        message: protocol.SlotRequest,
+        from: core.InstanceId,
+        except: ReadonlySet<core.UpstreamId>,
+    ): Promise<protocol.SlotReply> {
+        const { service } = message;
+        const kind = protocol.MessageKind.SlotReply;
+        const request = onlinePlacement.readShareFields(message);
+        let expected: number;
+        if (request.waitMilliseconds === 0) {
+            expected = this.onlineWaiting.estimateWait(service, request);
+        }
+        else {
+            const asking = { ...request, service, from, except, isWanted: () => true };
+            const outcome = await this.onlineWaiting.wait(asking);
+            if (outcome.kind === onlineWaiting.WaitOutcomeKind.Granted) {
+                return { kind, upstream: outcome.choice.id, waiting: 0, free: 0 };
+            }
+            expected = outcome.expectedWaitMilliseconds;
         }
+        const waiting = this.onlineWaiting.getWaitingCount();
+        return { kind, waiting, free: 0, expectedWaitMilliseconds: Math.round(expected) };
+    }
+
+    /** Counts a slot as the requester's, and asks the batch item that holds it to yield. */
+    private countGranted(choice: decisions.SlotChoice, from: core.InstanceId): void {
+        const { slotTable, requestYield, onGranted } = this.parts;
         if (choice.yielder !== undefined) {
             requestYield(choice.id, choice.yielder);
         }
+        if (from === decisions.SelfInstance) {
+            this.setOwnGrants(choice.id, (this.ownGrants.get(choice.id) ?? 0) + 1);
+            return;
+        }
         slotTable.addPeer(from, choice.id, { online: 1, batch: 0 });
         onGranted(from);
-        const free = candidates.reduce((sum, entry) => sum + entry.slots - slotTable.getTotal(entry.id).online, 0);
-        return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
+    }
+
+    private setOwnGrants(upstream: core.UpstreamId, online: number): void {
+        this.ownGrants.set(upstream, online);
+        this.parts.slotTable.setPeer(decisions.SelfInstance, upstream, { online, batch: 0 });
+    }
+
+    private ordersOnline(): boolean {
+        return this.parts.policy.onlineOrder === loadPolicy.OnlineOrder.Shares;
+    }
+
+    /** The engines coordinated here that a request may use. */
+    private getUsableOwnEngines(
+        service: string,
+        except: ReadonlySet<core.UpstreamId>,
+    ): readonly decisions.SlotCandidate[] {
+        const { slotTable, coordinators, clock } = this.parts;
+        return coordinators
+            .getOwnEngines(service)
+            .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
+    }
+
+    private tryChooseFree(service: string, except: ReadonlySet<core.UpstreamId>): decisions.SlotChoice | undefined {
+        const { slotTable, dataCentre, clock } = this.parts;
+        const candidates = this.getUsableOwnEngines(service, except);
+        const choice = slotTable.tryChooseOnline(candidates, dataCentre, ReservedSlots, clock.now());
+        return choice?.waiting === 0 ? choice : undefined;
     }
 
     private async grantBatch(service: string, from: core.InstanceId): Promise<core.UpstreamId | undefined> {
@@ -294,6 +432,16 @@
         return upstream;
     }
 
+    /** Groups the usable candidates that are not avoided by who grants their slots. */
+    private group(usable: readonly decisions.SlotCandidate[]): onlinePlacement.GroupedCandidates {
+        const { slotTable, coordinators, clock } = this.parts;
+        // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
+        const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
+        const all = healthy.length > 0 ? healthy : usable;
+        const own = all.filter(({ id }) => coordinators.tryGetCoordinator(id) === decisions.SelfInstance);
+        return { all, own, byCoordinator: this.groupByCoordinator(all) };
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -3,6 +3,8 @@
 import * as protocol from "@boragedale/protocol";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
+import type * as onlinePlacement from "./onlinePlacement.js";
+import type * as onlineWaiting from "./onlineWaiting.js";
 import * as slotGranting from "./slotLending.js";
 
 /** Delay of the notice that a slot was taken. Short, since others may take the same slot until it arrives. */
@@ -41,6 +43,8 @@
     readonly onCoordinatorUnresponsive: (coordinator: core.InstanceId, text: string) => void;
     /** `DefaultLoadPolicy` if absent. */
     readonly policy?: loadPolicy.LoadPolicy;
+    /** Called when the wait of an online request at this coordinator has ended. */
+    readonly onWaitEnded?: (outcome: onlineWaiting.WaitOutcomeKind) => void;
 }
 
 /**
@@ -109,7 +113,7 @@
     async chooseOnline(
         service: string,
         candidates: readonly decisions.SlotCandidate[],
-    ): Promise<slotGranting.GrantedSlotChoice | undefined> {
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
         if (this.requiresGrant(service)) {
             return this.granting.chooseOnline(service, candidates);
         }
@@ -123,6 +127,30 @@
         return choice === undefined ? undefined : { ...choice, isCounted: false };
     }
 
+    /** Whether waiting online requests of the service are ordered by customers' shares. */
+    ordersOnline(service: string): boolean {
+        return this.parts.policy?.onlineOrder === loadPolicy.OnlineOrder.Shares && this.requiresGrant(service);
+    }
+
+    /** Finds a slot for an online request. It may wait for one, and is refused if the wait would be too long. */
+    async placeOnline(
+        service: string,
+        candidates: readonly decisions.SlotCandidate[],
+        request: onlinePlacement.OnlineRequest,
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        return this.granting.placeOnline(service, candidates, request);
+    }
+
+    /** Online requests of all members that wait at this coordinator. */
+    getWaitingOnlineCount(): number {
+        return this.granting.getWaitingOnlineCount();
+    }
+
+    /** Records for how long a request of this member held a slot of the service. */
+    recordServiceTime(service: string, milliseconds: number): void {
+        this.granting.recordServiceTime(service, milliseconds);
+    }
+
     /**
      * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
      * returns whether it is used.
@@ -139,6 +167,9 @@
 
     /** `isCounted`: the upstream's coordinator granted the slot and needs no notice of it. */
     take(upstream: core.UpstreamId, isBatch: boolean, isCounted = false): void {
+        if (isCounted && !isBatch) {
+            this.granting.settleOwnGrant(upstream);
+        }
         this.slotTable.take(upstream, isBatch);
         this.usedUpstreams.add(upstream);
         if (!isCounted) {
@@ -150,12 +181,18 @@
      * Notifies the upstream's coordinator of the actual use, after it counted a slot for this member that is not used.
      */
     returnSlot(upstream: core.UpstreamId): void {
+        if (this.granting.settleOwnGrant(upstream)) {
+            this.notifySlotFreed();
+            return;
+        }
         this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
     }
 
     release(upstream: core.UpstreamId, isBatch: boolean): void {
         this.slotTable.release(upstream, isBatch);
-        this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
+        // Requests that wait at the coordinator would leave the slot unused for the time of the delay.
+        const isContended = this.granting.isContended(upstream);
+        this.noteChange(upstream, isContended ? TakenNoticeDelayMilliseconds : ReleasedNoticeDelayMilliseconds);
         this.notifySlotFreed();
     }
 
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -254,7 +254,7 @@
     readonly service: string;
     /** Engines that the sender excludes. Usually absent: one of these messages is sent per request, so size matters. */
     readonly except?: readonly core.UpstreamId[];
-    /** Name of the customer; absent if the request needed no key. */
+    /** The customer that the request counts against. Requests without a customer share as one per route. */
     readonly customer?: string;
     /** Relative share of the customer. Absent: 1. */
     readonly weight?: number;
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -39,6 +39,16 @@
         series.value.recordValue(Math.min(microseconds, HighestTrackableMicroseconds));
     }
 
+    /** Adds the durations of one series to another of the same metric and removes the first. */
+    mergeDurations(name: string, from: Labels, into: Labels): void {
+        const key = formatSeries(name, from);
+        const series = this.histograms.get(key);
+        if (series !== undefined) {
+            this.histograms.delete(key);
+            getOrCreate(this.histograms, name, into, createHistogram).value.add(series.value);
+        }
+    }
+
     /** Returns a percentile (0 to 100) of the recorded durations, in milliseconds. */
     getPercentile(name: string, labels: Labels, percentile: number): number {
         const series = this.histograms.get(formatSeries(name, labels));
