--- a/packages/bench/src/slots/hardLoad.ts
+++ b/packages/bench/src/slots/hardLoad.ts
@@ -50,6 +50,8 @@
     /** 62 if absent. */
     readonly engines?: number;
     readonly policy?: gateway.LoadPolicy;
+    /** Mean online load as a share of all slots; 0.43 if absent. */
+    readonly loadShare?: number;
     /** Whether one customer sends many times its usual rate from second 9 to 15. */
     readonly hasHotCustomer?: boolean;
     /** Whether engines differ in speed and slow down at times. */
@@ -108,7 +110,8 @@
         this.drivers = this.members.map(
             member => new hardLoadBatch.BatchDriver(this.time, member, this.engines, this.counts),
         );
-        const requestsPerSecond = ((engines * fleet.slotsPerEngine * MeanLoadShare) / StreamMilliseconds) * 1_000;
+        const loadShare = options.loadShare ?? MeanLoadShare;
+        const requestsPerSecond = ((engines * fleet.slotsPerEngine * loadShare) / StreamMilliseconds) * 1_000;
         this.customers = createCustomers(requestsPerSecond, instances, createSource(seed, "customers"));
         this.setSpeeds(createSource(seed, "speeds"));
         this.scheduleArrival();
--- a/packages/bench/src/slots/hardLoadOnline.ts
+++ b/packages/bench/src/slots/hardLoadOnline.ts
@@ -1,5 +1,5 @@
 import * as decisions from "@boragedale/decisions";
-import type * as gateway from "@boragedale/gateway";
+import * as gateway from "@boragedale/gateway";
 import type * as simulation from "../simulation.js";
 import type * as engineQueue from "./engineQueue.js";
 import * as slotsFleet from "./slotsFleet.js";
@@ -44,6 +44,7 @@
     readonly fleetMember: slotsFleet.Member;
     readonly random: () => number;
     meanServiceMilliseconds: number | undefined;
+    meanFirstMilliseconds?: number;
 }
 
 /** `SlotSharing.chooseOnline` with options, which it may ignore. */
@@ -59,6 +60,9 @@
  */
 export async function choosePlacement(member: OnlineMember, options: OnlineOptions): Promise<Placement> {
     const { slots, candidates } = member.fleetMember;
+    if (slots.ordersOnline(slotsFleet.Service)) {
+        return placeInOrder(member, options);
+    }
     const chooseOnline: ChooseOnline = slots.chooseOnline.bind(slots);
     const choice = await chooseOnline(slotsFleet.Service, candidates, options);
     const chosen = candidates.find(candidate => candidate.id === choice?.id);
@@ -85,6 +89,37 @@
     };
 }
 
+/** The same where coordinators order the waiting requests. */
+async function placeInOrder(member: OnlineMember, options: OnlineOptions): Promise<Placement> {
+    const { slots, candidates } = member.fleetMember;
+    const { customer, weight, priority, remainingMilliseconds, latencyTargetMilliseconds, isReturning } = options;
+    const waitMilliseconds = decisions.getMaximumOnlineWait({
+        elapsedMilliseconds: 0,
+        firstAnswerMilliseconds: member.meanFirstMilliseconds ?? ExpectedFirstAnswerMilliseconds,
+        latencyTargetMilliseconds,
+        givenMilliseconds: isReturning ? remainingMilliseconds : DeadlineMilliseconds,
+        remainingMilliseconds,
+        timeoutMilliseconds: DeadlineMilliseconds,
+        hasAttempts: false,
+    });
+    const request = { share: customer, weight, priority, remainingMilliseconds, waitMilliseconds };
+    const outcome = await slots.placeOnline(slotsFleet.Service, candidates, {
+        ...request,
+        isRefusable: true,
+        isWanted: () => true,
+    });
+    if (outcome.kind === gateway.OnlineOutcomeKind.Chosen) {
+        const { id, isCounted, yielder } = outcome.choice;
+        return { kind: PlacementKind.Placed, upstream: id, isCounted, yielder };
+    }
+    const expectedWait =
+        outcome.kind === gateway.OnlineOutcomeKind.Refused
+            ? outcome.expectedWaitMilliseconds
+            : InitialServiceMilliseconds;
+    const retryAfterMilliseconds = decisions.getOnlineRetryAfter(expectedWait, member.random);
+    return { kind: PlacementKind.Refused, retryAfterMilliseconds };
+}
+
 /** An online request of the scene with its outcome. */
 export interface OnlineRequest {
     readonly customer: string;
@@ -135,6 +170,9 @@
     const onEvent = (isFirst: boolean): void => {
         if (isFirst) {
             request.firstEventAt = time.now();
+            const first = time.now() - startedAt;
+            const mean = member.meanFirstMilliseconds;
+            member.meanFirstMilliseconds = mean === undefined ? first : mean + (first - mean) * MeanWeight;
         }
     };
     const onEnd = (): void => {
@@ -142,6 +180,7 @@
         const mean = member.meanServiceMilliseconds;
         member.meanServiceMilliseconds = mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight;
         slots.release(upstream, false);
+        slots.recordServiceTime(slotsFleet.Service, milliseconds);
     };
     engines.get(upstream)?.addRequest({ events: StreamEvents, onEvent, onEnd });
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./composition.js";
 export * from "./gatewayProcess.js";
 export * from "./storageProcess.js";
+export * from "./customerLabels.js";
--- a/packages/decisions/src/admissionQueue.ts
+++ b/packages/decisions/src/admissionQueue.ts
@@ -56,6 +56,11 @@
     readonly random: () => number;
     /** Whether a caller's requests are served earliest deadline first. By default, they are served in order of arrival. */
     readonly isEarliestDeadlineFirst?: boolean;
+    /**
+     * Predicts the time until requests of this cost have ended, given the mean time per unit of cost. By default,
+     * requests are assumed to end at a constant rate.
+     */
+    readonly predictMilliseconds?: (cost: number, millisecondsPerCost: number) => number;
 }
 
 /** Fraction of the remaining time that a request may spend waiting; the rest is for being served and for one retry. */
@@ -333,8 +338,12 @@
     }
 
     private estimateMilliseconds(cost: number): number {
+        const millisecondsPerCost = this.service.getMillisecondsPerCost();
+        if (this.settings.predictMilliseconds !== undefined) {
+            return this.settings.predictMilliseconds(cost, millisecondsPerCost);
+        }
         // Running requests count when the limit has just dropped below them: they finish and free their slots.
-        return (cost * this.service.getMillisecondsPerCost()) / Math.max(1, this.limit, this.running);
+        return (cost * millisecondsPerCost) / Math.max(1, this.limit, this.running);
     }
 
     /** Latest time at which the item can start and still be answered in time, given the usual service times. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./stepCost.js";
 export * from "./suspects.js";
 export * from "./upstreamHealth.js";
+export * from "./slotEnds.js";
 export * from "./slotTable.js";
 export * from "./onlineAdmission.js";
 export * from "./retryRule.js";
--- a/packages/gateway/src/onlineWaiting.ts
+++ b/packages/gateway/src/onlineWaiting.ts
@@ -71,7 +71,11 @@
     readonly finish: (outcome: WaitOutcome) => void;
 }
 
-type Queue = decisions.AdmissionQueue<Waiting>;
+interface Queue {
+    readonly requests: decisions.AdmissionQueue<Waiting>;
+    readonly slotEnds: decisions.SlotEnds;
+    slots: number;
+}
 
 /**
  * Holds the online requests that wait at this coordinator for a slot, its own and those of its neighbours, and grants
@@ -93,19 +97,19 @@
     }
 
     hasWaiting(service: string): boolean {
-        return (this.queues.get(service)?.getWaitingCount() ?? 0) > 0;
+        return (this.queues.get(service)?.requests.getWaitingCount() ?? 0) > 0;
     }
 
     /** Records for how long a request of this member held a slot. */
     recordServiceTime(service: string, milliseconds: number): void {
-        this.getQueue(service).recordServiceTime(1, milliseconds);
+        this.getQueue(service).requests.recordServiceTime(1, milliseconds);
     }
 
     /** The wait to be expected for a request, if no slot is free. */
     estimateWait(service: string, request: SharedRequest): number {
         const queue = this.getQueue(service);
         this.observe(service, queue);
-        return queue.estimateWait(this.createItem(request, undefined));
+        return queue.requests.estimateWait(this.createItem(request, undefined));
     }
 
     /** The engines here that are not among the given ones. */
@@ -127,7 +131,7 @@
                     resolve(outcome);
                 },
             };
-            const decision = queue.offerWaiting(this.createItem(request, waiting), this.parts.clock.now());
+            const decision = queue.requests.offerWaiting(this.createItem(request, waiting), this.parts.clock.now());
             if (decision.kind === decisions.AdmissionKind.Refused) {
                 const expectedWaitMilliseconds = decision.waitMilliseconds;
                 waiting.finish({ kind: WaitOutcomeKind.Refused, expectedWaitMilliseconds });
@@ -140,9 +144,6 @@
 
     /** Grants the free slots to the waiting requests, first in order first, and ends the waits that took too long. */
     serve(): void {
-        if (this.waiting.size === 0) {
-            return;
-        }
         for (const [service, queue] of this.queues) {
             this.serveQueue(service, queue);
         }
@@ -152,21 +153,22 @@
     /** Drops the requests of removed members. */
     forget(removed: readonly core.InstanceId[]): void {
         for (const waiting of [...this.waiting].filter(({ request }) => removed.includes(request.from))) {
-            this.getQueue(waiting.request.service).cancel(waiting, waiting.request.share);
+            this.getQueue(waiting.request.service).requests.cancel(waiting, waiting.request.share);
             waiting.finish({ kind: WaitOutcomeKind.Dropped, expectedWaitMilliseconds: 0 });
         }
     }
 
     private serveQueue(service: string, queue: Queue): void {
         const now = this.parts.clock.now();
+        const { requests } = queue;
+        this.observe(service, queue);
         let choice: decisions.SlotChoice | undefined;
         const isEligible = ({ request }: Waiting): boolean => {
             choice = request.isWanted() ? this.parts.tryChooseFree(service, request.except) : undefined;
             return choice !== undefined || !request.isWanted();
         };
-        while (queue.getWaitingCount() > 0) {
-            this.observe(service, queue);
-            const item = queue.takeEligible(now, isEligible);
+        while (requests.getWaitingCount() > 0) {
+            const item = requests.takeEligible(now, isEligible);
             if (item === undefined) {
                 break;
             }
@@ -178,23 +180,29 @@
                 this.parts.grant(choice, request.from);
                 finish({ kind: WaitOutcomeKind.Granted, choice });
             }
+            this.observe(service, queue);
         }
-        for (const item of queue.expire(now)) {
-            const expectedWaitMilliseconds = queue.estimateWait(item);
+        for (const item of requests.expire(now)) {
+            const expectedWaitMilliseconds = requests.estimateWait(item);
             item.value.finish({ kind: WaitOutcomeKind.Expired, expectedWaitMilliseconds });
         }
     }
 
     /** Tells the queue how many slots there are and how many are in use, which the slot table knows. */
     private observe(service: string, queue: Queue): void {
-        let slots = 0;
+        const now = this.parts.clock.now();
+        const engines = this.parts.getEngines(service);
+        queue.slotEnds.retain(new Set(engines.map(({ id }) => id)));
+        queue.slots = 0;
         let running = 0;
-        for (const engine of this.parts.getEngines(service)) {
-            slots += engine.slots;
-            running += Math.min(engine.slots, this.parts.slotTable.getTotal(engine.id).online);
+        for (const { id, slots } of engines) {
+            const online = Math.min(slots, this.parts.slotTable.getTotal(id).online);
+            queue.slotEnds.observe(id, online, now);
+            queue.slots += slots;
+            running += online;
         }
-        queue.setLimit(slots);
-        queue.setRunning(running);
+        queue.requests.setLimit(queue.slots);
+        queue.requests.setRunning(running);
     }
 
     private createItem<T extends Waiting | undefined>(request: SharedRequest, value: T): decisions.AdmissionItem<T> {
@@ -217,7 +225,7 @@
             return;
         }
         const now = this.parts.clock.now();
-        const expiryAt = Math.min(...[...this.queues.values()].map(queue => queue.getNextExpiryAt()));
+        const expiryAt = Math.min(...[...this.queues.values()].map(queue => queue.requests.getNextExpiryAt()));
         const dueAt = Math.max(now + 1, Math.min(now + CheckMilliseconds, expiryAt + 1));
         if (dueAt >= this.checkAt) {
             return;
@@ -233,12 +241,20 @@
     private getQueue(service: string): Queue {
         let queue = this.queues.get(service);
         if (queue === undefined) {
-            queue = new decisions.AdmissionQueue<Waiting>({
-                limit: 0,
-                expectedMillisecondsPerCost: InitialServiceMilliseconds,
-                random: this.parts.random,
-                isEarliestDeadlineFirst: true,
-            });
+            const slotEnds = new decisions.SlotEnds();
+            const created: Queue = {
+                slotEnds,
+                slots: 0,
+                requests: new decisions.AdmissionQueue<Waiting>({
+                    limit: 0,
+                    expectedMillisecondsPerCost: InitialServiceMilliseconds,
+                    random: this.parts.random,
+                    isEarliestDeadlineFirst: true,
+                    predictMilliseconds: (cost, mean) =>
+                        slotEnds.estimateWait(cost, created.slots, mean, this.parts.clock.now()),
+                }),
+            };
+            queue = created;
             this.queues.set(service, queue);
         }
         return queue;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -97,6 +97,8 @@
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly meanServiceMilliseconds = new Map<string, number>();
+    /** Mean time from sending a request to its first event, by service. */
+    private readonly meanFirstMilliseconds = new Map<string, number>();
     /** By service, since the number of upstreams avoided at the same time is limited to a share of the service's upstreams. */
     private readonly failureWatches = new Map<string, decisions.FailureWatch>();
 
@@ -267,7 +269,7 @@
         const remainingMilliseconds = request.deadline - startedAt;
         const waitMilliseconds = decisions.getMaximumOnlineWait({
             elapsedMilliseconds: startedAt - request.arrivedAt,
-            firstAnswerMilliseconds: ExpectedFirstAnswerMilliseconds,
+            firstAnswerMilliseconds: this.meanFirstMilliseconds.get(service) ?? ExpectedFirstAnswerMilliseconds,
             latencyTargetMilliseconds: route.latencyTargetMilliseconds,
             givenMilliseconds: request.deadline - request.arrivedAt,
             remainingMilliseconds,
@@ -343,6 +345,9 @@
         await this.reportToCrashWatch(progress, upstream, outcome);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.recordDuration(upstream.service, clock.now() - startedAt);
+            if (progress.sends === 1 && delivery.firstByteAt !== undefined) {
+                recordMean(this.meanFirstMilliseconds, upstream.service, delivery.firstByteAt - startedAt);
+            }
         }
         return outcome;
     }
@@ -524,11 +529,7 @@
 
     private recordDuration(service: string, milliseconds: number): void {
         this.parts.slots.recordServiceTime(service, milliseconds);
-        const mean = this.meanServiceMilliseconds.get(service);
-        this.meanServiceMilliseconds.set(
-            service,
-            mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight,
-        );
+        recordMean(this.meanServiceMilliseconds, service, milliseconds);
     }
 }
 
@@ -551,6 +552,11 @@
     response.end(answer.body);
 }
 
+function recordMean(means: Map<string, number>, service: string, milliseconds: number): void {
+    const mean = means.get(service);
+    means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
+}
+
 function getTimeoutReason(progress: Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
