--- a/packages/gateway/src/onlineWaiting.ts
+++ b/packages/gateway/src/onlineWaiting.ts
@@ -4,8 +4,8 @@
 /** Time for which a stream holds a slot, until durations have been observed. */
 const InitialServiceMilliseconds = 800;
 /**
- * Interval at which waiting requests are served even if no slot was reported free. Penalties of engines end, and engines
- * are added, without a notice.
+ * Interval at which waiting requests are served even if no slot was reported free, and at which the engines are listed
+ * anew. Penalties of engines end, and engines are added, without a notice.
  */
 const CheckMilliseconds = 25;
 /** No peer may occupy the queue for longer, whatever its message says. */
@@ -74,6 +74,9 @@
 interface Queue {
     readonly requests: decisions.AdmissionQueue<Waiting>;
     readonly slotEnds: decisions.SlotEnds;
+    /** The engines as of `listedAt`. Listing them for each notice would be most of the cost of observing their slots. */
+    engines: readonly decisions.SlotCandidate[];
+    listedAt: core.MonotonicMilliseconds;
     slots: number;
 }
 
@@ -191,11 +194,14 @@
     /** Tells the queue how many slots there are and how many are in use, which the slot table knows. */
     private observe(service: string, queue: Queue): void {
         const now = this.parts.clock.now();
-        const engines = this.parts.getEngines(service);
-        queue.slotEnds.retain(new Set(engines.map(({ id }) => id)));
+        if (now - queue.listedAt >= CheckMilliseconds) {
+            queue.engines = this.parts.getEngines(service);
+            queue.listedAt = now;
+            queue.slotEnds.retain(new Set(queue.engines.map(({ id }) => id)));
+        }
         queue.slots = 0;
         let running = 0;
-        for (const { id, slots } of engines) {
+        for (const { id, slots } of queue.engines) {
             const online = Math.min(slots, this.parts.slotTable.getTotal(id).online);
             queue.slotEnds.observe(id, online, now);
             queue.slots += slots;
@@ -244,6 +250,8 @@
             const slotEnds = new decisions.SlotEnds();
             const created: Queue = {
                 slotEnds,
+                engines: [],
+                listedAt: -Infinity,
                 slots: 0,
                 requests: new decisions.AdmissionQueue<Waiting>({
                     limit: 0,
--- a/packages/gateway/test/requestForwarder.test.ts
+++ b/packages/gateway/test/requestForwarder.test.ts
@@ -319,4 +319,24 @@
     await fastCheck.assert(property, { seed: 7, numRuns: 400 });
 });
 
+// At a peak, the wait expected for the customer's share is longer than the latency target. The caller must learn it at
+// once and be told when to return, instead of waiting for an answer that is late.
+suite("a request whose expected wait is too long is refused at once", async () => {
+    const scene = await scenes.createScene({}, { grantMilliseconds: 1, expectedWaitMilliseconds: 400 });
+    await scene.clock.advance(5);
+    assert.equal(scene.log.refusals, [gateway.RefusalReason.Overloaded]);
+    assert.is(scene.channels.attempts.length, 0);
+    assert.not(await scene.done);
+});
+
+// A request waits for a slot when its caller leaves. It must neither be sent nor logged as refused.
+suite("a request whose caller leaves while it waits is not sent", async () => {
+    const scene = await scenes.createScene({}, { grantMilliseconds: 50, expectedWaitMilliseconds: 100 });
+    scene.response.destroy();
+    await scene.clock.advance(200);
+    assert.is(scene.channels.attempts.length, 0);
+    assert.equal(scene.log.refusals, []);
+    assert.not(await scene.done);
+});
+
 suite.run();
