--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -161,9 +161,7 @@
     }
 
     recordServiceTime(service: string, milliseconds: number): void {
-        if (this.ordersOnline()) {
-            this.onlineWaiting.recordServiceTime(service, milliseconds);
-        }
+        this.onlineWaiting.recordServiceTime(service, milliseconds);
     }
 
     /** Whether requests may wait at the upstream's coordinator, so that it should learn of a freed slot at once. */
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -148,7 +148,9 @@
 
     /** Records for how long a request of this member held a slot of the service. */
     recordServiceTime(service: string, milliseconds: number): void {
-        this.granting.recordServiceTime(service, milliseconds);
+        if (this.ordersOnline(service)) {
+            this.granting.recordServiceTime(service, milliseconds);
+        }
     }
 
     /**
