--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -211,10 +211,14 @@
             log.recordEvent(gateway.GatewayEvent.HomeSilent, { home: coordinator, text }),
         policy: settings,
         onWaitEnded: outcome => log.metrics.count("boragedale_online_waits_total", { outcome }),
+        onYieldRequested: reason => log.metrics.count("boragedale_batch_yields_total", { reason }),
     });
     if (settings.onlineOrder === gateway.OnlineOrder.Shares) {
         log.metrics.observeGauge("boragedale_online_waiting", {}, () => slots.getWaitingOnlineCount());
     }
+    log.metrics.observeGauge("boragedale_online_slots", { measure: "level" }, () => slots.reserve.getOnlineUse().level);
+    log.metrics.observeGauge("boragedale_online_slots", { measure: "peak" }, () => slots.reserve.getOnlineUse().peak);
+    log.metrics.observeGauge("boragedale_batch_kept_free_slots", {}, () => slots.reserve.getOnlineUse().keptFree);
     members.onChange(removedMembers => slots.forget(removedMembers));
     return slots;
 }
@@ -258,6 +262,7 @@
     slots.connect(
         upstream => scheduler.yieldSlot(upstream),
         () => scheduler.dispatch(),
+        scheduler,
     );
     return new gateway.SubmissionService({
         store,
--- a/packages/gateway/src/onlinePlacement.ts
+++ b/packages/gateway/src/onlinePlacement.ts
@@ -8,6 +8,11 @@
  * full fleet would spend its processors on requests that are refused anyway.
  */
 const MaximumAskedWithoutWait = 2;
+/**
+ * Coordinators asked for a free slot before batch work yields one, where that is avoided. With more, nearly each request
+ * of a peak would pay for the trips and messages.
+ */
+const FreeSlotAttempts = 3;
 /** Coordinators at which a request waits, one after the other, if they fail or refuse. */
 const MaximumWaits = 3;
 /** How long a coordinator that had no free slot is notified of freed slots without the usual delay. */
@@ -46,9 +51,19 @@
     readonly byCoordinator: ReadonlyMap<core.InstanceId, ReadonlySet<core.UpstreamId>>;
 }
 
+/** How a coordinator is asked for a slot. */
+export interface AskOptions {
+    /** Whether a slot may be granted that batch work has to yield first. */
+    readonly allowsYield: boolean;
+    /** Given if the order among customers matters. */
+    readonly shared?: onlineWaiting.SharedRequest;
+}
+
 export interface OnlinePlacementParts {
     readonly waiting: onlineWaiting.OnlineWaiting;
     readonly clock: core.Clock;
+    /** Whether a slot that batch work would have to yield comes after all free ones. */
+    readonly avoidsYields: () => boolean;
     /** Chooses among candidates by the local slot table. */
     readonly tryChooseLocally: (candidates: readonly decisions.SlotCandidate[]) => decisions.SlotChoice | undefined;
     readonly rank: (coordinators: readonly core.InstanceId[]) => readonly core.InstanceId[];
@@ -57,7 +72,7 @@
         coordinator: core.InstanceId,
         service: string,
         usable: ReadonlySet<core.UpstreamId>,
-        request: onlineWaiting.SharedRequest,
+        options: AskOptions,
     ) => Promise<protocol.SlotReply | undefined>;
     readonly returnSlot: (upstream: core.UpstreamId) => void;
 }
@@ -75,6 +90,8 @@
     readonly request: OnlineRequest;
     readonly startedAt: core.MonotonicMilliseconds;
     readonly offers: WaitOffer[];
+    /** Coordinators without a free slot at which batch work could yield some. */
+    readonly yieldable: Map<core.InstanceId, number>;
     /** Coordinators that have not been asked, best first. */
     readonly unasked: core.InstanceId[];
     /** The shortest queue of an engine, as told by coordinators that don't order requests. */
@@ -98,7 +115,8 @@
         const { waiting, clock, tryChooseLocally } = this.parts;
         if (!waiting.hasWaiting(service)) {
             const choice = tryChooseLocally(candidates.own);
-            if (choice !== undefined && choice.waiting === 0) {
+            const isYield = choice?.yielder !== undefined && this.parts.avoidsYields();
+            if (choice?.waiting === 0 && !isYield) {
                 return choose({ ...choice, isCounted: false });
             }
         }
@@ -108,11 +126,13 @@
             request,
             startedAt: clock.now(),
             offers: [],
+            yieldable: new Map(),
             unasked: [...this.parts.rank([...candidates.byCoordinator.keys()])],
             queued: undefined,
             shortestWait: undefined,
         };
-        const granted = (await this.askForFreeSlot(search)) ?? (await this.waitForSlot(search));
+        const granted =
+            (await this.askForFreeSlot(search)) ?? (await this.askForYield(search)) ?? (await this.waitForSlot(search));
         if (granted !== undefined) {
             return choose(granted);
         }
@@ -128,16 +148,23 @@
         removed.forEach(member => this.contendedUntil.delete(member));
     }
 
+    /** Asks the coordinators that are most likely to have a free slot, without a wait. */
     private async askForFreeSlot(search: Search): Promise<GrantedSlotChoice | undefined> {
-        const { own } = search.candidates;
-        const asked = search.unasked.splice(0, MaximumAskedWithoutWait);
-        for (const coordinator of asked) {
-            const granted = await this.ask(search, coordinator, 0);
+        const avoidsYields = this.parts.avoidsYields();
+        const maximum = Math.min(MaximumAskedWithoutWait, search.unasked.length);
+        for (let asked = 0; asked < maximum; asked++) {
+            const isLastFreeAttempt = asked >= FreeSlotAttempts;
+            const coordinator = search.unasked[0];
+            if (coordinator === undefined || (avoidsYields && isLastFreeAttempt && this.isYieldKnown(search))) {
+                break;
+            }
+            search.unasked.shift();
+            const granted = await this.ask(search, coordinator, 0, !avoidsYields || isLastFreeAttempt);
             if (granted !== undefined) {
                 return granted;
             }
         }
-        if (asked.length < MaximumAskedWithoutWait) {
+        if (maximum < MaximumAskedWithoutWait) {
             // If there are few links, as right after a start, engines of coordinators that can't be asked are chosen by
             // the local slot table.
             const unreachable = this.tryChooseUnreachable(search);
@@ -145,12 +172,36 @@
                 return unreachable;
             }
         }
-        if (own.length > 0) {
-            const expectedWaitMilliseconds = this.parts.waiting.estimateWait(search.service, search.request);
+        return undefined;
+    }
+
+    /** Finds a slot that batch work yields, at an own engine if possible. */
+    private async askForYield(search: Search): Promise<GrantedSlotChoice | undefined> {
+        const { service, candidates, request } = search;
+        const choice = this.tryChooseOwn(search);
+        if (choice !== undefined) {
+            return choice;
+        }
+        const [most] = [...search.yieldable].sort(([, one], [, other]) => other - one);
+        const granted = most === undefined ? undefined : await this.ask(search, most[0], 0, true);
+        if (granted === undefined && candidates.own.length > 0) {
+            const expectedWaitMilliseconds = this.parts.waiting.estimateWait(service, request);
             search.offers.push({ coordinator: decisions.SelfInstance, expectedWaitMilliseconds });
             this.noteWait(search, expectedWaitMilliseconds);
         }
-        return undefined;
+        return granted;
+    }
+
+    private isYieldKnown(search: Search): boolean {
+        return search.yieldable.size > 0 || this.tryChooseOwn(search) !== undefined;
+    }
+
+    private tryChooseOwn({ service, candidates }: Search): GrantedSlotChoice | undefined {
+        if (this.parts.waiting.hasWaiting(service)) {
+            return undefined;
+        }
+        const choice = this.parts.tryChooseLocally(candidates.own);
+        return choice?.waiting === 0 ? { ...choice, isCounted: false } : undefined;
     }
 
     private async waitForSlot(search: Search): Promise<GrantedSlotChoice | undefined> {
@@ -165,7 +216,7 @@
             const granted =
                 coordinator === decisions.SelfInstance
                     ? await this.waitHere(search, left)
-                    : await this.ask(search, coordinator, left);
+                    : await this.ask(search, coordinator, left, true);
             if (granted !== undefined || !search.request.isWanted()) {
                 return granted;
             }
@@ -200,10 +251,11 @@
         search: Search,
         coordinator: core.InstanceId,
         waitMilliseconds: number,
+        allowsYield: boolean,
     ): Promise<GrantedSlotChoice | undefined> {
         const usable = search.candidates.byCoordinator.get(coordinator) ?? new Set();
         const shared = this.createShared(search, waitMilliseconds);
-        const reply = await this.parts.ask(coordinator, search.service, usable, shared);
+        const reply = await this.parts.ask(coordinator, search.service, usable, { allowsYield, shared });
         if (reply === undefined) {
             return undefined;
         }
@@ -216,6 +268,9 @@
                     search.offers.push({ coordinator, expectedWaitMilliseconds });
                 }
             }
+            else if (!allowsYield && reply.free > 0) {
+                search.yieldable.set(coordinator, reply.free);
+            }
             return undefined;
         }
         if (!usable.has(upstream)) {
--- a/packages/gateway/src/onlineWaiting.ts
+++ b/packages/gateway/src/onlineWaiting.ts
@@ -141,6 +141,8 @@
                 return;
             }
             this.waiting.add(waiting);
+            // No request may wait while a slot is free or batch work could yield one.
+            this.serveQueue(request.service, queue);
             this.scheduleCheck();
         });
     }
