--- a/deploy/instance.tpl
+++ b/deploy/instance.tpl
@@ -13,5 +13,6 @@
     "quotaWindowSeconds": "{{Bounds.QuotaWindowS}}",
     "quotaOverShare": "{{Bounds.QuotaOver}}",
     "quotaSlack": "{{Bounds.QuotaSlack}}",
+    "onlineOrder": "{{#Bounds.QuotaWindowS}}shares{{/Bounds.QuotaWindowS}}{{^Bounds.QuotaWindowS}}arrival{{/Bounds.QuotaWindowS}}",
     "batchReserve": "demand"
 }
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -226,8 +226,12 @@
         },
         onEngineMeasured: (upstream, getSpeed) =>
             log.metrics.observeGauge("boragedale_engine_speed", { upstream }, getSpeed),
+        onWaitEnded: outcome => log.metrics.count("boragedale_online_waits_total", { outcome }),
         onYieldRequested: reason => log.metrics.count("boragedale_batch_yields_total", { reason }),
     });
+    if (settings.onlineOrder === gateway.OnlineOrder.Shares) {
+        log.metrics.observeGauge("boragedale_online_waiting", {}, () => slots.getWaitingOnlineCount());
+    }
     log.metrics.observeGauge("boragedale_online_slots", { measure: "level" }, () => slots.reserve.getOnlineUse().level);
     log.metrics.observeGauge("boragedale_online_slots", { measure: "peak" }, () => slots.reserve.getOnlineUse().peak);
     log.metrics.observeGauge("boragedale_batch_kept_free_slots", {}, () => slots.reserve.getOnlineUse().keptFree);
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -178,6 +178,13 @@
         return usable;
     }
 
+    /** The upstream, if it may be given new work. */
+    tryGetUsable(id: core.UpstreamId, now: core.MonotonicMilliseconds): types.UpstreamEntry | undefined {
+        const known = this.entries.get(this.codec.upstreamPrefix + id);
+        const isUsable = known?.upstream?.state === types.UpstreamState.Ready && isPresent(known, now);
+        return isUsable ? known.upstream : undefined;
+    }
+
     tryGetUpstream(id: core.UpstreamId): types.UpstreamEntry | undefined {
         return this.entries.get(this.codec.upstreamPrefix + id)?.upstream;
     }
--- a/packages/gateway/src/homeDirectory.ts
+++ b/packages/gateway/src/homeDirectory.ts
@@ -77,10 +77,13 @@
 
     /** The engines of a service that this member coordinates. */
     getOwnEngines(service: string): readonly types.UpstreamEntry[] {
-        return this.view
-            .getUsable(service, this.clock.now())
-            .map(known => known.entry)
-            .filter(entry => this.tryGetCoordinator(entry.id) === decisions.SelfInstance);
+        const now = this.clock.now();
+        this.coordinators ??= this.assign();
+        const ids = this.enginesByCoordinator.get(this.members.self.id) ?? [];
+        return ids.flatMap(id => {
+            const entry = this.view.tryGetUsable(id, now);
+            return entry?.service === service ? [entry] : [];
+        });
     }
 
     /** The engines of all services that this member coordinates. */
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -177,8 +177,9 @@
         const { reserve } = this.parts.slots;
         const usableByService = new Map<string, readonly types.UpstreamEntry[]>();
         const exhausted = new Set<string>();
+        const findDestination = this.createDestinationFinder();
         return waiting.filter(item => {
-            const destination = this.tryFindDestination(item.owned);
+            const destination = findDestination(item.owned);
             if (destination === undefined) {
                 return false;
             }
@@ -230,10 +231,22 @@
 
     /** Looks up the item's route and service in the current configuration. */
     private tryFindDestination(owned: ownedSubmission.OwnedItem): ItemDestination | undefined {
-        const head = owned.submission.getHead();
-        const route = this.parts.view.getRoutes()?.tryFind(head.host, head.target);
-        const service = route === undefined ? undefined : routeTable.chooseService(route, owned.item.id);
-        return route === undefined || service === undefined ? undefined : { route, service };
+        return this.createDestinationFinder()(owned);
+    }
+
+    /** Like `tryFindDestination`, for many items: looks up the route of each submission once. */
+    private createDestinationFinder(): (owned: ownedSubmission.OwnedItem) => ItemDestination | undefined {
+        const routes = this.parts.view.getRoutes();
+        const routeBySubmission = new Map<ownedSubmission.OwnedSubmission, types.Route | undefined>();
+        return owned => {
+            if (!routeBySubmission.has(owned.submission)) {
+                const head = owned.submission.getHead();
+                routeBySubmission.set(owned.submission, routes?.tryFind(head.host, head.target));
+            }
+            const route = routeBySubmission.get(owned.submission);
+            const service = route === undefined ? undefined : routeTable.chooseService(route, owned.item.id);
+            return route === undefined || service === undefined ? undefined : { route, service };
+        };
     }
 
     private getWaiting(now: core.MonotonicMilliseconds): ItemWithOutlook[] {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -6,6 +6,7 @@
 import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
+import * as onlinePlacement from "./onlinePlacement.js";
 import * as routeTable from "./routeTable.js";
 import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
@@ -35,6 +36,10 @@
     readonly deadline: core.MonotonicMilliseconds;
     /** Name of the customer; undefined if the request needed no key. */
     readonly customer: string | undefined;
+    /** Relative share of the customer. Absent: 1. */
+    readonly weight?: number | undefined;
+    /** Priority of the customer. Absent: that of the route. */
+    readonly priority?: number | undefined;
 }
 
 /** State of a request over all its attempts. */
@@ -49,6 +54,8 @@
     runs: number;
     /** Attempts started, including those that provably did not run. */
     sends: number;
+    /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
+    waitMilliseconds: number | undefined;
     relay: answerRelay.AnswerRelay | undefined;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
@@ -91,6 +98,8 @@
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly meanServiceMilliseconds = new Map<string, number>();
+    /** Mean time from sending a request to its first event, by service. */
+    private readonly meanFirstMilliseconds = new Map<string, number>();
     /** By service, since the number of upstreams avoided at the same time is limited to a share of the service's upstreams. */
     private readonly failureWatches = new Map<string, decisions.FailureWatch>();
 
@@ -106,6 +115,7 @@
             tried: new Set(),
             runs: 0,
             sends: 0,
+            waitMilliseconds: undefined,
             relay: undefined,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
@@ -151,9 +161,9 @@
     }
 
     /** Ends a request whose caller disconnected or whose deadline passed while a slot was requested, and returns the slot. */
-    private abandon(progress: Progress, placement: Placement): void {
-        const { id } = placement.upstream;
-        if (placement.isCounted) {
+    private abandon(progress: Progress, placement: Placement | undefined): void {
+        const id = placement?.upstream.id ?? "";
+        if (placement?.isCounted === true) {
             this.parts.slots.returnSlot(id);
         }
         if (progress.isCallerDisconnected) {
@@ -186,7 +196,22 @@
             ...entry,
             hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
         }));
-        const choice = service === undefined ? undefined : await this.parts.slots.chooseOnline(service, candidates);
+        const outcome = await this.choose(progress, service, candidates);
+        if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
+            const { expectedWaitMilliseconds } = outcome;
+            if (progress.isCallerDisconnected || progress.isTimedOut) {
+                this.abandon(progress, undefined);
+                return undefined;
+            }
+            this.refuse(
+                progress,
+                types.RefusalReason.Overloaded,
+                decisions.getOnlineRetryAfter(expectedWaitMilliseconds, this.parts.random),
+                `expected wait of ${Math.round(expectedWaitMilliseconds)} ms, ${candidates.length} candidates`,
+            );
+            return undefined;
+        }
+        const choice = outcome.kind === onlinePlacement.OnlineOutcomeKind.Chosen ? outcome.choice : undefined;
         const chosen = candidates.find(candidate => candidate.id === choice?.id);
         if (service === undefined || choice === undefined || chosen === undefined) {
             this.refuse(
@@ -223,6 +248,48 @@
         return { upstream: chosen, isCounted: choice.isCounted };
     }
 
+    /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
+    private async choose(
+        progress: Progress,
+        service: string | undefined,
+        candidates: readonly decisions.SlotCandidate[],
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        const { slots, clock } = this.parts;
+        if (service === undefined) {
+            return { kind: onlinePlacement.OnlineOutcomeKind.None };
+        }
+        if (!slots.ordersOnline(service)) {
+            const choice = await slots.chooseOnline(service, candidates);
+            return choice === undefined
+                ? { kind: onlinePlacement.OnlineOutcomeKind.None }
+                : { kind: onlinePlacement.OnlineOutcomeKind.Chosen, choice };
+        }
+        const { request } = progress;
+        const { route } = request;
+        const startedAt = clock.now();
+        const remainingMilliseconds = request.deadline - startedAt;
+        const waitMilliseconds = decisions.getMaximumOnlineWait({
+            elapsedMilliseconds: startedAt - request.arrivedAt,
+            firstAnswerMilliseconds: this.meanFirstMilliseconds.get(service) ?? ExpectedFirstAnswerMilliseconds,
+            latencyTargetMilliseconds: route.latencyTargetMilliseconds,
+            givenMilliseconds: request.deadline - request.arrivedAt,
+            remainingMilliseconds,
+            timeoutMilliseconds: route.timeoutMilliseconds,
+            hasAttempts: progress.sends > 0,
+        });
+        const outcome = await slots.placeOnline(service, candidates, {
+            share: request.customer ?? `route/${route.name}`,
+            weight: request.weight ?? 1,
+            priority: request.priority ?? route.priority,
+            remainingMilliseconds,
+            waitMilliseconds,
+            isRefusable: progress.runs === 0,
+            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
+        });
+        progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
+        return outcome;
+    }
+
     private async attempt(progress: Progress, placement: Placement): Promise<answerRelay.AttemptOutcome> {
         const { upstream } = placement;
         const { request, delivery } = progress;
@@ -282,6 +349,9 @@
         await this.reportToCrashWatch(progress, upstream, outcome);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.recordDuration(upstream.service, clock.now() - startedAt);
+            if (progress.sends === 1 && delivery.firstByteAt !== undefined) {
+                recordMean(this.meanFirstMilliseconds, upstream.service, delivery.firstByteAt - startedAt);
+            }
         }
         return outcome;
     }
@@ -462,11 +532,8 @@
     }
 
     private recordDuration(service: string, milliseconds: number): void {
-        const mean = this.meanServiceMilliseconds.get(service);
-        this.meanServiceMilliseconds.set(
-            service,
-            mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight,
-        );
+        this.parts.slots.recordServiceTime(service, milliseconds);
+        recordMean(this.meanServiceMilliseconds, service, milliseconds);
     }
 }
 
@@ -489,6 +556,11 @@
     response.end(answer.body);
 }
 
+function recordMean(means: Map<string, number>, service: string, milliseconds: number): void {
+    const mean = means.get(service);
+    means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
+}
+
 function getTimeoutReason(progress: Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
--- a/packages/gateway/src/slotLending.ts
+++ b/packages/gateway/src/slotLending.ts
@@ -6,6 +6,9 @@
 import type * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import type * as loadPolicy from "./loadPolicy.js";
+import * as onlineGranting from "./onlineGranting.js";
+import * as onlinePlacement from "./onlinePlacement.js";
+import type * as onlineWaiting from "./onlineWaiting.js";
 
 /**
  * Coordinators that an online request asks before it joins the shortest known queue. With half of the coordinators
@@ -24,6 +27,7 @@
  * of others.
  */
 const OnlineTimeoutMilliseconds = 25;
+
 export interface SlotGrantingParts {
     readonly slotTable: decisions.SlotTable;
     readonly coordinators: coordinatorDirectory.CoordinatorDirectory;
@@ -50,12 +54,8 @@
      * actual use.
      */
     readonly returnSlot: (upstream: core.UpstreamId) => void;
-}
-
-/** A slot for an online request. */
-export interface GrantedSlotChoice extends decisions.SlotChoice {
-    /** Whether the coordinator already counts the slot as used by this member. */
-    readonly isCounted: boolean;
+    /** Called when the wait of an online request at this coordinator has ended. */
+    readonly onWaitEnded?: (outcome: onlineWaiting.WaitOutcomeKind) => void;
 }
 
 /**
@@ -70,11 +70,26 @@
     private readonly order: decisions.CoordinatorOrder;
     /** The part that grants and requests slots for batch items. */
     readonly batch: batchSlotGranting.BatchSlotGranting;
+    private readonly online: onlineGranting.OnlineGranting;
+    private readonly placement: onlinePlacement.OnlinePlacement;
 
     constructor(private readonly parts: SlotGrantingParts) {
         this.order = new decisions.CoordinatorOrder(parts.random);
-        const { network } = parts;
-        network.handle(protocol.MessageKind.SlotRequest, async (message, from) => this.grantOnline(message, from));
+        this.online = new onlineGranting.OnlineGranting({
+            ...parts,
+            annotate: (service, candidates) => this.annotate(service, candidates),
+            isHeldBack: (candidates, choice) => this.isHeldBack(candidates, choice),
+            getOnlineReserve: () => this.getOnlineReserve(),
+        });
+        this.placement = new onlinePlacement.OnlinePlacement({
+            ...parts,
+            waiting: this.online.waiting,
+            avoidsYields: () => parts.reserve.isActive(),
+            tryChooseLocally: (service, candidates) => this.tryChooseLocally(service, candidates),
+            isDeferred: (service, candidates, choice) => this.isDeferred(this.annotate(service, candidates), choice),
+            rank: coordinators => this.rank(coordinators, true),
+            ask: (coordinator, service, usable, options) => this.ask(coordinator, service, usable, options),
+        });
         this.batch = new batchSlotGranting.BatchSlotGranting({
             ...parts,
             annotate: (service, candidates) => this.annotate(service, candidates),
@@ -83,18 +98,17 @@
         });
     }
 
-    /** Chooses a slot of an own engine, otherwise a neighbour's, otherwise the shortest known queue. */
+    /**
+     * Chooses a slot of an own engine, otherwise a neighbour's, otherwise the shortest known queue. Where batch work
+     * follows the demand, a slot that it would have to yield comes after all free ones.
+     */
     async chooseOnline(
         service: string,
         usable: readonly decisions.SlotCandidate[],
-    ): Promise<GrantedSlotChoice | undefined> {
-        const { slotTable, coordinators, clock, dataCentre } = this.parts;
-        // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
-        const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
-        const candidates = healthy.length > 0 ? healthy : usable;
-        const isOwn = (candidate: decisions.SlotCandidate): boolean =>
-            coordinators.tryGetCoordinator(candidate.id) === decisions.SelfInstance;
-        const ownEngines = this.annotate(service, candidates.filter(isOwn));
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
+        const { slotTable, clock, dataCentre } = this.parts;
+        const grouped = this.group(usable);
+        const ownEngines = this.annotate(service, grouped.own);
         const reserve = this.getOnlineReserve();
         const avoidsYields = this.parts.reserve.isActive();
         const ownChoice = slotTable.tryChooseOnline(ownEngines, dataCentre, reserve, clock.now());
@@ -102,9 +116,9 @@
         if (ownChoice?.waiting === 0 && !isSlow && (!avoidsYields || ownChoice.yielder === undefined)) {
             return { ...ownChoice, isCounted: false };
         }
-        const byCoordinator = this.groupByCoordinator(candidates);
-        let best: GrantedSlotChoice | undefined =
+        let best: onlinePlacement.GrantedSlotChoice | undefined =
             ownChoice === undefined ? undefined : { ...ownChoice, isCounted: false };
+        const { byCoordinator } = grouped;
         const askedCoordinators = this.listCoordinatorsToAsk([...byCoordinator.keys()], isSlow);
         let yieldable: { readonly coordinator: core.InstanceId; readonly slots: number } | undefined;
         for (const [index, coordinator] of askedCoordinators.entries()) {
@@ -139,7 +153,7 @@
         // If there are few links, as right after a start, engines of coordinators that cannot be asked are chosen by
         // the local slot table.
         const linked = new Set([...byCoordinator.values()].flatMap(ids => [...ids]));
-        const unreachable = candidates.filter(candidate => !linked.has(candidate.id) && !isOwn(candidate));
+        const unreachable = grouped.all.filter(({ id }) => !linked.has(id) && ownEngines.every(own => own.id !== id));
         const annotated = this.annotate(service, unreachable);
         const fallback = slotTable.tryChooseOnline(annotated, dataCentre, reserve, clock.now());
         return fallback !== undefined && fallback.waiting < (best?.waiting ?? Infinity)
@@ -147,56 +161,112 @@
             : best;
     }
 
-    /** Drops the waiting items of removed members, and stops ranking these members as coordinators. */
+    /** Finds a slot for an online request by the order among customers. */
+    async placeOnline(
+        service: string,
+        usable: readonly decisions.SlotCandidate[],
+        request: onlinePlacement.OnlineRequest,
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        return this.placement.place(service, this.group(usable), request);
+    }
+
+    getWaitingOnlineCount(): number {
+        return this.online.waiting.getWaitingCount();
+    }
+
+    recordServiceTime(service: string, milliseconds: number): void {
+        this.online.waiting.recordServiceTime(service, milliseconds);
+    }
+
+    /** Whether requests may wait at the upstream's coordinator, so that it should learn of a freed slot at once. */
+    isContended(upstream: core.UpstreamId): boolean {
+        const coordinator = this.parts.coordinators.tryGetCoordinator(upstream);
+        return coordinator !== undefined && this.placement.isContended(coordinator);
+    }
+
+    /** Ends the count of a slot that was granted to a waiting request here, when the request takes or returns it. */
+    settleOwnGrant(upstream: core.UpstreamId): boolean {
+        return this.online.settleOwnGrant(upstream);
+    }
+
+    /** Grants slots that may have been freed here: first to waiting online requests, then to the waiting items of peers. */
+    serveWaiting(): void {
+        this.online.waiting.serve();
+        this.batch.serveWaiting();
+    }
+
+    /** Drops what waits for removed members, and stops ranking these members as coordinators. */
     forget(removed: readonly core.InstanceId[]): void {
         removed.forEach(member => this.order.remove(member));
+        this.placement.forget(removed);
+        this.online.waiting.forget(removed);
         this.batch.forget(removed);
+        this.online.waiting.serve();
     }
 
-    /**
-     * `usable`: the coordinator's engines that the request may use. Its other engines are excluded by name in the
-     * message. `onYieldable` is called with the slots that batch work could yield there if that isn't allowed and no slot
-     * is free.
-     */
+    /** `onYieldable` is called with the slots that batch work could yield there if that isn't allowed and none is free. */
     private async requestOnlineSlot(
         coordinator: core.InstanceId,
         service: string,
         usable: ReadonlySet<core.UpstreamId>,
         allowsYield: boolean,
         onYieldable?: (slots: number) => void,
-    ): Promise<GrantedSlotChoice | undefined> {
-        const { network, clock, returnSlot, coordinators } = this.parts;
-        const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
-        const kind = protocol.MessageKind.SlotRequest;
-        const message = {
-            kind,
-            service,
-            ...(except.length === 0 ? {} : { except }),
-            ...(allowsYield ? {} : { allowsYield }),
-        } as const;
-        const options = { lane: protocol.Lane.Control, timeoutMilliseconds: OnlineTimeoutMilliseconds };
-        const reply = await network.request(coordinator, message, options);
-        if (!reply.ok || reply.message.kind !== protocol.MessageKind.SlotReply) {
-            this.noteUnresponsive(coordinator, reply);
-            // The coordinator may have counted a slot before it stopped answering.
-            usable.forEach(returnSlot);
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
+        const reply = await this.ask(coordinator, service, usable, { allowsYield });
+        if (reply === undefined) {
             return undefined;
         }
-        const { upstream, waiting, free, speeds } = reply.message;
-        this.parts.speeds?.takeOverRows(speeds, coordinator);
-        this.order.recordFreeSlots(coordinator, upstream === undefined ? 0 : free, clock.now());
+        const { upstream, waiting, free } = reply;
         if (upstream === undefined) {
             onYieldable?.(free);
             return undefined;
         }
         if (!usable.has(upstream)) {
             // The coordinator knows an engine that is not known here yet, or that has been removed here.
-            returnSlot(upstream);
+            this.parts.returnSlot(upstream);
             return undefined;
         }
         return { id: upstream, waiting, yielder: undefined, isCounted: waiting === 0 };
     }
 
+    /**
+     * Sends a request for an online slot. `usable`: the coordinator's engines that the request may use. Its other engines
+     * are excluded by name in the message.
+     */
+    private async ask(
+        coordinator: core.InstanceId,
+        service: string,
+        usable: ReadonlySet<core.UpstreamId>,
+        { allowsYield, shared }: onlinePlacement.AskOptions,
+    ): Promise<protocol.SlotReply | undefined> {
+        const { network, clock, returnSlot, coordinators } = this.parts;
+        const except = coordinators.getEnginesOf(coordinator, service).filter(upstream => !usable.has(upstream));
+        const message = {
+            kind: protocol.MessageKind.SlotRequest,
+            service,
+            ...(except.length === 0 ? {} : { except }),
+            ...(shared === undefined ? {} : onlinePlacement.createShareFields(shared)),
+            ...(allowsYield ? {} : { allowsYield }),
+        } as const;
+        const waitMilliseconds = shared?.waitMilliseconds ?? 0;
+        const timeoutMilliseconds = waitMilliseconds + OnlineTimeoutMilliseconds;
+        const reply = await network.request(coordinator, message, { lane: protocol.Lane.Control, timeoutMilliseconds });
+        if (reply.ok && reply.message.kind === protocol.MessageKind.SlotReply) {
+            const { upstream, free, speeds } = reply.message;
+            this.parts.speeds?.takeOverRows(speeds, coordinator);
+            this.order.recordFreeSlots(coordinator, upstream === undefined ? 0 : free, clock.now());
+            return reply.message;
+        }
+        this.noteUnresponsive(coordinator, reply);
+        // The coordinator may have counted a slot before it stopped answering.
+        usable.forEach(returnSlot);
+        if (waitMilliseconds > 0) {
+            // If only the link was lost, the request waits there until this time and may still be granted a slot.
+            clock.schedule(timeoutMilliseconds, () => usable.forEach(returnSlot));
+        }
+        return undefined;
+    }
+
     private noteUnresponsive(coordinator: core.InstanceId, reply: protocol.PeerResult): void {
         this.order.recordNoAnswer(coordinator, this.parts.clock.now());
         this.parts.onCoordinatorUnresponsive(
@@ -205,52 +275,6 @@
         );
     }
 
-    /**
-     * Answers as coordinator. The slot is counted as the requester's before the answer is sent, so that no other member
-     * is granted it.
-     */
-    private grantOnline(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
-        const reply = this.chooseGrant(message, from);
-        const speeds = this.parts.speeds?.createReplyRows(message.service, from);
-        return speeds === undefined ? reply : { ...reply, speeds };
-    }
-
-    private chooseGrant(message: protocol.SlotRequest, from: core.InstanceId): protocol.SlotReply {
-        const { slotTable, coordinators, clock, dataCentre, requestYield, reserve, onGranted } = this.parts;
-        const except = new Set(message.except);
-        const usable = coordinators
-            .getOwnEngines(message.service)
-            .filter(entry => !except.has(entry.id) && !slotTable.isPenalized(entry.id, clock.now()));
-        const candidates: readonly decisions.SlotCandidate[] = this.annotate(message.service, usable);
-        const choice = slotTable.tryChooseOnline(candidates, dataCentre, this.getOnlineReserve(), clock.now());
-        const kind = protocol.MessageKind.SlotReply;
-        if (choice === undefined) {
-            return { kind, waiting: 0, free: 0 };
-        }
-        if (choice.waiting > 0) {
-            return { kind, upstream: choice.id, waiting: choice.waiting, free: 0 };
-        }
-        if (this.isHeldBack(candidates, choice)) {
-            // The requester comes back to this engine if the others that it asks are full.
-            return { kind, upstream: choice.id, waiting: 1, free: 0 };
-        }
-        const avoidsYields = reserve.isActive();
-        if (choice.yielder !== undefined && avoidsYields && message.allowsYield === false) {
-            const yieldable = candidates.map(entry => slotTable.getTotal(entry.id).batch);
-            return { kind, waiting: 0, free: yieldable.reduce((sum, batch) => sum + batch, 0) };
-        }
-        if (choice.yielder !== undefined) {
-            requestYield(choice.id, choice.yielder);
-        }
-        slotTable.addPeer(from, choice.id, { online: 1, batch: 0 });
-        onGranted(from);
-        const free = candidates.reduce((sum, entry) => {
-            const { online, batch } = slotTable.getTotal(entry.id);
-            return sum + entry.slots - online - (avoidsYields ? batch : 0);
-        }, 0);
-        return { kind, upstream: choice.id, waiting: 0, free: Math.max(0, free) };
-    }
-
     /**
      * Slots that an online request leaves free before it makes batch work yield. Where batch starts follow the demand,
      * the free slots are there for online requests, and batch work yields only if there is none.
@@ -259,6 +283,15 @@
         return this.parts.reserve.isActive() ? 0 : batchSlotGranting.ReservedSlots;
     }
 
+    private tryChooseLocally(
+        service: string,
+        candidates: readonly decisions.SlotCandidate[],
+    ): decisions.SlotChoice | undefined {
+        const { slotTable, dataCentre, clock } = this.parts;
+        const annotated = this.annotate(service, candidates);
+        return slotTable.tryChooseOnline(annotated, dataCentre, this.getOnlineReserve(), clock.now());
+    }
+
     private annotate<T extends decisions.SlotCandidate>(service: string, candidates: readonly T[]): readonly T[] {
         return this.parts.speeds?.annotate(service, candidates) ?? candidates;
     }
@@ -289,6 +322,26 @@
         return isNew && this.isDeferred(candidates, choice);
     }
 
+    /** Groups the usable candidates that are not avoided by who grants their slots. */
+    private group(usable: readonly decisions.SlotCandidate[]): onlinePlacement.GroupedCandidates {
+        const { slotTable, coordinators, clock } = this.parts;
+        // Otherwise an own engine that fails or rejects requests would be used as long as it is the only own one.
+        const healthy = usable.filter(candidate => !slotTable.isPenalized(candidate.id, clock.now()));
+        const all = healthy.length > 0 ? healthy : usable;
+        const own = all.filter(({ id }) => coordinators.tryGetCoordinator(id) === decisions.SelfInstance);
+        let byCoordinator: onlinePlacement.GroupedCandidates["byCoordinator"] | undefined;
+        const getByCoordinator = (): onlinePlacement.GroupedCandidates["byCoordinator"] =>
+            (byCoordinator ??= this.groupByCoordinator(all));
+        return {
+            all,
+            own,
+            // Most requests find a free slot of an own engine and don't need it.
+            get byCoordinator() {
+                return getByCoordinator();
+            },
+        };
+    }
+
     /** The candidates of each linked coordinator other than this member. */
     private groupByCoordinator(
         candidates: readonly decisions.SlotCandidate[],
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -6,6 +6,8 @@
 import * as engineSpeeds from "./engineSpeeds.js";
 import type * as coordinatorDirectory from "./homeDirectory.js";
 import * as loadPolicy from "./loadPolicy.js";
+import type * as onlinePlacement from "./onlinePlacement.js";
+import type * as onlineWaiting from "./onlineWaiting.js";
 import * as slotGranting from "./slotLending.js";
 import * as yieldRequests from "./yieldRequests.js";
 
@@ -49,6 +51,8 @@
     readonly onEngineExclusion?: (change: decisions.ExclusionChange) => void;
     /** Called once for each engine that this member coordinates, with a function that returns its relative speed. */
     readonly onEngineMeasured?: (upstream: core.UpstreamId, getSpeed: () => number) => void;
+    /** Called when the wait of an online request at this coordinator has ended. */
+    readonly onWaitEnded?: (outcome: onlineWaiting.WaitOutcomeKind) => void;
     /** Called when batch work is asked to give up a slot. */
     readonly onYieldRequested?: (reason: yieldRequests.YieldReason) => void;
 }
@@ -150,7 +154,7 @@
     async chooseOnline(
         service: string,
         candidates: readonly decisions.SlotCandidate[],
-    ): Promise<slotGranting.GrantedSlotChoice | undefined> {
+    ): Promise<onlinePlacement.GrantedSlotChoice | undefined> {
         if (this.requiresGrant(service)) {
             return this.granting.chooseOnline(service, candidates);
         }
@@ -164,6 +168,32 @@
         return choice === undefined ? undefined : { ...choice, isCounted: false };
     }
 
+    /** Whether waiting online requests of the service are ordered by customers' shares. */
+    ordersOnline(service: string): boolean {
+        return this.parts.policy?.onlineOrder === loadPolicy.OnlineOrder.Shares && this.requiresGrant(service);
+    }
+
+    /** Finds a slot for an online request. It may wait for one, and is refused if the wait would be too long. */
+    async placeOnline(
+        service: string,
+        candidates: readonly decisions.SlotCandidate[],
+        request: onlinePlacement.OnlineRequest,
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        return this.granting.placeOnline(service, candidates, request);
+    }
+
+    /** Online requests of all members that wait at this coordinator. */
+    getWaitingOnlineCount(): number {
+        return this.granting.getWaitingOnlineCount();
+    }
+
+    /** Records for how long a request of this member held a slot of the service. */
+    recordServiceTime(service: string, milliseconds: number): void {
+        if (this.ordersOnline(service)) {
+            this.granting.recordServiceTime(service, milliseconds);
+        }
+    }
+
     /**
      * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
      * returns whether it is used. `items` are the waiting items, most urgent first, as far as they are known.
@@ -198,6 +228,9 @@
 
     /** `isCounted`: the upstream's coordinator granted the slot and needs no notice of it. */
     take(upstream: core.UpstreamId, isBatch: boolean, isCounted = false): void {
+        if (isCounted && !isBatch) {
+            this.granting.settleOwnGrant(upstream);
+        }
         this.slotTable.take(upstream, isBatch);
         this.usedUpstreams.add(upstream);
         if (!isCounted) {
@@ -209,12 +242,16 @@
      * Notifies the upstream's coordinator of the actual use, after it counted a slot for this member that is not used.
      */
     returnSlot(upstream: core.UpstreamId): void {
-        this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
+        if (this.granting.settleOwnGrant(upstream)) {
+            this.notifySlotFreed();
+            return;
+        }
+        this.noteFreed(upstream);
     }
 
     release(upstream: core.UpstreamId, isBatch: boolean): void {
         this.slotTable.release(upstream, isBatch);
-        this.noteChange(upstream, ReleasedNoticeDelayMilliseconds);
+        this.noteFreed(upstream);
         this.notifySlotFreed();
     }
 
@@ -305,6 +342,12 @@
         return this.grants.tryGrant(requester, upstream.id, total, upstream.slots, reserve, this.clock.now());
     }
 
+    private noteFreed(upstream: core.UpstreamId): void {
+        // Requests that wait at the coordinator would leave the slot unused for the time of the delay.
+        const isContended = this.granting.isContended(upstream);
+        this.noteChange(upstream, isContended ? TakenNoticeDelayMilliseconds : ReleasedNoticeDelayMilliseconds);
+    }
+
     private noteChange(upstream: core.UpstreamId, delay: number): void {
         this.usedUpstreams.add(upstream);
         this.changedUpstreams.add(upstream);
@@ -397,7 +440,7 @@
     }
 
     private notifySlotFreed(): void {
-        this.granting.batch.serveWaiting();
+        this.granting.serveWaiting();
         this.onSlotFreed();
     }
 
