--- a/packages/decisions/src/onlineAdmission.ts
+++ b/packages/decisions/src/onlineAdmission.ts
@@ -61,6 +61,11 @@
     readonly hasAttempts: boolean;
 }
 
+/**
+ * Share of the latency target that counts for the first answer at most. After an outage, first answers take seconds for
+ * a while, and by their mean every newcomer would be refused although slots free up again.
+ */
+const MaximumFirstAnswerShare = 0.5;
 /** Share of the remaining time for which a request that lost time may wait; the rest is for being served. */
 const ReturnedWaitShare = 0.5;
 /** A request with this much less time than its route gives has come back after a refusal, which takes longer than this. */
@@ -79,7 +84,9 @@
     if (hasReturned || limits.hasAttempts) {
         return share;
     }
-    const inTarget = limits.latencyTargetMilliseconds - limits.elapsedMilliseconds - limits.firstAnswerMilliseconds;
+    const target = limits.latencyTargetMilliseconds;
+    const firstAnswer = Math.min(limits.firstAnswerMilliseconds, target * MaximumFirstAnswerShare);
+    const inTarget = target - limits.elapsedMilliseconds - firstAnswer;
     return Math.max(0, Math.min(inTarget, share));
 }
 
--- a/packages/decisions/test/onlineOrder.test.ts
+++ b/packages/decisions/test/onlineOrder.test.ts
@@ -109,4 +109,18 @@
     assert.is(decisions.getMaximumOnlineWait({ ...limits, hasAttempts: true }), 2_495);
 });
 
+// Guards against refusals of all newcomers that find no free slot, long after first answers were late in an outage.
+suite("a newcomer may still wait while the mean first answer is later than its target", () => {
+    const limits = {
+        elapsedMilliseconds: 10,
+        firstAnswerMilliseconds: 1_300,
+        latencyTargetMilliseconds: 300,
+        givenMilliseconds: 5_000,
+        remainingMilliseconds: 4_990,
+        timeoutMilliseconds: 5_000,
+        hasAttempts: false,
+    };
+    assert.is(decisions.getMaximumOnlineWait(limits), 140);
+});
+
 suite.run();
