--- a/packages/gateway/src/demandReserve.ts
+++ b/packages/gateway/src/demandReserve.ts
@@ -6,6 +6,8 @@
 
 /** Streams hold a slot for some 0.7 s, so that shorter intervals show nothing new. */
 const SampleIntervalMilliseconds = 100;
+/** Interval of samples without any change of slots. A timer for each sample would wake up an idle instance ten times a second. */
+const IdleSampleIntervalMilliseconds = 500;
 /** An item that can wait and that runs for longer than any low phase. */
 const PatientItem: decisions.ItemEstimate = {
     dueInMilliseconds: Infinity,
@@ -34,6 +36,7 @@
  */
 export class DemandReserve {
     private readonly demands = new Map<string, decisions.OnlineDemand>();
+    private sampledAt: core.MonotonicMilliseconds = -Infinity;
 
     constructor(private readonly parts: DemandReserveParts) {}
 
@@ -45,13 +48,20 @@
         );
     }
 
-    /** The background task that samples the online use. */
+    /** Samples the online use. Called when slots are taken or freed, and does nothing if the last sample is recent. */
+    sample(): void {
+        const now = this.parts.clock.now();
+        if (now - this.sampledAt >= SampleIntervalMilliseconds && this.isActive()) {
+            this.sampledAt = now;
+            this.record();
+        }
+    }
+
+    /** The background task that samples the online use while no slots are taken or freed. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted && this.parts.policy.batchReserve === loadPolicy.BatchReserve.Demand) {
-            if (this.isActive()) {
-                this.record();
-            }
-            await this.parts.clock.sleep(SampleIntervalMilliseconds, signal);
+            this.sample();
+            await this.parts.clock.sleep(IdleSampleIntervalMilliseconds, signal);
         }
     }
 
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -40,6 +40,11 @@
  * negligible.
  */
 const DispatchDelayMilliseconds = 8;
+/**
+ * The same where batch work follows the online demand: items wait for the demand to fall although slots are free, and
+ * all of them are examined at each dispatch.
+ */
+const DemandDispatchDelayMilliseconds = 25;
 const ExpiryCheckIntervalMilliseconds = 500;
 /** Interval at which waiting items are dispatched even if no peer reported a free slot. */
 const DispatchIntervalMilliseconds = 60;
@@ -143,7 +148,9 @@
         if (this.cancelDispatch !== undefined || this.isStopped || this.submissions.size === 0) {
             return;
         }
-        this.cancelDispatch = this.parts.clock.schedule(DispatchDelayMilliseconds, () => {
+        const isDemandFollowed = this.parts.slots.reserve.isActive();
+        const delay = isDemandFollowed ? DemandDispatchDelayMilliseconds : DispatchDelayMilliseconds;
+        this.cancelDispatch = this.parts.clock.schedule(delay, () => {
             this.cancelDispatch = undefined;
             this.startWaiting();
         });
@@ -292,7 +299,11 @@
         const { slots } = this.parts;
         const isLending = slots.requiresGrant(service);
         const followsDemand = isLending && slots.reserve.isActive();
-        const candidates = usable
+        const allowed = followsDemand ? slots.reserve.filterStarts(service, usable, outlook) : usable;
+        if (allowed.length === 0) {
+            return false;
+        }
+        const candidates = allowed
             .filter(entry => (this.deniedUntil.get(entry.id) ?? 0) <= now)
             .map(entry => ({
                 ...entry,
@@ -300,14 +311,7 @@
                 hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
             }));
         const chosen = slots.slotTable.tryChooseBatch(
-            this.preferInTime(
-                outlook,
-                slots.annotate(
-                    service,
-                    followsDemand ? slots.reserve.filterStarts(service, candidates, outlook) : candidates,
-                ),
-                now,
-            ),
+            this.preferInTime(outlook, slots.annotate(service, candidates), now),
             batchSlotGranting.ReservedSlots,
             this.parts.dataCentre,
             now,
--- a/packages/gateway/src/slotSharing.ts
+++ b/packages/gateway/src/slotSharing.ts
@@ -440,6 +440,7 @@
     }
 
     private notifySlotFreed(): void {
+        this.reserve.sample();
         this.granting.serveWaiting();
         this.onSlotFreed();
     }
