--- a/deploy/instance.tpl
+++ b/deploy/instance.tpl
@@ -13,6 +13,5 @@
     "quotaWindowSeconds": "{{Bounds.QuotaWindowS}}",
     "quotaOverShare": "{{Bounds.QuotaOver}}",
     "quotaSlack": "{{Bounds.QuotaSlack}}",
-    "onlineOrder": "{{#Bounds.QuotaWindowS}}shares{{/Bounds.QuotaWindowS}}{{^Bounds.QuotaWindowS}}arrival{{/Bounds.QuotaWindowS}}",
     "batchReserve": "demand"
 }
--- a/packages/decisions/src/onlineDemand.ts
+++ b/packages/decisions/src/onlineDemand.ts
@@ -27,8 +27,8 @@
 /** Period that is assumed for the urgency of items while no rises recur. */
 const AssumedPeriodMilliseconds = 6_000;
 /**
- * Periods of slack below which an item doesn't wait in a low phase for a slot that peaks leave free. With 1.5 periods,
- * 4% of the items were late on engines of uneven speed, and only 5% fewer runs were preempted.
+ * Periods of slack below which an item doesn't wait in a low phase for a slot that peaks leave free. With fewer, items
+ * on slow engines, which run for more than a period, end late.
  */
 const UrgentPeriods = 2.5;
 /** Periods of slack below which an item takes any slot, even though it is likely to be preempted again. */
