--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -40,6 +40,7 @@
     [gateway.GatewayEvent.ItemRetried]: telemetry.events.ItemRetried,
     [gateway.GatewayEvent.ItemGivenUp]: telemetry.events.ItemGivenUp,
     [gateway.GatewayEvent.ItemStarted]: telemetry.events.ItemStarted,
+    [gateway.GatewayEvent.ItemCompleted]: telemetry.events.ItemCompleted,
     [gateway.GatewayEvent.ItemYielded]: telemetry.events.ItemYielded,
     [gateway.GatewayEvent.RequestUnroutable]: telemetry.events.GatewayUnroutable,
     [gateway.GatewayEvent.RequestUnauthorized]: telemetry.events.GatewayUnauthorized,
@@ -129,6 +130,7 @@
             firstMilliseconds: firstAt === undefined ? undefined : Math.round(firstAt - request.arrivedAt),
             ...this.recordWait(request, progress),
             sends: progress.sends,
+            ...progress.received,
             online: progress.estimatedUse.online,
             batch: progress.estimatedUse.batch,
         });
@@ -160,6 +162,7 @@
         outcome: string,
         text: string,
         isRepeated: boolean,
+        progress: gateway.LoggedProgress,
     ): void {
         this.metrics.count("boragedale_attempts_failed_total", { route: request.route.name, outcome });
         this.record(telemetry.events.GatewayAttemptFailed, {
@@ -168,6 +171,7 @@
             outcome,
             text,
             isRepeated,
+            ...progress.received,
         });
     }
 
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as bodyFraming from "./bodyFraming.js";
 import * as eventSplitter from "./eventSplitter.js";
 import type * as engineMeter from "./engineMeter.js";
 import * as upstreamExchange from "./upstreamExchange.js";
@@ -34,6 +35,14 @@
     | { readonly kind: AttemptOutcomeKind.Failed; readonly answer: BufferedAnswer }
     | { readonly kind: Exclude<AttemptOutcomeKind, AttemptOutcomeKind.Failed>; readonly text: string };
 
+/** What an attempt has received of an answer. */
+export interface ReceivedAnswer {
+    readonly framing: bodyFraming.BodyFraming;
+    readonly bytes: number;
+    /** Complete events; undefined if the answer is not a stream. */
+    readonly events: number | undefined;
+}
+
 /** What has been sent to the caller so far, over all attempts of a request. */
 export interface Delivery {
     readonly response: http.ServerResponse;
@@ -76,6 +85,8 @@
     private buffered: Buffer[] = [];
     private bufferedBytes = 0;
     private splitter: eventSplitter.EventSplitter | undefined;
+    private receivedBytes = 0;
+    private receivedEvents = 0;
 
     constructor(private readonly options: RelayOptions) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
@@ -94,6 +105,18 @@
         this.exchange?.abort();
     }
 
+    /** Returns undefined if no headers have arrived. */
+    getReceived(): ReceivedAnswer | undefined {
+        if (this.status === 0) {
+            return undefined;
+        }
+        return {
+            framing: bodyFraming.getBodyFraming(this.status, this.headers),
+            bytes: this.receivedBytes,
+            events: this.splitter === undefined ? undefined : this.receivedEvents,
+        };
+    }
+
     onSent(): void {
         this.options.onSent();
     }
@@ -126,6 +149,7 @@
             return true;
         }
         this.options.onProgress();
+        this.receivedBytes += data.length;
         if (this.splitter !== undefined) {
             return this.relayEvents(this.splitter, data);
         }
@@ -200,6 +224,7 @@
             this.fail("not an event stream");
             return true;
         }
+        this.receivedEvents += events.length;
         if (events.length > 0) {
             this.options.meter?.onEvents(events.length, this.options.now());
         }
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -1,4 +1,5 @@
 import type * as core from "@boragedale/core";
+import type * as answerRelay from "./answerRelay.js";
 import type * as types from "./types.js";
 
 /** Properties of a request that log lines use. */
@@ -17,6 +18,8 @@
     /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
     readonly waitMilliseconds?: number | undefined;
     readonly delivery: { readonly firstByteAt: number | undefined };
+    /** What the last attempt received of an answer; undefined without headers. */
+    readonly received?: answerRelay.ReceivedAnswer | undefined;
     /** Estimated number of requests at the upstream at the time it was chosen. */
     readonly estimatedUse: { readonly online: number; readonly batch: number };
 }
@@ -39,6 +42,7 @@
         outcome: string,
         text: string,
         isRepeated: boolean,
+        progress: LoggedProgress,
     ): void;
     /** Logs any other event. */
     abstract recordEvent(event: GatewayEvent, fields: LogFields): void;
@@ -70,6 +74,7 @@
     ItemRetried = "ItemRetried",
     ItemGivenUp = "ItemGivenUp",
     ItemStarted = "ItemStarted",
+    ItemCompleted = "ItemCompleted",
     ItemYielded = "ItemYielded",
     RequestUnroutable = "RequestUnroutable",
     RequestUnauthorized = "RequestUnauthorized",
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./types.js";
 export * from "./wire.js";
 export * from "./metadataStore.js";
+export * from "./bodyFraming.js";
 export * from "./countedStore.js";
 export * from "./gatewayLog.js";
 export * from "./settledRevision.js";
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,4 +1,5 @@
 import * as eventSource from "eventsource-parser";
+import * as bodyFraming from "./bodyFraming.js";
 import type * as ownedSubmission from "./ownedSubmission.js";
 import * as upstreamExchange from "./upstreamExchange.js";
 import type * as wire from "./wire.js";
@@ -37,6 +38,7 @@
     private isSettled = false;
     private status = 0;
     private isNotRun = false;
+    private framing: bodyFraming.BodyFraming | undefined;
     private readonly decoder = new TextDecoder();
     private readonly parser: eventSource.EventSourceParser;
 
@@ -63,6 +65,11 @@
         this.exchange?.abort();
     }
 
+    /** Returns undefined if no headers have arrived. */
+    getFraming(): bodyFraming.BodyFraming | undefined {
+        return this.framing;
+    }
+
     onSent(): void {}
 
     onHeaders(status: number, rawHeaders: string[]): void {
@@ -70,6 +77,7 @@
             return;
         }
         this.status = status;
+        this.framing = bodyFraming.getBodyFraming(status, rawHeaders);
         const head = this.callerWire.readAnswer(status, rawHeaders);
         this.isNotRun = head.isNotRun;
         const isForOtherAttempt = head.attemptId !== undefined && head.attemptId !== this.owned.item.id;
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -1,6 +1,7 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as batchSlotGranting from "./batchSlotGranting.js";
+import type * as bodyFraming from "./bodyFraming.js";
 import type * as channelDirectory from "./channelDirectory.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
@@ -420,7 +421,7 @@
             const milliseconds = (this.parts.clock.now() - startedAt) * speed;
             this.estimates.recordLength(route, events, events - eventsBefore, milliseconds);
         }
-        this.handleOutcome(owned, upstream, route, outcome);
+        this.handleOutcome(owned, upstream, route, outcome, run.getFraming());
         this.parts.slots.release(upstream.id, true);
     }
 
@@ -429,6 +430,7 @@
         upstream: types.UpstreamEntry,
         route: types.Route,
         outcome: itemRun.ItemOutcome,
+        framing: bodyFraming.BodyFraming | undefined,
     ): void {
         const now = this.parts.clock.now();
         const kinds = itemRun.ItemOutcomeKind;
@@ -438,6 +440,12 @@
         owned.state = ownedSubmission.ItemState.Waiting;
         switch (outcome.kind) {
             case kinds.Completed:
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemCompleted, {
+                    item: owned.item.id,
+                    upstream: upstream.id,
+                    framing,
+                    events: owned.texts.length,
+                });
                 owned.submission.finish(owned, types.ResultState.Completed);
                 return;
             case kinds.Impossible:
@@ -468,6 +476,7 @@
             upstream: upstream.id,
             outcome: outcome.kind,
             text: outcome.text,
+            framing,
             events: owned.texts.length,
         });
     }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -57,6 +57,8 @@
     /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
     waitMilliseconds: number | undefined;
     relay: answerRelay.AnswerRelay | undefined;
+    /** What the last attempt received of an answer. */
+    received: answerRelay.ReceivedAnswer | undefined;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
     /** Estimated number of requests at the chosen upstream at the time it was chosen. */
@@ -117,6 +119,7 @@
             sends: 0,
             waitMilliseconds: undefined,
             relay: undefined,
+            received: undefined,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
             estimatedUse: { online: 0, batch: 0 },
@@ -344,6 +347,7 @@
         silenceTimer.stop();
         stopFirstEventTimer();
         progress.relay = undefined;
+        progress.received = relay.getReceived();
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
@@ -483,7 +487,7 @@
             remainingMilliseconds: request.deadline - now,
         });
         const text = outcome.kind === kinds.Failed ? `status ${outcome.answer.status}` : outcome.text;
-        this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat);
+        this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
         if (mayRepeat) {
             return false;
         }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -226,7 +226,7 @@
     700,
     "GatewayAnswered",
     EventLevel.Info,
-    "A forwarded request was answered in full or its caller disconnected; the text says which.",
+    "A forwarded request was answered in full or its caller disconnected; the text says which. The fields give the framing, bytes and events of the last answer.",
 );
 export const GatewayRefused = defineEvent(
     701,
@@ -238,7 +238,7 @@
     702,
     "GatewayAttemptFailed",
     EventLevel.Info,
-    "An attempt at an upstream failed; a field says whether the request is retried elsewhere.",
+    "An attempt at an upstream failed; the fields say whether the request is retried elsewhere, and what arrived of an answer.",
 );
 export const GatewayUnroutable = defineEvent(
     703,
@@ -387,6 +387,12 @@
     EventLevel.Info,
     "An item released its slot for online work; a field gives the time that it had to spare.",
 );
+export const ItemCompleted = defineEvent(
+    738,
+    "ItemCompleted",
+    EventLevel.Debug,
+    "An item's answer is complete; the fields give its framing and the number of its events.",
+);
 export const ItemStarted = defineEvent(
     729,
     "ItemStarted",
