--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,8 @@
 export * from "./fleet.js";
 export * from "./clock.js";
 export * from "./disposal.js";
+export * from "./bodyFraming.js";
+export * from "./clientConnection.js";
 export * from "./findings.js";
 export * from "./errors.js";
 export * as Debug from "./debug.js";
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,7 +1,8 @@
 import type * as http from "node:http";
-import * as bodyFraming from "./bodyFraming.js";
+import type * as core from "@boragedale/core";
 import * as eventSplitter from "./eventSplitter.js";
 import type * as engineMeter from "./engineMeter.js";
+import * as rawHeaderList from "./rawHeaders.js";
 import * as upstreamExchange from "./upstreamExchange.js";
 import type * as wire from "./wire.js";
 
@@ -37,7 +38,7 @@
 
 /** What an attempt has received of an answer. */
 export interface ReceivedAnswer {
-    readonly framing: bodyFraming.BodyFraming;
+    readonly framing: core.BodyFraming;
     readonly bytes: number;
     /** Complete events; undefined if the answer is not a stream. */
     readonly events: number | undefined;
@@ -111,7 +112,7 @@
             return undefined;
         }
         return {
-            framing: bodyFraming.getBodyFraming(this.status, this.headers),
+            framing: rawHeaderList.getBodyFraming(this.status, this.headers),
             bytes: this.receivedBytes,
             events: this.splitter === undefined ? undefined : this.receivedEvents,
         };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,8 +1,8 @@
 /** Forwards callers' requests to upstreams and runs submissions of batch items. Shared state is kept in a metadata store. */
 export * from "./types.js";
 export * from "./wire.js";
+export * from "./rawHeaders.js";
 export * from "./metadataStore.js";
-export * from "./bodyFraming.js";
 export * from "./countedStore.js";
 export * from "./gatewayLog.js";
 export * from "./settledRevision.js";
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,6 +1,7 @@
+import type * as core from "@boragedale/core";
 import * as eventSource from "eventsource-parser";
-import * as bodyFraming from "./bodyFraming.js";
 import type * as ownedSubmission from "./ownedSubmission.js";
+import * as rawHeaderList from "./rawHeaders.js";
 import * as upstreamExchange from "./upstreamExchange.js";
 import type * as wire from "./wire.js";
 
@@ -38,7 +39,7 @@
     private isSettled = false;
     private status = 0;
     private isNotRun = false;
-    private framing: bodyFraming.BodyFraming | undefined;
+    private framing: core.BodyFraming | undefined;
     private readonly decoder = new TextDecoder();
     private readonly parser: eventSource.EventSourceParser;
 
@@ -66,7 +67,7 @@
     }
 
     /** Returns undefined if no headers have arrived. */
-    getFraming(): bodyFraming.BodyFraming | undefined {
+    getFraming(): core.BodyFraming | undefined {
         return this.framing;
     }
 
@@ -77,7 +78,7 @@
             return;
         }
         this.status = status;
-        this.framing = bodyFraming.getBodyFraming(status, rawHeaders);
+        this.framing = rawHeaderList.getBodyFraming(status, rawHeaders);
         const head = this.callerWire.readAnswer(status, rawHeaders);
         this.isNotRun = head.isNotRun;
         const isForOtherAttempt = head.attemptId !== undefined && head.attemptId !== this.owned.item.id;
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -1,7 +1,6 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as batchSlotGranting from "./batchSlotGranting.js";
-import type * as bodyFraming from "./bodyFraming.js";
 import type * as channelDirectory from "./channelDirectory.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
@@ -430,7 +429,7 @@
         upstream: types.UpstreamEntry,
         route: types.Route,
         outcome: itemRun.ItemOutcome,
-        framing: bodyFraming.BodyFraming | undefined,
+        framing: core.BodyFraming | undefined,
     ): void {
         const now = this.parts.clock.now();
         const kinds = itemRun.ItemOutcomeKind;
--- a/packages/gateway/src/upstreamExchange.ts
+++ b/packages/gateway/src/upstreamExchange.ts
@@ -1,5 +1,6 @@
-import type * as net from "node:net";
+import * as core from "@boragedale/core";
 import * as undici from "undici";
+import * as rawHeaderList from "./rawHeaders.js";
 
 /** Why an exchange ended without a complete answer. */
 export enum ExchangeFailureKind {
@@ -129,33 +130,11 @@
             keepAliveTimeout: DefaultKeepAliveMilliseconds,
             keepAliveMaxTimeout: MaximumKeepAliveMilliseconds,
             keepAliveTimeoutThreshold: KeepAliveMarginMilliseconds,
-            connect: (options, callback) =>
-                connect(options, (...result) => {
-                    const socket = result[1];
-                    if (socket) {
-                        detectReset(socket);
-                    }
-                    callback(...result);
-                }),
+            connect: core.trackConnections(connect),
         });
     }
 }
 
-/** True while the error event of a connection is being handled. */
-let isHandlingError = false;
-
-/**
- * If a connection is reset during an answer without a length, the HTTP client's error listener reports the end of the body, and
- * the caller would take a truncated answer for a complete one. This listener runs before it and sets the flag that
- * `Exchange.onComplete` checks.
- */
-function detectReset(socket: net.Socket): void {
-    socket.prependListener("error", () => {
-        isHandlingError = true;
-        process.nextTick(() => (isHandlingError = false));
-    });
-}
-
 /** A request and its answer. Implements the HTTP client's handler interface. */
 export class Exchange implements RunningExchange {
     private abortRequest: ((reason?: Error) => void) | undefined;
@@ -163,6 +142,8 @@
     private isFinished = false;
     private isAborted = false;
     private isSent = false;
+    /** Set if the end of the answer is the end of this connection. */
+    private closingConnection: core.ClientConnection | undefined;
 
     constructor(private readonly handler: ExchangeHandler) {}
 
@@ -203,11 +184,11 @@
             return true;
         }
         this.resumeBody = resume;
-        this.handler.onHeaders(
-            status,
-            rawHeaders.map(part => part.toString("latin1")),
-            statusText,
-        );
+        const headers = rawHeaders.map(part => part.toString("latin1"));
+        if (rawHeaderList.getBodyFraming(status, headers) === core.BodyFraming.Close) {
+            this.closingConnection = core.ClientConnection.getParsed();
+        }
+        this.handler.onHeaders(status, headers, statusText);
         return true;
     }
 
@@ -219,7 +200,8 @@
         if (this.isFinished) {
             return;
         }
-        if (isHandlingError) {
+        // The HTTP client reports a reset of such a connection as the end of the answer.
+        if (this.closingConnection?.wasReset() === true) {
             this.fail({ kind: ExchangeFailureKind.Broken, text: "reset before the end of a body without length" });
             return;
         }
