--- a/packages/core/src/clientConnection.ts
+++ b/packages/core/src/clientConnection.ts
@@ -8,6 +8,7 @@
     /** The connection from which data was read last. HTTP clients parse data in the same call in which they read it. */
     private static lastRead: ClientConnection | undefined;
     private readonly readSocket: (size?: number) => unknown;
+    private isPaused = false;
 
     constructor(private readonly socket: net.Socket) {
         this.readSocket = socket.read.bind(socket);
@@ -27,7 +28,29 @@
         return this.socket.remoteAddress === undefined;
     }
 
+    /**
+     * Withholds received data from the HTTP client until `resume`. A paused HTTP parser would throw an exception that nobody handles
+     * if the connection ended meanwhile; a connection whose data isn't read doesn't end.
+     */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    resume(): void {
+        if (!this.isPaused) {
+            return;
+        }
+        this.isPaused = false;
+        // Not at once, since the parser may be the caller.
+        process.nextTick(() => this.socket.emit("readable"));
+    }
+
     private read(size: number | undefined): unknown {
+        // With size 0, the runtime fills its buffer and returns no data.
+        if (this.isPaused && size !== 0) {
+            // eslint-disable-next-line no-restricted-syntax -- the value with which a stream says that it has no data
+            return null;
+        }
         const data = this.readSocket(size);
         if (data) {
             ClientConnection.lastRead = this;
--- a/packages/gateway/src/upstreamExchange.ts
+++ b/packages/gateway/src/upstreamExchange.ts
@@ -138,12 +138,11 @@
 /** A request and its answer. Implements the HTTP client's handler interface. */
 export class Exchange implements RunningExchange {
     private abortRequest: ((reason?: Error) => void) | undefined;
-    private resumeBody: (() => void) | undefined;
     private isFinished = false;
     private isAborted = false;
     private isSent = false;
-    /** Set if the end of the answer is the end of this connection. */
-    private closingConnection: core.ClientConnection | undefined;
+    private connection: core.ClientConnection | undefined;
+    private framing: core.BodyFraming | undefined;
 
     constructor(private readonly handler: ExchangeHandler) {}
 
@@ -160,7 +159,9 @@
     }
 
     resume(): void {
-        this.resumeBody?.();
+        if (!this.isFinished) {
+            this.connection?.resume();
+        }
     }
 
     hasEnded(): boolean {
@@ -179,33 +180,34 @@
 
     onResponseStarted(): void {}
 
-    onHeaders(status: number, rawHeaders: Buffer[], resume: () => void, statusText: string): boolean {
+    onHeaders(...[status, rawHeaders, , statusText]: [number, Buffer[], unknown, string]): boolean {
         if (this.isFinished || status < 200) {
             return true;
         }
-        this.resumeBody = resume;
         const headers = rawHeaders.map(part => part.toString("latin1"));
-        if (rawHeaderList.getBodyFraming(status, headers) === core.BodyFraming.Close) {
-            this.closingConnection = core.ClientConnection.getParsed();
-        }
+        this.connection = core.ClientConnection.getParsed();
+        this.framing = rawHeaderList.getBodyFraming(status, headers);
         this.handler.onHeaders(status, headers, statusText);
         return true;
     }
 
     onData(data: Buffer): boolean {
-        return this.isFinished ? true : this.handler.onData(data);
+        if (!this.isFinished && !this.handler.onData(data)) {
+            this.connection?.pause();
+        }
+        return true;
     }
 
     onComplete(): void {
         if (this.isFinished) {
             return;
         }
-        // The HTTP client reports a reset of such a connection as the end of the answer.
-        if (this.closingConnection?.wasReset() === true) {
+        // The HTTP client reports a reset as the end of an answer that ends with its connection.
+        if (this.framing === core.BodyFraming.Close && this.connection?.wasReset() === true) {
             this.fail({ kind: ExchangeFailureKind.Broken, text: "reset before the end of a body without length" });
             return;
         }
-        this.isFinished = true;
+        this.finish();
         this.handler.onComplete();
     }
 
@@ -222,7 +224,13 @@
         if (this.isFinished) {
             return;
         }
-        this.isFinished = true;
+        this.finish();
         this.handler.onFailure(failure);
     }
+
+    /** Ends the pause, since the connection's next answer belongs to another exchange. */
+    private finish(): void {
+        this.connection?.resume();
+        this.isFinished = true;
+    }
 }
