--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -37,6 +37,11 @@
     getRemainder(): Buffer {
         return this.remainder;
     }
+
+    /** Returns why a stream that ends now was broken off; undefined if it is complete. */
+    tryGetBreakReason(): string | undefined {
+        return this.remainder.length > 0 ? "ended within an event" : undefined;
+    }
 }
 
 /** Returns the index after the blank line that ends the first event, or 0 if there is none. */
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -1,5 +1,6 @@
 import type * as core from "@boragedale/core";
 import * as eventSource from "eventsource-parser";
+import * as eventSplitter from "./eventSplitter.js";
 import type * as ownedSubmission from "./ownedSubmission.js";
 import * as rawHeaderList from "./rawHeaders.js";
 import * as upstreamExchange from "./upstreamExchange.js";
@@ -40,7 +41,7 @@
     private status = 0;
     private isNotRun = false;
     private framing: core.BodyFraming | undefined;
-    private readonly decoder = new TextDecoder();
+    private readonly splitter = new eventSplitter.EventSplitter();
     private readonly parser: eventSource.EventSourceParser;
 
     constructor(
@@ -95,11 +96,18 @@
     onData(data: Buffer): boolean {
         if (!this.isSettled && this.status === 200) {
             this.onProgress();
+            const events = this.splitter.push(data);
+            if (events === undefined) {
+                this.stop(ItemOutcomeKind.Lost, "not an event stream");
+                return true;
+            }
             const eventsBefore = this.owned.texts.length;
-            this.parser.feed(this.decoder.decode(data, { stream: true }));
-            const events = this.owned.texts.length - eventsBefore;
-            if (events > 0) {
-                this.onEvents(events);
+            for (const event of events) {
+                this.parser.feed(event.bytes.toString("utf8"));
+            }
+            const newEvents = this.owned.texts.length - eventsBefore;
+            if (newEvents > 0) {
+                this.onEvents(newEvents);
             }
         }
         return true;
@@ -110,7 +118,13 @@
             this.settle({ kind: ItemOutcomeKind.NotRun, text: `status ${this.status}` });
             return;
         }
-        this.settle({ kind: toOutcomeKind(this.status), text: `status ${this.status}` });
+        const kind = toOutcomeKind(this.status);
+        const breakReason = kind === ItemOutcomeKind.Completed ? this.splitter.tryGetBreakReason() : undefined;
+        if (breakReason !== undefined) {
+            this.settle({ kind: ItemOutcomeKind.Lost, text: breakReason });
+            return;
+        }
+        this.settle({ kind, text: `status ${this.status}` });
     }
 
     onFailure(failure: upstreamExchange.ExchangeFailure): void {
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -79,6 +79,20 @@
     );
 });
 
+// Guards against an item whose result lacks the events after the one in which an engine closed the connection.
+suite("an item whose connection closes within an event continues after the last complete event", async () => {
+    const fleet = await testFleet.createFleet(1);
+    fleet.channels.behaviour.cuts.set("item-0", 3);
+    await testFleet.submit(fleet, fleet.members[0]!, "s", fixtures.createItems(1));
+    await fleet.clock.advance(4_000);
+    const results = await testFleet.readAll(fleet, fleet.members[0]!, "s");
+    assert.is(results?.[0]?.text, testEngines.getExpectedText("item-0"));
+    assert.equal(
+        fleet.channels.runs.map(run => run.after),
+        [undefined, "2"],
+    );
+});
+
 // The owner of an accepted submission is killed. When its lease expires, another member takes the submission over. Listed results
 // must keep their positions, and the others must be listed after them.
 suite("listed results keep their positions when a killed owner's submission is taken over", async () => {
--- a/packages/gateway/test/testEngines.ts
+++ b/packages/gateway/test/testEngines.ts
@@ -8,6 +8,8 @@
     readonly statuses: Map<string, number>;
     /** Number of events after which a run breaks off, by item id. Each entry applies to one run. */
     readonly breaks: Map<string, number>;
+    /** Number of events after which the connection is closed within the next one, by item id. Each entry applies to one run. */
+    readonly cuts: Map<string, number>;
     /** Time between two events of a run. */
     eventMilliseconds: number;
 }
@@ -20,6 +22,7 @@
     readonly behaviour: EngineBehaviour = {
         statuses: new Map(),
         breaks: new Map(),
+        cuts: new Map(),
         eventMilliseconds: EventMilliseconds,
     };
     /** Runs that reached an engine. `after` is the id of the event after which the run continues. */
@@ -80,6 +83,12 @@
                 finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "broken" }));
                 return;
             }
+            if (next === (this.owner.behaviour.cuts.get(item) ?? -1)) {
+                this.owner.behaviour.cuts.delete(item);
+                handler.onData(Buffer.from(`id: ${next}\nda`));
+                finish(() => handler.onComplete());
+                return;
+            }
             if (next === EventsPerItem) {
                 finish(() => handler.onComplete());
                 return;
