--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -87,7 +87,6 @@
     private bufferedBytes = 0;
     private splitter: eventSplitter.EventSplitter | undefined;
     private receivedBytes = 0;
-    private receivedEvents = 0;
 
     constructor(private readonly options: RelayOptions) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
@@ -114,7 +113,7 @@
         return {
             framing: rawHeaderList.getBodyFraming(this.status, this.headers),
             bytes: this.receivedBytes,
-            events: this.splitter === undefined ? undefined : this.receivedEvents,
+            events: this.splitter?.getEventCount(),
         };
     }
 
@@ -225,7 +224,6 @@
             this.fail("not an event stream");
             return true;
         }
-        this.receivedEvents += events.length;
         if (events.length > 0) {
             this.options.meter?.onEvents(events.length, this.options.now());
         }
@@ -246,7 +244,7 @@
     }
 
     private completeStream(splitter: eventSplitter.EventSplitter): void {
-        const breakReason = splitter.tryGetBreakReason();
+        const breakReason = splitter.tryGetBreakReason(rawHeaderList.getBodyFraming(this.status, this.headers));
         if (breakReason !== undefined) {
             this.fail(breakReason);
             return;
--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -1,3 +1,5 @@
+import * as core from "@boragedale/core";
+
 /** A complete event of a stream: its bytes as received, and its id if it has one. */
 export interface RawEvent {
     readonly bytes: Buffer;
@@ -17,6 +19,7 @@
  */
 export class EventSplitter {
     private remainder: Buffer = NoBytes;
+    private eventCount = 0;
 
     /** Returns the events that `data` completes, or undefined if the data is not an event stream. */
     push(data: Buffer): RawEvent[] | undefined {
@@ -30,6 +33,7 @@
             buffer = isWhole ? NoBytes : buffer.subarray(end);
         }
         this.remainder = buffer;
+        this.eventCount += events.length;
         return buffer.length > MaximumEventBytes ? undefined : events;
     }
 
@@ -38,9 +42,20 @@
         return this.remainder;
     }
 
+    /** Number of complete events. */
+    getEventCount(): number {
+        return this.eventCount;
+    }
+
     /** Returns why a stream that ends now was broken off; undefined if it is complete. */
-    tryGetBreakReason(): string | undefined {
-        return this.remainder.length > 0 ? "ended within an event" : undefined;
+    tryGetBreakReason(framing: core.BodyFraming): string | undefined {
+        if (this.remainder.length > 0) {
+            return "ended within an event";
+        }
+        // The connection of an upstream that is killed closes as regularly as after the last event.
+        return framing === core.BodyFraming.Close && this.eventCount === 0
+            ? "closed before the first event"
+            : undefined;
     }
 }
 
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -119,8 +119,11 @@
             return;
         }
         const kind = toOutcomeKind(this.status);
-        const breakReason = kind === ItemOutcomeKind.Completed ? this.splitter.tryGetBreakReason() : undefined;
+        const breakReason = kind === ItemOutcomeKind.Completed ? this.tryGetBreakReason() : undefined;
         if (breakReason !== undefined) {
+            if (this.splitter.getEventCount() === 0 && this.splitter.getRemainder().length === 0) {
+                this.dropLastEvent();
+            }
             this.settle({ kind: ItemOutcomeKind.Lost, text: breakReason });
             return;
         }
@@ -153,6 +156,21 @@
         this.owned.texts.push(event.data);
     }
 
+    /**
+     * Makes the next run ask for the last event again. If the item already had all its events, a run that continues after the last one
+     * has none, and where the connection's close is its only end, it could never be recognised as complete.
+     */
+    private dropLastEvent(): void {
+        this.owned.texts.pop();
+        const { lastEventId } = this.owned;
+        this.owned.lastEventId =
+            lastEventId === undefined || this.owned.texts.length === 0 ? undefined : lastEventId - 1;
+    }
+
+    private tryGetBreakReason(): string | undefined {
+        return this.framing === undefined ? undefined : this.splitter.tryGetBreakReason(this.framing);
+    }
+
     private settle(outcome: ItemOutcome): void {
         if (!this.isSettled) {
             this.isSettled = true;
--- a/packages/gateway/test/requestForwarder.test.ts
+++ b/packages/gateway/test/requestForwarder.test.ts
@@ -74,6 +74,53 @@
     assert.equal(scene.releasedSlots, ["a"]);
 });
 
+const closedHeaders = scenes.validHeaders;
+const chunkedHeaders = [...scenes.validHeaders, "Transfer-Encoding", "chunked"];
+
+// Guards against an empty answer that a caller takes as complete because an upstream closed the connection before its first event.
+suite("a stream that ends with its connection and has no event continues at another upstream", async () => {
+    const scene = await scenes.createScene({ isResumable: true });
+    const [first] = scene.channels.attempts;
+    first!.handler.onSent();
+    first!.handler.onHeaders(200, closedHeaders, "OK");
+    first!.handler.onComplete();
+    await scene.clock.advance(1);
+    const second = scene.channels.attempts[1];
+    assert.is(second?.after, undefined);
+    assert.is(scene.response.headersSent, false);
+    scenes.startAnswer(second!);
+    scenes.sendEvents(second!, 0, 3);
+    second!.handler.onComplete();
+    await scene.done;
+    assert.is(scene.response.body, scenes.formatEvents(0, 3));
+});
+
+// Guards against a resumed stream that a caller takes as complete because the second upstream closed the connection at once.
+suite("a resumed stream that ends with its connection and has no event is not complete", async () => {
+    const scene = await scenes.createScene({ isResumable: true });
+    const [first] = scene.channels.attempts;
+    scenes.startAnswer(first!);
+    scenes.sendEvents(first!, 0, 3);
+    first!.handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "reset" });
+    await scene.clock.advance(1);
+    scenes.startAnswer(scene.channels.attempts[1]!);
+    scene.channels.attempts[1]!.handler.onComplete();
+    await scene.done;
+    assert.is(scene.response.destroyed, true);
+});
+
+suite("a stream without events whose end is framed is complete", async () => {
+    const scene = await scenes.createScene({ isResumable: true });
+    const [first] = scene.channels.attempts;
+    first!.handler.onSent();
+    first!.handler.onHeaders(200, chunkedHeaders, "OK");
+    first!.handler.onComplete();
+    await scene.done;
+    assert.is(scene.channels.attempts.length, 1);
+    assert.is(scene.response.status, 200);
+    assert.is(scene.response.destroyed, false);
+});
+
 // A stream that is not resumable breaks off. The caller must not take the end for a regular one, so its connection is closed.
 suite("a stream that is not resumable ends with a closed connection and isn't repeated", async () => {
     const scene = await scenes.createScene({ isResumable: false });
@@ -232,9 +279,11 @@
     const scene = await scenes.createScene({ isResumable: true }, { crashedUpstreams: ["a", "b"] });
     assert.is(scene.channels.attempts.length, 1);
     scenes.startAnswer(scene.channels.attempts[0]!);
+    scenes.sendEvents(scene.channels.attempts[0]!, 0, 1);
     scene.channels.attempts[0]!.handler.onComplete();
     await scene.done;
     assert.is(scene.response.status, 200);
+    assert.is(scene.response.body, scenes.formatEvents(0, 1));
 });
 
 /** How an upstream of the property test ends an attempt. */
--- a/packages/gateway/test/submissions.test.ts
+++ b/packages/gateway/test/submissions.test.ts
@@ -93,6 +93,16 @@
     );
 });
 
+// Guards against an item that is listed as complete without text because an engine closed the connection before its first event.
+suite("an item whose connection closes before the first event runs again", async () => {
+    const fleet = await testFleet.createFleet(1);
+    fleet.channels.behaviour.cuts.set("item-0", 0);
+    await testFleet.submit(fleet, fleet.members[0]!, "s", fixtures.createItems(1));
+    await fleet.clock.advance(4_000);
+    const results = await testFleet.readAll(fleet, fleet.members[0]!, "s");
+    assert.is(results?.[0]?.text, testEngines.getExpectedText("item-0"));
+});
+
 // The owner of an accepted submission is killed. When its lease expires, another member takes the submission over. Listed results
 // must keep their positions, and the others must be listed after them.
 suite("listed results keep their positions when a killed owner's submission is taken over", async () => {
