--- a/packages/upstreams/src/connections.ts
+++ b/packages/upstreams/src/connections.ts
@@ -1,3 +1,4 @@
+import * as core from "@boragedale/core";
 import * as undici from "undici";
 
 /** Time limits of the connections to one upstream. */
@@ -65,7 +66,7 @@
 export function createClientOptions(limits: ConnectionLimits): undici.Client.Options {
     return {
         pipelining: 1,
-        connect: { timeout: limits.connectMilliseconds },
+        connect: core.trackConnections(undici.buildConnector({ timeout: limits.connectMilliseconds })),
         keepAliveTimeout: limits.idleMilliseconds,
         keepAliveMaxTimeout: limits.idleMilliseconds,
     };
--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -1,4 +1,4 @@
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import type * as undici from "undici";
 
 /** How an exchange ended without a complete response. */
@@ -48,6 +48,8 @@
  * this process paused.
  */
 export class Exchange implements undici.Dispatcher.DispatchHandler {
+    private connection: core.ClientConnection | undefined;
+    private framing: core.BodyFraming | undefined;
     private controller: undici.Dispatcher.DispatchController | undefined;
     private mayHaveLeft = false;
     private hasEnded = false;
@@ -126,6 +128,8 @@
         headers: Record<string, string | string[] | undefined>,
     ): void {
         if (this.isCurrent(controller) && status >= 200) {
+            this.connection = core.ClientConnection.getParsed();
+            this.framing = core.getBodyFraming(status, name => headers[name]?.toString());
             this.listener.onHeaders(status, headers);
         }
     }
@@ -140,6 +144,11 @@
     }
 
     onResponseEnd(): void {
+        // undici reports a reset as the end of an answer that ends with its connection.
+        if (this.framing === core.BodyFraming.Close && this.connection?.wasReset() === true) {
+            this.fail(ExchangeFailureKind.Broken, "reset before the end of a body without length");
+            return;
+        }
         if (this.finish()) {
             this.listener.onEnd();
         }
--- a/packages/upstreams/test/serviceClient.test.ts
+++ b/packages/upstreams/test/serviceClient.test.ts
@@ -50,6 +50,20 @@
     assert.equal(server.getConnectionCount(), 2);
 });
 
+// Guards against half of an answer that a caller takes as complete because its connection was reset right after the data.
+suite("doesn't take an answer without a length for complete if its connection is reset", async () => {
+    await using server = await fixtures.startServer(({ request }) => {
+        request.socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+        request.socket.resetAndDestroy();
+    });
+    await using client = fixtures.createServiceClient(server.url);
+    for (const needsProvedConnection of [false, true]) {
+        const request = { ...fixtures.createServiceRequest(), needsProvedConnection };
+        const outcome = await client.call(request, fixtures.neverAborted);
+        assert.ok(!outcome.ok && outcome.kind === upstreams.ServiceFailureKind.MayHaveRun);
+    }
+});
+
 suite("returns the outcome of a call by its key", async () => {
     await using server = await fixtures.startServer(({ request, response }) => {
         if (request.url === "/outcomes/ran") {
