--- a/packages/upstreams/src/exchange.ts
+++ b/packages/upstreams/src/exchange.ts
@@ -101,13 +101,15 @@
     /** Stops reading the response until `resume`; TCP flow control then slows down the upstream. */
     pause(): void {
         this.isPaused = true;
-        this.controller?.pause();
+        this.connection?.pause();
     }
 
     resume(): void {
         this.isPaused = false;
         this.lastActivityAt = this.clock.now();
-        this.controller?.resume();
+        if (!this.hasEnded) {
+            this.connection?.resume();
+        }
     }
 
     onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -200,6 +202,8 @@
             return false;
         }
         this.hasEnded = true;
+        // The connection's next answer belongs to another exchange.
+        this.connection?.resume();
         this.cancelTimer?.();
         return true;
     }
--- a/packages/upstreams/test/engineClient.test.ts
+++ b/packages/upstreams/test/engineClient.test.ts
@@ -143,6 +143,26 @@
     assert.equal(kinds.at(-1), upstreams.EngineEventKind.Failed);
 });
 
+// Guards against a process that ends because an engine closed the connection of an answer that a caller read slowly.
+suite("delivers an answer whose connection ends while reading is paused", async () => {
+    const lines = fixtures.formatToken("request-1", "x".repeat(1_000)).repeat(20) + fixtures.formatEnd("request-1", 20);
+    await using server = await fixtures.startServer(({ request }) => {
+        request.socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${lines}`);
+    });
+    await using client = fixtures.createEngineClient(server.url);
+    const iterator = client.run(fixtures.createEngineRequest(), fixtures.neverAborted)[Symbol.asyncIterator]();
+    await iterator.next();
+    await new Promise(resolve => setTimeout(resolve, 30));
+    let received = 0;
+    let last: upstreams.EngineEvent | undefined;
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+        last = next.value;
+        received += last.kind === upstreams.EngineEventKind.Token ? last.tokens : 0;
+    }
+    assert.equal(received, 20);
+    assert.equal(last?.kind, upstreams.EngineEventKind.Finished);
+});
+
 suite("applies backpressure to the engine when the caller reads slowly", async () => {
     // A caller reads nothing while its engine sends megabytes. Without a limit the answer would fill the memory of this
     // process, and enough such callers would crash the instance.
