--- a/packages/daemon/test/answerEndings.test.ts
+++ b/packages/daemon/test/answerEndings.test.ts
@@ -1,3 +1,4 @@
+import * as net from "node:net";
 import * as core from "@boragedale/core";
 import * as platform from "@boragedale/platform";
 import * as standins from "@boragedale/platform-standins";
@@ -93,4 +94,22 @@
     results.forEach(result => assert.is(result.Text, whole));
 });
 
+// Guards against callers without chunks, for whom a closed connection is the end of an answer.
+suite("an incomplete answer ends with a reset for a caller that speaks HTTP/1.0", async () => {
+    await using testPlatform = await fixtures.startPlatform(1, 1);
+    const { caller } = testPlatform.gateways[0]!.addresses;
+    const cut = { framing: core.BodyFraming.Chunked, bodyBytes: EventBytes, isReset: false };
+    testPlatform.engines[0]!.faults.endings.push(...new Array<standins.AnswerEnding>(3).fill(cut));
+    const colon = caller.lastIndexOf(":");
+    const end = await new Promise<string>(resolve => {
+        const socket = net.connect({ host: caller.slice(0, colon), port: Number(caller.slice(colon + 1)) });
+        socket.on("error", error => resolve((error as NodeJS.ErrnoException).code ?? ""));
+        socket.on("end", () => resolve("end"));
+        socket.resume();
+        const lines = ["POST /stream/x HTTP/1.0", `Host: ${standins.DemoHost}`, `${AttemptId}: r`, "Content-Length: 0"];
+        socket.write([...lines, "", ""].join("\r\n"));
+    });
+    assert.is(end, "ECONNRESET");
+});
+
 suite.run();
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -125,7 +125,7 @@
         }
         catch (error) {
             this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) });
-            response.destroy();
+            requestForwarder.breakOff(response);
         }
         finally {
             this.inProgress--;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -513,8 +513,8 @@
         const { request, delivery } = progress;
         this.parts.log.refused(request, reason, detail, progress);
         if (delivery.isStarted) {
-            // Part of the answer has been sent, so closing the connection is the only way to signal the failure.
-            delivery.response.destroy();
+            // Part of the answer has been sent, so ending the connection is the only way to signal the failure.
+            breakOff(delivery.response);
             return;
         }
         sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
@@ -541,14 +541,23 @@
     }
 }
 
-/** Sends a refusal, or closes the connection if an answer has already been started. */
+/** Ends the connection of an incomplete answer so that its caller notices. */
+export function breakOff(response: http.ServerResponse): void {
+    if (response.headersSent && !response.chunkedEncoding) {
+        // HTTP/1.0 has no chunks: for such a caller, an answer without a length is complete when its connection is closed.
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
+/** Sends a refusal, or breaks the answer off if it has already been started. */
 export function sendRefusal(
     callerWire: wire.CallerWire,
     response: http.ServerResponse,
     refusal: types.GatewayRefusal,
 ): void {
     if (response.headersSent || response.destroyed) {
-        response.destroy();
+        breakOff(response);
         return;
     }
     const answer = callerWire.createRefusal(refusal);
