--- a/packages/core/src/clientConnection.ts
+++ b/packages/core/src/clientConnection.ts
@@ -10,11 +10,16 @@
     private readonly readSocket: (size?: number) => unknown;
     private isPaused = false;
 
-    constructor(private readonly socket: net.Socket) {
+    private constructor(private readonly socket: net.Socket) {
         this.readSocket = socket.read.bind(socket);
         socket.read = size => this.read(size);
     }
 
+    /** Follows what is read from a new socket. */
+    static track(socket: net.Socket): void {
+        new ClientConnection(socket);
+    }
+
     /** Returns the connection of the answer that is being parsed. Call only when an HTTP client reports received data. */
     static getParsed(): ClientConnection | undefined {
         return ClientConnection.lastRead;
@@ -65,7 +70,7 @@
         connect(options, (...result) => {
             const socket = result[1];
             if (socket) {
-                new ClientConnection(socket);
+                ClientConnection.track(socket);
             }
             callback(...result);
         });
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -114,6 +114,9 @@
     }
 
     onComplete(): void {
+        if (this.isSettled) {
+            return;
+        }
         if (this.isNotRun) {
             this.settle({ kind: ItemOutcomeKind.NotRun, text: `status ${this.status}` });
             return;
