--- a/packages/bench/src/slots/slotsFleet.ts
+++ b/packages/bench/src/slots/slotsFleet.ts
@@ -132,6 +132,7 @@
         address: "127.0.0.1:1",
         dataCentre: getDataCentre(index, options.dataCentres ?? DefaultDataCentres),
         state: gateway.UpstreamState.Ready,
+        softwareVersion: "v1",
         slots: options.slotsPerEngine,
         bornMilliseconds: 1,
     }));
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -124,7 +124,9 @@
         this.record(telemetry.events.GatewayAnswered, {
             request: request.head.attemptId,
             route: request.route.name,
+            ...describeContinuation(request),
             upstream,
+            version: progress.upstreamVersion,
             text,
             milliseconds: Math.round(now - request.arrivedAt),
             firstMilliseconds: firstAt === undefined ? undefined : Math.round(firstAt - request.arrivedAt),
@@ -146,6 +148,7 @@
         this.record(telemetry.events.GatewayRefused, {
             request: request.head.attemptId,
             route: request.route.name,
+            ...describeContinuation(request),
             reason,
             detail,
             milliseconds: Math.round(this.clock.now() - request.arrivedAt),
@@ -167,7 +170,9 @@
         this.metrics.count("boragedale_attempts_failed_total", { route: request.route.name, outcome });
         this.record(telemetry.events.GatewayAttemptFailed, {
             request: request.head.attemptId,
+            ...describeContinuation(request),
             upstream,
+            version: progress.upstreamVersion,
             outcome,
             text,
             isRepeated,
@@ -229,3 +234,9 @@
         return true;
     }
 }
+
+/** The fields of a request that continues a stream: the attempt that brought the first event, and the last event received. */
+function describeContinuation(request: gateway.LoggedRequest): gateway.LogFields {
+    const { firstAttemptId, lastEventId } = request.head;
+    return { resumes: firstAttemptId, after: lastEventId };
+}
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -20,6 +20,8 @@
     readonly delivery: { readonly firstByteAt: number | undefined };
     /** What the last attempt received of an answer; undefined without headers. */
     readonly received?: answerRelay.ReceivedAnswer | undefined;
+    /** Software version of the last attempt's upstream; undefined before the first attempt. */
+    readonly upstreamVersion?: string | undefined;
     /** Estimated number of requests at the upstream at the time it was chosen. */
     readonly estimatedUse: { readonly online: number; readonly batch: number };
 }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -378,6 +378,7 @@
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemStarted, {
             item: owned.item.id,
             upstream: upstream.id,
+            version: upstream.softwareVersion,
             events: owned.texts.length,
             ...this.parts.slots.slotTable.getTotal(upstream.id),
         });
@@ -442,6 +443,7 @@
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemCompleted, {
                     item: owned.item.id,
                     upstream: upstream.id,
+                    version: upstream.softwareVersion,
                     framing,
                     events: owned.texts.length,
                 });
@@ -473,6 +475,7 @@
             submission: owned.submission.getId(),
             item: owned.item.id,
             upstream: upstream.id,
+            version: upstream.softwareVersion,
             outcome: outcome.kind,
             text: outcome.text,
             framing,
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -59,6 +59,8 @@
     relay: answerRelay.AnswerRelay | undefined;
     /** What the last attempt received of an answer. */
     received: answerRelay.ReceivedAnswer | undefined;
+    /** Software version of the last attempt's upstream; undefined before the first attempt. */
+    upstreamVersion: string | undefined;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
     /** Estimated number of requests at the chosen upstream at the time it was chosen. */
@@ -120,6 +122,7 @@
             waitMilliseconds: undefined,
             relay: undefined,
             received: undefined,
+            upstreamVersion: undefined,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
             estimatedUse: { online: 0, batch: 0 },
@@ -324,6 +327,7 @@
         });
         progress.relay = relay;
         progress.sends++;
+        progress.upstreamVersion = upstream.softwareVersion;
         progress.tried.add(upstream.id);
         this.parts.slots.take(upstream.id, false, placement.isCounted);
         this.parts.crashWatch.suspects.onSent(request.head.attemptId, progress.fingerprint, upstream.id, startedAt);
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -90,6 +90,8 @@
     /** `host:port`, with an IP address as the host. */
     readonly address: string;
     readonly dataCentre: core.DataCentre;
+    /** Version of the upstream's software. Versions are not ordered. */
+    readonly softwareVersion: string;
     readonly state: UpstreamState;
     /** Number of requests that the upstream runs concurrently. */
     readonly slots: number;
@@ -128,6 +130,8 @@
     readonly promptParts: readonly string[];
     /** Set if the caller resumes a stream: the id of the last event that it received. */
     readonly lastEventId: string | undefined;
+    /** Set if the caller resumes a stream: the id of the attempt that brought the stream's first event. */
+    readonly firstAttemptId: string | undefined;
 }
 
 /** Values that go into the headers of a request to an upstream. */
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -16,6 +16,7 @@
             outputTokens: 0,
             promptParts: [],
             lastEventId: undefined,
+            firstAttemptId: undefined,
         };
     }
 
@@ -144,6 +145,7 @@
         service: "service",
         address: "127.0.0.1:1",
         dataCentre: "a",
+        softwareVersion: "v1",
         state: gateway.UpstreamState.Ready,
         slots: 8,
         bornMilliseconds: 1,
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -226,7 +226,7 @@
     700,
     "GatewayAnswered",
     EventLevel.Info,
-    "A forwarded request was answered in full or its caller disconnected; the text says which. The fields give the framing, bytes and events of the last answer.",
+    "A forwarded request was answered in full or its caller disconnected; the text says which. The fields give the upstream's software version, the framing, bytes and events of the last answer, and the stream that the request continues.",
 );
 export const GatewayRefused = defineEvent(
     701,
