--- /dev/null
+++ b/packages/gateway/test/streamOrigins.test.ts
@@ -0,0 +1,74 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scenes from "./versionScenes.js";
+
+const suite = uvu.suite("streamOrigins");
+
+// Guards against a caller's next try, at another gateway, that goes on at another software version.
+suite(
+    "a caller's stream goes on at its software version at any gateway, also after its gateway was killed",
+    async () => {
+        const scene = scenes.createGateways(7, { a: "v1", b: "v2", c: "v2", d: "v2" });
+        const [first, ...others] = scene.gateways;
+        await first!.forward("s");
+        assert.is(first!.channels.attempts[0]?.upstream, "a");
+        scenes.answerLatest(first!, "s", 0, 3);
+        await scene.clock.advance(100);
+        first!.kill();
+        for (const [index, other] of others.entries()) {
+            const attempt = `next-${index}`;
+            await other.forward(attempt, { firstAttempt: "s", after: 3 });
+            assert.is(other.channels.attempts[0]?.upstream, "a", `gateway ${index + 1}`);
+            assert.is(other.channels.attempts[0]?.after, "3");
+        }
+    },
+);
+
+// Guards against a change of version in a stream that began when its gateway knew only one version.
+suite("a stream that began before a second software version appeared goes on at its own", async () => {
+    const scene = scenes.createGateways(7, { b: "v1" });
+    const [first, ...others] = scene.gateways;
+    await first!.forward("s");
+    scenes.answerLatest(first!, "s", 0, 3);
+    scene.putUpstream("a", "v2");
+    await scene.clock.advance(100);
+    first!.kill();
+    for (const other of others) {
+        await other.forward("next", { firstAttempt: "s", after: 3 });
+        assert.is(other.channels.attempts[0]?.upstream, "b");
+    }
+});
+
+// Guards against a guess where no gateway knows the version, such as after all of them were killed.
+suite("a caller's stream whose software version nobody knows is refused as not run if there are several", async () => {
+    const scene = scenes.createGateways(3, { a: "v1", b: "v2" });
+    const [member] = scene.gateways;
+    for (const firstAttempt of ["unknown", undefined]) {
+        await member!.forward("next", { firstAttempt, after: 3 });
+    }
+    assert.equal(member!.channels.attempts, []);
+    assert.is(member!.log.refusals.length, 2);
+});
+
+// Guards against a restarted gateway that takes the only version it has seen for the one that began a stream.
+suite("a gateway that has just started learns from the others that there was another software version", async () => {
+    const scene = scenes.createGateways(2, { a: "v1" });
+    scene.putUpstream("b", "v2");
+    await scene.clock.advance(1_000);
+    scene.removeUpstream("a");
+    await scene.clock.advance(4_000);
+    const started = scene.addGateway();
+    await started.forward("next", { firstAttempt: "unknown", after: 3 });
+    assert.equal(started.channels.attempts, []);
+});
+
+// Guards against streams that can't be continued where there is only one software version.
+suite("a caller's stream goes on if there is only one software version, though nobody knows who began it", async () => {
+    const scene = scenes.createGateways(3, { a: "v1", b: "v1" });
+    for (const member of [...scene.gateways, scene.addGateway()]) {
+        await member.forward("next", { firstAttempt: undefined, after: 3 });
+        assert.is(member.channels.attempts.length, 1);
+    }
+});
+
+suite.run();
--- /dev/null
+++ b/packages/gateway/test/versionScenes.ts
@@ -0,0 +1,150 @@
+import type * as http from "node:http";
+import * as core from "@boragedale/core";
+import * as gateway from "@boragedale/gateway";
+import * as standins from "@boragedale/standins";
+import * as fixtures from "./fixtures.js";
+import * as forwarderScenes from "./forwarderScenes.js";
+
+/** Test setups with several gateways, and upstreams of several software versions. Each gateway's upstreams are scripted. */
+
+/** The stream that a caller continues: the attempt that brought its first event, and the last event that the caller has. */
+export interface ContinuedStream {
+    readonly firstAttempt: string | undefined;
+    readonly after: number;
+}
+
+export interface TestGateway {
+    readonly channels: forwarderScenes.ScriptedChannels;
+    readonly view: gateway.FleetView;
+    readonly log: fixtures.RecordingLog;
+    /** Forwards a request for a stream until it has been sent or refused. */
+    readonly forward: (attempt: string, continued?: ContinuedStream) => Promise<forwarderScenes.TestResponse>;
+    /** Ends the gateway without sending anything, as if its process was killed. */
+    readonly kill: () => void;
+}
+
+export interface GatewaysScene {
+    readonly clock: core.VirtualClock;
+    readonly gateways: readonly TestGateway[];
+    /** Adds an upstream, or changes its entry, at all gateways. */
+    readonly putUpstream: (id: string, softwareVersion: string) => void;
+    readonly removeUpstream: (id: string) => void;
+    /** Adds a gateway that has just started and knows only what the store lists now. */
+    readonly addGateway: () => TestGateway;
+}
+
+/** Time for a request to reach an upstream or to be refused, including questions to other gateways. */
+const ForwardMilliseconds = 1_000;
+
+/** Creates gateways that know upstreams with the given software versions, by upstream id. */
+export function createGateways(count: number, versions: Readonly<Record<string, string>>): GatewaysScene {
+    const clock = new core.VirtualClock();
+    const hub = new standins.MemoryPeerHub();
+    const route = fixtures.createRoute({ isResumable: true });
+    const entries = new Map<string, gateway.StoreEntry>();
+    const gateways: TestGateway[] = [];
+    const views: gateway.FleetView[] = [];
+    const directories: gateway.MemberDirectory[] = [];
+    const memberEntries: gateway.StoreEntry[] = [];
+    let revision = 0;
+    const put = (key: string, value: unknown): void => {
+        const entry = fixtures.createEntry(key, ++revision, value);
+        entries.set(key, entry);
+        views.forEach(view => view.apply([entry], clock.now()));
+    };
+    const addGateway = (): TestGateway => {
+        const id = gateway.createMemberId(`gateway-${gateways.length}`, "1");
+        const member = { id, dataCentre: "a", peerAddress: "127.0.0.1:1" };
+        memberEntries.push({
+            key: gateway.MemberPrefix + id,
+            revision: ++revision,
+            value: gateway.encodeMember(member),
+        });
+        const directory = new gateway.MemberDirectory(member);
+        directories.push(directory);
+        directories.forEach(known => known.apply(memberEntries));
+        const view = new gateway.FleetView(new fixtures.TestCodec(), () => undefined);
+        view.apply([...entries.values()], clock.now());
+        views.push(view);
+        const created = createGateway({ clock, hub, directory, view, route });
+        gateways.push(created);
+        return created;
+    };
+    const putUpstream = (id: string, softwareVersion: string): void =>
+        put(`upstreams/${id}`, fixtures.createUpstream(id, { softwareVersion }));
+    put("configuration", fixtures.createConfiguration(1, [route]));
+    Object.entries(versions).forEach(([id, version]) => putUpstream(id, version));
+    for (let index = 0; index < count; index++) {
+        addGateway();
+    }
+    return { clock, gateways, putUpstream, removeUpstream: id => put(`upstreams/${id}`, undefined), addGateway };
+}
+
+interface GatewayParts {
+    readonly clock: core.VirtualClock;
+    readonly hub: standins.MemoryPeerHub;
+    readonly directory: gateway.MemberDirectory;
+    readonly view: gateway.FleetView;
+    readonly route: gateway.Route;
+}
+
+function createGateway({ clock, hub, directory, view, route }: GatewayParts): TestGateway {
+    const channels = new forwarderScenes.ScriptedChannels();
+    const network = hub.createNetwork(directory.self.id);
+    const log = new fixtures.RecordingLog();
+    const wire = new fixtures.TestWire();
+    const coordinators = new gateway.CoordinatorDirectory(directory, view, clock);
+    const slotTable = fixtures.createSlotTable(upstream => upstream.charCodeAt(0));
+    const policy = gateway.DefaultLoadPolicy;
+    const forwarder = new gateway.RequestForwarder({
+        wire,
+        view,
+        channels,
+        slots: fixtures.createSlots({ slotTable, network, clock, coordinators, policy }),
+        crashWatch: new gateway.CrashWatch(network, clock, log, async () => true),
+        clock,
+        log,
+        dataCentre: "a",
+        random: () => 0.5,
+    });
+    const forward = async (attempt: string, continued?: ContinuedStream): Promise<forwarderScenes.TestResponse> => {
+        const first = continued?.firstAttempt === undefined ? [] : ["resumes", continued.firstAttempt];
+        const last = continued === undefined ? [] : ["last", String(continued.after)];
+        const rawHeaders = ["attempt", attempt, ...first, ...last];
+        const response = new forwarderScenes.TestResponse();
+        const request: gateway.ReadRequest = {
+            raw: { method: "POST", target: "/a/x", host: "host", rawHeaders },
+            head: wire.readRequest(rawHeaders),
+            route,
+            body: Buffer.from(attempt),
+            arrivedAt: clock.now(),
+            deadline: clock.now() + route.timeoutMilliseconds,
+            customer: undefined,
+        };
+        const sent = channels.attempts.length;
+        void forwarder.forward(request, response as unknown as http.ServerResponse);
+        for (let passed = 0; passed < ForwardMilliseconds; passed += 10) {
+            await clock.advance(10);
+            if (channels.attempts.length > sent || response.headersSent) {
+                break;
+            }
+        }
+        return response;
+    };
+    return { channels, view, log, forward, kill: () => hub.remove(directory.self.id) };
+}
+
+/** Starts the answer to the latest attempt at a gateway's upstreams, and sends events with the ids `from` to `to`. */
+export function answerLatest(member: TestGateway, attempt: string, from: number, to: number): forwarderScenes.Attempt {
+    const latest = core.Debug.checkDefined(member.channels.attempts.at(-1), "an attempt has reached an upstream");
+    latest.handler.onSent();
+    latest.handler.onHeaders(200, ["attempt", attempt, "stamp", "x"], "OK");
+    forwarderScenes.sendEvents(latest, from, to);
+    return latest;
+}
+
+/** Breaks the connection of an attempt. */
+export async function breakOff(scene: GatewaysScene, attempt: forwarderScenes.Attempt): Promise<void> {
+    attempt.handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "reset" });
+    await scene.clock.advance(10);
+}
