--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -61,6 +61,11 @@
     received: answerRelay.ReceivedAnswer | undefined;
     /** Software version of the last attempt's upstream; undefined before the first attempt. */
     upstreamVersion: string | undefined;
+    /**
+     * Software version of the upstream that began the stream. The events of two versions don't fit together, and upstreams
+     * don't check which version a stream began at. Undefined while the stream has no events.
+     */
+    streamVersion: string | undefined;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
     /** Estimated number of requests at the chosen upstream at the time it was chosen. */
@@ -123,6 +128,7 @@
             relay: undefined,
             received: undefined,
             upstreamVersion: undefined,
+            streamVersion: undefined,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
             estimatedUse: { online: 0, batch: 0 },
@@ -191,7 +197,7 @@
         }
         const key = request.head.promptParts.at(-1) ?? request.head.attemptId;
         const service = routeTable.chooseService(request.route, key);
-        const usable = service === undefined ? [] : this.parts.view.getUsable(service, now);
+        const usable = service === undefined ? [] : this.getUsable(service, progress.streamVersion, now);
         const untried = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
         const preferred = (untried.length > 0 ? untried : usable).map(upstream => upstream.entry);
         // A suspect request avoids upstreams that run other suspects, so that the next crash can be attributed to one of them.
@@ -202,6 +208,12 @@
             ...entry,
             hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
         }));
+        if (service === undefined || candidates.length === 0) {
+            const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
+            const detail = `service: ${service ?? "none"}${version}`;
+            this.refuse(progress, types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, detail);
+            return undefined;
+        }
         const outcome = await this.choose(progress, service, candidates);
         if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
             const { expectedWaitMilliseconds } = outcome;
@@ -219,13 +231,8 @@
         }
         const choice = outcome.kind === onlinePlacement.OnlineOutcomeKind.Chosen ? outcome.choice : undefined;
         const chosen = candidates.find(candidate => candidate.id === choice?.id);
-        if (service === undefined || choice === undefined || chosen === undefined) {
-            this.refuse(
-                progress,
-                types.RefusalReason.NoUpstream,
-                NoUpstreamRetryMilliseconds,
-                `service: ${service ?? "none"}`,
-            );
+        if (choice === undefined || chosen === undefined) {
+            this.refuse(progress, types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, `service: ${service}`);
             return undefined;
         }
         const outlook = {
@@ -254,16 +261,25 @@
         return { upstream: chosen, isCounted: choice.isCounted };
     }
 
+    /** The upstreams that may be given new work; if a stream continues, only those of the software version that began it. */
+    private getUsable(
+        service: string,
+        streamVersion: string | undefined,
+        now: core.MonotonicMilliseconds,
+    ): readonly fleetView.KnownUpstream[] {
+        const usable = this.parts.view.getUsable(service, now);
+        return streamVersion === undefined
+            ? usable
+            : usable.filter(({ entry }) => entry.softwareVersion === streamVersion);
+    }
+
     /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
     private async choose(
         progress: Progress,
-        service: string | undefined,
+        service: string,
         candidates: readonly decisions.SlotCandidate[],
     ): Promise<onlinePlacement.OnlineOutcome> {
         const { slots, clock } = this.parts;
-        if (service === undefined) {
-            return { kind: onlinePlacement.OnlineOutcomeKind.None };
-        }
         if (!slots.ordersOnline(service)) {
             const choice = await slots.chooseOnline(service, candidates);
             return choice === undefined
@@ -352,6 +368,9 @@
         stopFirstEventTimer();
         progress.relay = undefined;
         progress.received = relay.getReceived();
+        if (delivery.isStarted) {
+            progress.streamVersion ??= upstream.softwareVersion;
+        }
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
