--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -38,6 +38,7 @@
     readonly quotas: gateway.CustomerQuotas;
     readonly channels: gateway.ChannelDirectory;
     readonly crashWatch: gateway.CrashWatch;
+    readonly streamOrigins: gateway.StreamOrigins;
     readonly registration: gateway.Registration;
     readonly scheduler: gateway.ItemScheduler;
     readonly submissions: gateway.SubmissionService;
@@ -49,6 +50,9 @@
 /** Timeout of a store call. A call takes a few milliseconds, or some hundred milliseconds when the store is slow. */
 export const StoreTimeoutMilliseconds = 1_000;
 
+/** Age up to which the registry's copy counts as current: members that watch the store send a heartbeat every second. */
+const CurrentViewMilliseconds = 3_000;
+
 /** Creates the components and registers them for disposal. The peer network is listening when this resolves. */
 export async function createComponents(
     given: Pick<Components, "settings" | "getSettings" | "clock" | "log">,
@@ -81,6 +85,7 @@
         crashWatch: awilix
             .asFunction(({ network, clock, log }: Components) => new gateway.CrashWatch(network, clock, log))
             .singleton(),
+        streamOrigins: awilix.asFunction(createStreamOrigins).singleton(),
         registration: awilix.asFunction(createRegistration).singleton(),
         scheduler: awilix.asFunction(createScheduler).singleton(),
         submissions: awilix.asFunction(createSubmissions).singleton(),
@@ -90,6 +95,7 @@
                     new gateway.RequestForwarder({
                         ...pickSchedulerParts(components),
                         crashWatch: components.crashWatch,
+                        streamOrigins: components.streamOrigins,
                         random: Math.random,
                     }),
             )
@@ -265,6 +271,18 @@
     return quotas;
 }
 
+function createStreamOrigins(components: Components): gateway.StreamOrigins {
+    const { view, members, quotaOwners, network, clock } = components;
+    return new gateway.StreamOrigins({
+        view,
+        members,
+        owners: quotaOwners,
+        network,
+        clock,
+        isViewCurrent: () => components.registry.getAgeMilliseconds() < CurrentViewMilliseconds,
+    });
+}
+
 function createRegistration({ store, members, clock, log }: Components): gateway.Registration {
     return new gateway.Registration(store, members, clock, log);
 }
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -62,6 +62,8 @@
     readonly now: () => number;
     readonly onSent: () => void;
     readonly onProgress: () => void;
+    /** Called before the first byte of the answer is sent to the caller. */
+    readonly onStarted: () => void;
     /** Measures the times between the events of a stream; undefined if they are not needed. */
     readonly meter?: engineMeter.StreamMeter | undefined;
 }
@@ -269,6 +271,7 @@
         }
         delivery.isStarted = true;
         delivery.firstByteAt ??= this.options.now();
+        this.options.onStarted();
         const headers = this.options.wire.createReturnHeaders(this.headers);
         // A stream may continue at another upstream, so the length that the first one announces may be wrong.
         delivery.response.writeHead(
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -82,6 +82,7 @@
         readonly key: string;
     }[] = [];
     private readonly listeners = new Set<() => void>();
+    private readonly versions = new decisions.VersionHistory();
     /** Revisions of the complete listings, by prefix. */
     private readonly listedRevisions = new Map<string, types.Revision>();
     private hasCompletePeerCopy = false;
@@ -189,6 +190,11 @@
         return this.entries.get(this.codec.upstreamPrefix + id)?.upstream;
     }
 
+    /** The software versions of a service's upstreams, and of those that have been removed since the given time. */
+    getRecentVersions(service: string, since: core.MonotonicMilliseconds): ReadonlySet<string> {
+        return this.versions.getRecent(service, since);
+    }
+
     /** All entries after a revision, including tombstones, for a peer that is behind. */
     getEntriesAfter(revision: types.Revision): types.StoreEntry[] {
         return [...this.entries.values()].map(known => known.entry).filter(entry => entry.revision > revision);
@@ -346,6 +352,10 @@
             this.entries.set(entry.key, { entry, upstream: undefined, heldUntil: undefined });
             return true;
         }
+        const listed = known?.entry.value === undefined ? undefined : known.upstream;
+        if (listed !== undefined) {
+            this.versions.remove(listed.service, listed.softwareVersion, now);
+        }
         if (entry.value === undefined) {
             this.applyRemoval(entry, known, now);
             return true;
@@ -355,6 +365,9 @@
             this.onFindings(decoded.findings);
         }
         const upstream = decoded.ok ? decoded.value : undefined;
+        if (upstream !== undefined) {
+            this.versions.add(upstream.service, upstream.softwareVersion);
+        }
         this.entries.set(entry.key, { entry, upstream, heldUntil: undefined });
         return true;
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -40,6 +40,7 @@
 export * from "./crashWatch.js";
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
+export * from "./streamOrigins.js";
 export * from "./requestForwarder.js";
 export * from "./submissionRecords.js";
 export * from "./submissionStore.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -10,6 +10,7 @@
 import * as routeTable from "./routeTable.js";
 import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
+import type * as streamOrigins from "./streamOrigins.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
 
@@ -20,6 +21,7 @@
     readonly channels: channelDirectory.Channels;
     readonly slots: slotSharing.SlotSharing;
     readonly crashWatch: crashWatch.CrashWatch;
+    readonly streamOrigins: streamOrigins.StreamOrigins;
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
     readonly dataCentre: core.DataCentre;
@@ -66,6 +68,8 @@
      * don't check which version a stream began at. Undefined while the stream has no events.
      */
     streamVersion: string | undefined;
+    /** Whether the last choice of an upstream left out those of other versions. */
+    isVersionBound: boolean;
     isCallerDisconnected: boolean;
     isTimedOut: boolean;
     /** Estimated number of requests at the chosen upstream at the time it was chosen. */
@@ -129,6 +133,7 @@
             received: undefined,
             upstreamVersion: undefined,
             streamVersion: undefined,
+            isVersionBound: false,
             isCallerDisconnected: response.destroyed,
             isTimedOut: false,
             estimatedUse: { online: 0, batch: 0 },
@@ -156,6 +161,9 @@
     }
 
     private async run(progress: Progress): Promise<void> {
+        if (!(await this.resolveStreamVersion(progress))) {
+            return;
+        }
         for (;;) {
             const placement = await this.tryChoosePlacement(progress);
             if (placement === undefined) {
@@ -172,6 +180,25 @@
         }
     }
 
+    /**
+     * If the caller continues a stream that may have begun at another member, finds out its software version. Returns false
+     * if the request has been refused, because the stream may have begun at any of several.
+     */
+    private async resolveStreamVersion(progress: Progress): Promise<boolean> {
+        const { head, route } = progress.request;
+        const service = chooseService(progress.request);
+        if (route.kind !== types.RouteKind.Stream || head.lastEventId === undefined || service === undefined) {
+            return true;
+        }
+        progress.streamVersion = await this.parts.streamOrigins.resolve(head.firstAttemptId, service);
+        if (progress.streamVersion === undefined) {
+            const detail = `stream ${head.firstAttemptId ?? "not named"}`;
+            this.refuse(progress, types.RefusalReason.StreamVersionUnknown, undefined, detail);
+            return false;
+        }
+        return true;
+    }
+
     /** Ends a request whose caller disconnected or whose deadline passed while a slot was requested, and returns the slot. */
     private abandon(progress: Progress, placement: Placement | undefined): void {
         const id = placement?.upstream.id ?? "";
@@ -195,9 +222,8 @@
             this.refuse(progress, types.RefusalReason.Quarantined, retryAfter, `${suspicion.deaths} upstreams crashed`);
             return undefined;
         }
-        const key = request.head.promptParts.at(-1) ?? request.head.attemptId;
-        const service = routeTable.chooseService(request.route, key);
-        const usable = service === undefined ? [] : this.getUsable(service, progress.streamVersion, now);
+        const service = chooseService(request);
+        const usable = service === undefined ? [] : this.getUsable(progress, service, now);
         const untried = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
         const preferred = (untried.length > 0 ? untried : usable).map(upstream => upstream.entry);
         // A suspect request avoids upstreams that run other suspects, so that the next crash can be attributed to one of them.
@@ -244,7 +270,7 @@
             remainingMilliseconds: request.deadline - now,
         };
         const verdict = decisions.decideOnlineAdmission(outlook, this.parts.random);
-        if (!verdict.isAdmitted && progress.runs === 0) {
+        if (!verdict.isAdmitted && isRefusable(progress)) {
             this.refuse(
                 progress,
                 types.RefusalReason.Overloaded,
@@ -263,14 +289,18 @@
 
     /** The upstreams that may be given new work; if a stream continues, only those of the software version that began it. */
     private getUsable(
+        progress: Progress,
         service: string,
-        streamVersion: string | undefined,
         now: core.MonotonicMilliseconds,
     ): readonly fleetView.KnownUpstream[] {
+        const { streamVersion } = progress;
         const usable = this.parts.view.getUsable(service, now);
-        return streamVersion === undefined
-            ? usable
-            : usable.filter(({ entry }) => entry.softwareVersion === streamVersion);
+        if (streamVersion === undefined) {
+            return usable;
+        }
+        const sameVersion = usable.filter(({ entry }) => entry.softwareVersion === streamVersion);
+        progress.isVersionBound = sameVersion.length < usable.length;
+        return sameVersion;
     }
 
     /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
@@ -305,7 +335,7 @@
             priority: request.priority ?? route.priority,
             remainingMilliseconds,
             waitMilliseconds,
-            isRefusable: progress.runs === 0,
+            isRefusable: isRefusable(progress),
             isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
         });
         progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
@@ -339,6 +369,10 @@
             now: () => clock.now(),
             onSent: () => progress.runs++,
             onProgress: restartSilenceTimer,
+            onStarted: () => {
+                progress.streamVersion ??= upstream.softwareVersion;
+                this.noteStreamOrigin(progress, upstream.service);
+            },
             meter: isStream ? this.parts.slots.speeds?.startStream(upstream.id, upstream.service) : undefined,
         });
         progress.relay = relay;
@@ -368,9 +402,6 @@
         stopFirstEventTimer();
         progress.relay = undefined;
         progress.received = relay.getReceived();
-        if (delivery.isStarted) {
-            progress.streamVersion ??= upstream.softwareVersion;
-        }
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
@@ -536,6 +567,7 @@
         const { request, delivery } = progress;
         this.parts.log.refused(request, reason, detail, progress);
         if (delivery.isStarted) {
+            this.noteStreamOrigin(progress, chooseService(request));
             // Part of the answer has been sent, so ending the connection is the only way to signal the failure.
             breakOff(delivery.response);
             return;
@@ -543,6 +575,14 @@
         sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
     }
 
+    /** Records which version began the stream, for when the caller continues it at another member. */
+    private noteStreamOrigin({ request, streamVersion }: Progress, service: string | undefined): void {
+        const { head, route } = request;
+        if (route.kind === types.RouteKind.Stream && service !== undefined && streamVersion !== undefined) {
+            this.parts.streamOrigins.note(head.firstAttemptId ?? head.attemptId, service, streamVersion);
+        }
+    }
+
     /** Maximum silence before the attempt is stopped; undefined if another attempt would not be allowed. */
     private getSilenceLimit(progress: Progress, runsBefore: number): number | undefined {
         const { request, delivery } = progress;
@@ -597,6 +637,19 @@
     means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
 }
 
+/** The service of the request's route; undefined if the route has none. */
+function chooseService({ head, route }: ReadRequest): string | undefined {
+    return routeTable.chooseService(route, head.promptParts.at(-1) ?? head.attemptId);
+}
+
+/**
+ * Whether the request may be refused because of a queue. A stream that is bound to a software version can't choose among
+ * all upstreams as others can, and its caller would lose what it has.
+ */
+function isRefusable({ runs, isVersionBound }: Progress): boolean {
+    return runs === 0 && !isVersionBound;
+}
+
 function getTimeoutReason(progress: Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
--- /dev/null
+++ b/packages/gateway/src/streamOrigins.ts
@@ -0,0 +1,229 @@
+import type * as core from "@boragedale/core";
+import * as protocol from "@boragedale/protocol";
+import type * as fleetView from "./fleetView.js";
+import * as coordinatorDirectory from "./homeDirectory.js";
+import type * as memberDirectory from "./memberDirectory.js";
+import type * as quotaOwners from "./quotaKeepers.js";
+
+/** How long the origin of a stream is kept. Callers take up a broken stream within seconds. */
+const OriginMemoryMilliseconds = 60_000;
+/** Age up to which a stream may still be in progress, so that its origin is announced when a second version appears. */
+const RunningStreamMilliseconds = 15_000;
+/** Members to which each origin is announced, so that it outlives its gateway and one of them. */
+const AnnouncedMembers = 2;
+/** Delay that combines the origins of several streams into one message. */
+const AnnounceDelayMilliseconds = 10;
+/** Delay after which an announcement is repeated to a member without an open link. */
+const AnnounceRetryMilliseconds = 200;
+/** Origins in one message, which must fit into a frame of the control lane. */
+const MaximumAnnouncedOrigins = 100;
+/** Longer ids of callers are not kept: they would exceed the limits of the messages between members. */
+const MaximumIdLength = 100;
+/** Time for members to answer. A caller that continues a stream waits for the answer. */
+const LookupTimeoutMilliseconds = 150;
+
+/** Dependencies of `StreamOrigins`. */
+export interface StreamOriginParts {
+    readonly view: fleetView.FleetView;
+    readonly members: memberDirectory.MemberDirectory;
+    readonly owners: quotaOwners.QuotaOwners;
+    readonly network: protocol.PeerNetwork;
+    readonly clock: core.Clock;
+    /** Whether the view was recently confirmed by the store or by a member that watches it. */
+    readonly isViewCurrent: () => boolean;
+}
+
+interface StreamOrigin {
+    readonly service: string;
+    readonly softwareVersion: string;
+    readonly notedAt: core.MonotonicMilliseconds;
+}
+
+type OriginRow = protocol.StreamOrigins["origins"][number];
+
+/**
+ * Knows the software version at which each recent stream began. A caller whose connection broke continues its stream at
+ * any member, which must choose an upstream of that version.
+ *
+ * Origins are kept in memory only. While a service has several versions, each origin is also announced to two other
+ * members, since the member that began a stream may be killed. A stream whose origin is lost is refused, unless no other
+ * version can have begun it.
+ */
+export class StreamOrigins {
+    private readonly origins = new Map<string, StreamOrigin>();
+    /** Origins that have not been sent yet, by member. */
+    private readonly unsent = new Map<core.InstanceId, OriginRow[]>();
+    private stopAnnouncing: (() => void) | undefined;
+    /** Services with several versions, for which the origins of running streams have been announced. */
+    private readonly mixedServices = new Set<string>();
+    private readonly startedAt: core.MonotonicMilliseconds;
+
+    constructor(private readonly parts: StreamOriginParts) {
+        const { network, view, clock } = parts;
+        this.startedAt = clock.now();
+        network.handle(protocol.MessageKind.StreamOrigins, async message => {
+            for (const [stream, service, softwareVersion] of message.origins) {
+                this.keep(stream, service, softwareVersion);
+            }
+            return undefined;
+        });
+        network.handle(protocol.MessageKind.StreamOriginRequest, async ({ stream, service }) => {
+            const softwareVersion = stream === undefined ? undefined : this.tryGet(stream, service);
+            const recentVersions = [...this.getRecentVersions(service)];
+            return {
+                kind: protocol.MessageKind.StreamOriginReply,
+                recentVersions,
+                ...(softwareVersion === undefined ? {} : { softwareVersion }),
+            };
+        });
+        view.onChange(() => this.announceForNewVersions());
+    }
+
+    /** Records the version that began a stream. Call at its first event, and again when it breaks. */
+    note(stream: string, service: string, softwareVersion: string): void {
+        if (stream === "" || stream.length > MaximumIdLength) {
+            return;
+        }
+        this.keep(stream, service, softwareVersion);
+        if (this.hasSeveralVersions(service)) {
+            this.announce([stream, service, softwareVersion]);
+        }
+    }
+
+    /**
+     * Determines the version at which a caller's stream must continue; undefined if the stream may have begun at any of
+     * several. `stream` is undefined if the caller doesn't name it.
+     */
+    async resolve(stream: string | undefined, service: string): Promise<string | undefined> {
+        const own = stream === undefined ? undefined : this.tryGet(stream, service);
+        if (own !== undefined) {
+            return own;
+        }
+        const recent = this.getRecentVersions(service);
+        const isObservedLongEnough = this.parts.clock.now() - this.startedAt >= OriginMemoryMilliseconds;
+        if (isObservedLongEnough && this.parts.isViewCurrent()) {
+            const only = tryGetOnly(recent);
+            if (only !== undefined) {
+                return only;
+            }
+        }
+        return this.ask(stream, service, recent);
+    }
+
+    /** Asks other members, and returns the first answer that is sufficient. */
+    private async ask(
+        stream: string | undefined,
+        service: string,
+        ownVersions: ReadonlySet<string>,
+    ): Promise<string | undefined> {
+        const recent = new Set(ownVersions);
+        const message = {
+            kind: protocol.MessageKind.StreamOriginRequest,
+            service,
+            ...(stream === undefined || stream.length > MaximumIdLength ? {} : { stream }),
+        } as const;
+        const options = { lane: protocol.Lane.Control, timeoutMilliseconds: LookupTimeoutMilliseconds };
+        return new Promise(resolve => {
+            const questions = this.getMembersToAsk(stream ?? service).map(async member => {
+                const reply = await this.parts.network.request(member, message, options);
+                if (!reply.ok || reply.message.kind !== protocol.MessageKind.StreamOriginReply) {
+                    return;
+                }
+                reply.message.recentVersions.forEach(version => recent.add(version));
+                const found = reply.message.softwareVersion ?? tryGetOnly(recent);
+                if (found !== undefined) {
+                    resolve(found);
+                }
+            });
+            void Promise.all(questions).then(() =>
+                resolve(this.parts.isViewCurrent() ? tryGetOnly(recent) : undefined),
+            );
+        });
+    }
+
+    private tryGet(stream: string, service: string): string | undefined {
+        const origin = this.origins.get(stream);
+        return origin?.service === service ? origin.softwareVersion : undefined;
+    }
+
+    private keep(stream: string, service: string, softwareVersion: string): void {
+        const now = this.parts.clock.now();
+        // Entries are in the order of their times, because a repeated one moves to the end.
+        this.origins.delete(stream);
+        this.origins.set(stream, { service, softwareVersion, notedAt: now });
+        for (const [oldest, { notedAt }] of this.origins) {
+            if (now - notedAt < OriginMemoryMilliseconds) {
+                break;
+            }
+            this.origins.delete(oldest);
+        }
+    }
+
+    private getRecentVersions(service: string): ReadonlySet<string> {
+        return this.parts.view.getRecentVersions(service, this.parts.clock.now() - OriginMemoryMilliseconds);
+    }
+
+    private hasSeveralVersions(service: string): boolean {
+        return this.getRecentVersions(service).size > 1;
+    }
+
+    /** When a service gets a second version, announces the streams that began before. */
+    private announceForNewVersions(): void {
+        const services = this.parts.view.getConfiguration()?.services ?? [];
+        for (const { name } of services) {
+            if (!this.hasSeveralVersions(name)) {
+                this.mixedServices.delete(name);
+            }
+            else if (!this.mixedServices.has(name)) {
+                this.mixedServices.add(name);
+                this.announceRunning(name);
+            }
+        }
+    }
+
+    private announceRunning(service: string): void {
+        const since = this.parts.clock.now() - RunningStreamMilliseconds;
+        this.origins.forEach((origin, stream) => {
+            if (origin.service === service && origin.notedAt >= since) {
+                this.announce([stream, service, origin.softwareVersion]);
+            }
+        });
+    }
+
+    private announce(row: OriginRow): void {
+        const { owners, members, network } = this.parts;
+        const silent = new Set(network.getSilentPeers());
+        const ranked = owners.rank(row[0], silent).filter(id => id !== members.self.id);
+        for (const member of ranked.slice(0, AnnouncedMembers)) {
+            this.unsent.set(member, [...(this.unsent.get(member) ?? []), row].slice(-MaximumAnnouncedOrigins));
+        }
+        this.stopAnnouncing ??= this.parts.clock.schedule(AnnounceDelayMilliseconds, () => this.sendUnsent());
+    }
+
+    private sendUnsent(): void {
+        this.stopAnnouncing = undefined;
+        for (const [member, origins] of this.unsent) {
+            const message = { kind: protocol.MessageKind.StreamOrigins, origins } as const;
+            const isGone = this.parts.members.tryGet(member) === undefined;
+            if (isGone || this.parts.network.notify(member, message, protocol.Lane.Control)) {
+                this.unsent.delete(member);
+            }
+        }
+        if (this.unsent.size > 0) {
+            this.stopAnnouncing = this.parts.clock.schedule(AnnounceRetryMilliseconds, () => this.sendUnsent());
+        }
+    }
+
+    /** In a small fleet all others, since few streams break; in a large one those to which the origin was announced. */
+    private getMembersToAsk(key: string): readonly core.InstanceId[] {
+        const { members, owners } = this.parts;
+        const others = members.getOthers();
+        const asked =
+            others.length <= coordinatorDirectory.NeighbourCount ? others.map(({ id }) => id) : owners.rank(key);
+        return asked.filter(id => id !== members.self.id);
+    }
+}
+
+function tryGetOnly(versions: ReadonlySet<string>): string | undefined {
+    return versions.size === 1 ? [...versions][0] : undefined;
+}
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -190,3 +190,11 @@
         onCoordinatorUnresponsive: () => undefined,
     });
 }
+
+/** Creates the stream origins of a member whose view is current. */
+export function createStreamOrigins(
+    parts: Pick<gateway.StreamOriginParts, "view" | "members" | "network" | "clock">,
+): gateway.StreamOrigins {
+    const owners = new gateway.QuotaOwners(parts.members);
+    return new gateway.StreamOrigins({ ...parts, owners, isViewCurrent: () => true });
+}
--- a/packages/gateway/test/forwarderScenes.ts
+++ b/packages/gateway/test/forwarderScenes.ts
@@ -188,6 +188,7 @@
         channels,
         slots,
         crashWatch: crashes,
+        streamOrigins: fixtures.createStreamOrigins({ view, members: directory, network, clock }),
         clock,
         log,
         dataCentre: "a",
--- a/packages/gateway/test/streamOrigins.test.ts
+++ b/packages/gateway/test/streamOrigins.test.ts
@@ -1,3 +1,4 @@
+import * as fastCheck from "fast-check";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as scenes from "./versionScenes.js";
@@ -71,4 +72,79 @@
     }
 });
 
+type Step =
+    | { readonly kind: "begin"; readonly at: number }
+    | { readonly kind: "continue"; readonly at: number; readonly stream: number }
+    | { readonly kind: "kill"; readonly at: number }
+    | { readonly kind: "replace"; readonly upstream: number; readonly version: number }
+    | { readonly kind: "wait"; readonly milliseconds: number };
+
+function createStepArbitrary(): fastCheck.Arbitrary<Step> {
+    const at = fastCheck.nat(4);
+    return fastCheck.oneof(
+        fastCheck.record({ kind: fastCheck.constant("begin" as const), at }),
+        fastCheck.record({ kind: fastCheck.constant("continue" as const), at, stream: fastCheck.nat(20) }),
+        fastCheck.record({ kind: fastCheck.constant("kill" as const), at }),
+        fastCheck.record({
+            kind: fastCheck.constant("replace" as const),
+            upstream: fastCheck.nat(3),
+            version: fastCheck.nat(2),
+        }),
+        fastCheck.record({ kind: fastCheck.constant("wait" as const), milliseconds: fastCheck.nat(30_000) }),
+    );
+}
+
+/** Plays steps, and returns the continued streams that reached an upstream of another version. */
+async function playSteps(steps: readonly Step[]): Promise<string[]> {
+    const versions = new Map([0, 1, 2, 3].map(index => [`${index}`, `v${index % 2}`]));
+    const scene = scenes.createGateways(5, Object.fromEntries(versions));
+    const alive = [...scene.gateways];
+    const begun: { readonly name: string; readonly version: string | undefined }[] = [];
+    const violations: string[] = [];
+    for (const [index, step] of steps.entries()) {
+        const member = "at" in step ? alive[step.at % alive.length] : undefined;
+        switch (step.kind) {
+            case "begin": {
+                await member!.forward(`stream-${index}`);
+                const { upstream } = scenes.answerLatest(member!, `stream-${index}`, 0, 3);
+                begun.push({ name: `stream-${index}`, version: versions.get(upstream) });
+                break;
+            }
+            case "continue": {
+                const stream = begun[step.stream % Math.max(1, begun.length)];
+                if (stream === undefined) {
+                    break;
+                }
+                const sent = member!.channels.attempts.length;
+                await member!.forward(`next-${index}`, { firstAttempt: stream.name, after: 3 });
+                const attempt = member!.channels.attempts[sent];
+                if (attempt !== undefined && versions.get(attempt.upstream) !== stream.version) {
+                    violations.push(`${stream.name} at ${attempt.upstream}`);
+                }
+                break;
+            }
+            case "kill":
+                member!.kill();
+                alive.splice(alive.indexOf(member!), 1, scene.addGateway());
+                break;
+            case "replace":
+                versions.set(`${step.upstream}`, `v${step.version}`);
+                scene.putUpstream(`${step.upstream}`, `v${step.version}`);
+                break;
+            case "wait":
+                await scene.clock.advance(step.milliseconds);
+                break;
+        }
+    }
+    return violations;
+}
+
+// Guards against a stream at another software version for any order of kills, restarts and replaced upstreams.
+suite("no continued stream reaches an upstream of another software version", async () => {
+    const property = fastCheck.asyncProperty(fastCheck.array(createStepArbitrary(), { maxLength: 25 }), async steps =>
+        assert.equal(await playSteps(steps), []),
+    );
+    await fastCheck.assert(property, { seed: 54, numRuns: 150 });
+});
+
 suite.run();
--- a/packages/gateway/test/versionScenes.ts
+++ b/packages/gateway/test/versionScenes.ts
@@ -102,6 +102,7 @@
         channels,
         slots: fixtures.createSlots({ slotTable, network, clock, coordinators, policy }),
         crashWatch: new gateway.CrashWatch(network, clock, log, async () => true),
+        streamOrigins: fixtures.createStreamOrigins({ view, members: directory, network, clock }),
         clock,
         log,
         dataCentre: "a",
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -206,6 +206,16 @@
         retryAfterMilliseconds: count,
     }),
     zod.object({ kind: zod.literal(types.MessageKind.QuotaReturn), customer: name, count }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.StreamOrigins),
+        origins: zod.array(zod.tuple([name, name, name])),
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.StreamOriginRequest), service: name, stream: name.optional() }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.StreamOriginReply),
+        recentVersions: zod.array(name),
+        softwareVersion: name.optional(),
+    }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/packedForm.ts
+++ b/packages/protocol/src/packedForm.ts
@@ -49,6 +49,9 @@
     [types.MessageKind.QuotaClaim]: 38,
     [types.MessageKind.QuotaReply]: 39,
     [types.MessageKind.QuotaReturn]: 40,
+    [types.MessageKind.StreamOrigins]: 41,
+    [types.MessageKind.StreamOriginRequest]: 42,
+    [types.MessageKind.StreamOriginReply]: 43,
 };
 
 const KindsByNumber = new Map(Object.entries(KindNumbers).map(([kind, number]) => [number, kind]));
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -55,6 +55,9 @@
     QuotaClaim = "QuotaClaim",
     QuotaReply = "QuotaReply",
     QuotaReturn = "QuotaReturn",
+    StreamOrigins = "StreamOrigins",
+    StreamOriginRequest = "StreamOriginRequest",
+    StreamOriginReply = "StreamOriginReply",
 }
 
 /** First frame sent by the accepting side. The other side's proof must cover the challenge, which prevents replays. */
@@ -403,6 +406,31 @@
     readonly count: number;
 }
 
+/**
+ * Reports the software versions at which streams began, by the id of the attempt that brought the first event. The receiver
+ * keeps them, so that the streams can be continued if the sender is lost.
+ */
+export interface StreamOrigins {
+    readonly kind: MessageKind.StreamOrigins;
+    readonly origins: readonly (readonly [stream: string, service: string, softwareVersion: string])[];
+}
+
+/** Asks for the software version at which a stream of a service began. */
+export interface StreamOriginRequest {
+    readonly kind: MessageKind.StreamOriginRequest;
+    readonly service: string;
+    /** Absent if the caller that continues the stream doesn't name it. */
+    readonly stream?: string;
+}
+
+export interface StreamOriginReply {
+    readonly kind: MessageKind.StreamOriginReply;
+    /** Software versions that the receiver of the request has recently seen in the service. */
+    readonly recentVersions: readonly string[];
+    /** The version at which the stream began. Absent if it is not known there. */
+    readonly softwareVersion?: string;
+}
+
 /** Reply of a peer that could not serve a request; `text` gives the reason. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -450,6 +478,9 @@
     | QuotaClaim
     | QuotaReply
     | QuotaReturn
+    | StreamOrigins
+    | StreamOriginRequest
+    | StreamOriginReply
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
--- a/packages/protocol/test/codec.test.ts
+++ b/packages/protocol/test/codec.test.ts
@@ -157,6 +157,9 @@
         "38 QuotaClaim: customer requestsPerSecond burst uncounted",
         "39 QuotaReply: isGranted retryAfterMilliseconds",
         "40 QuotaReturn: customer count",
+        "41 StreamOrigins: origins",
+        "42 StreamOriginRequest: service stream",
+        "43 StreamOriginReply: recentVersions softwareVersion",
     ]);
 });
 
