--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -50,6 +50,11 @@
 const DispatchIntervalMilliseconds = 60;
 /** Added to the time after which items are given up, since the caller measures it from when it first sent the submission. */
 const ExpirySlackMilliseconds = 1_500;
+/**
+ * Time for which an item with events waits for an upstream of the software version that sent them. It starts over
+ * anywhere after this time: an item takes five to ten seconds, and is due 18 seconds after its submission.
+ */
+const VersionWaitMilliseconds = 2_000;
 /** Time for which the items of a submission without a route are kept, in case a newer configuration restores the route. */
 const MissingRouteGraceMilliseconds = 4_000;
 
@@ -170,12 +175,29 @@
             this.parts.slots.servePeers();
         }
         else {
-            const firstBlocked = waiting.findIndex(item => !this.tryStart(item, now));
-            this.requestRemoteSlots(firstBlocked < 0 ? [] : waiting.slice(firstBlocked));
+            this.requestRemoteSlots(this.startInOrder(waiting, now));
         }
         this.scheduleNextDispatch();
     }
 
+    /**
+     * Starts items until one finds no free slot, and returns the others. An item that waits for upstreams of its software
+     * version doesn't hold up those behind it.
+     */
+    private startInOrder(waiting: readonly ItemWithOutlook[], now: core.MonotonicMilliseconds): ItemWithOutlook[] {
+        const bound: ItemWithOutlook[] = [];
+        for (const [index, item] of waiting.entries()) {
+            if (this.tryStart(item, now)) {
+                continue;
+            }
+            if (!this.isVersionBound(item.owned, now)) {
+                return [...bound, ...waiting.slice(index)];
+            }
+            bound.push(item);
+        }
+        return bound;
+    }
+
     /**
      * Starts the items that the reserve allows to start, and returns the others. The usable upstreams are determined only
      * once per service, since hundreds of items may wait, and a service without a slot for any item isn't tried again.
@@ -197,6 +219,9 @@
             const usable = usableByService.get(service) ?? this.getUsable(service, now);
             usableByService.set(service, usable);
             const isStarted = this.tryStartOn(item, destination, usable, now);
+            if (!isStarted && this.isVersionBound(item.owned, now)) {
+                return true;
+            }
             if (!isStarted && !(this.parts.slots.requiresGrant(service) && reserve.hasFreeSlot(usable))) {
                 exhausted.add(service);
             }
@@ -228,7 +253,8 @@
         }
         for (const { owned } of this.getWaiting(now)) {
             const destination = this.tryFindDestination(owned);
-            if (destination?.service === service) {
+            const mayRun = isOriginOf(owned, upstream) || !this.isVersionBound(owned, now);
+            if (destination?.service === service && mayRun) {
                 void this.run(owned, upstream, destination.route, true);
                 return true;
             }
@@ -290,6 +316,29 @@
             .filter(entry => !isLending || this.parts.slots.isOwnEngine(entry.id));
     }
 
+    /**
+     * Whether the item must wait for an upstream of the software version that sent its events. If there is none, or none has had
+     * a free slot for a while, the item starts over.
+     */
+    private isVersionBound(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
+        const [service] = owned.origin ?? [];
+        const hasWaited = now - owned.waitingSince >= VersionWaitMilliseconds;
+        if (service === undefined || owned.texts.length === 0 || hasWaited) {
+            return false;
+        }
+        return this.parts.view.getUsable(service, now).some(({ entry }) => isOriginOf(owned, entry));
+    }
+
+    /** Of the upstreams of an item's service, those that may run the item now. */
+    private filterByVersion(
+        owned: ownedSubmission.OwnedItem,
+        usable: readonly types.UpstreamEntry[],
+        now: core.MonotonicMilliseconds,
+    ): readonly types.UpstreamEntry[] {
+        const sameOrigin = usable.filter(entry => isOriginOf(owned, entry));
+        return sameOrigin.length === usable.length || !this.isVersionBound(owned, now) ? usable : sameOrigin;
+    }
+
     private tryStartOn(
         { owned, outlook }: ItemWithOutlook,
         { route, service }: ItemDestination,
@@ -299,7 +348,8 @@
         const { slots } = this.parts;
         const isLending = slots.requiresGrant(service);
         const followsDemand = isLending && slots.reserve.isActive();
-        const allowed = followsDemand ? slots.reserve.filterStarts(service, usable, outlook) : usable;
+        const fitting = this.filterByVersion(owned, usable, now);
+        const allowed = followsDemand ? slots.reserve.filterStarts(service, fitting, outlook) : fitting;
         if (allowed.length === 0) {
             return false;
         }
@@ -375,11 +425,13 @@
         route: types.Route,
         isCounted: boolean,
     ): Promise<void> {
+        const droppedEvents = prepareProgress(owned, upstream);
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemStarted, {
             item: owned.item.id,
             upstream: upstream.id,
             version: upstream.softwareVersion,
             events: owned.texts.length,
+            droppedEvents,
             ...this.parts.slots.slotTable.getTotal(upstream.id),
         });
         owned.state = ownedSubmission.ItemState.Running;
@@ -438,6 +490,7 @@
             return;
         }
         owned.state = ownedSubmission.ItemState.Waiting;
+        owned.waitingSince = now;
         switch (outcome.kind) {
             case kinds.Completed:
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemCompleted, {
@@ -537,3 +590,23 @@
         });
     }
 }
+
+/** Whether the upstream may continue the item after its events so far, if it has any. */
+function isOriginOf(owned: ownedSubmission.OwnedItem, upstream: types.UpstreamEntry): boolean {
+    if (owned.texts.length === 0) {
+        return true;
+    }
+    const [service, softwareVersion] = owned.origin ?? [];
+    return service === upstream.service && softwareVersion === upstream.softwareVersion;
+}
+
+/** Makes the item start over if the upstream may not continue it. Returns the number of events that are dropped. */
+function prepareProgress(owned: ownedSubmission.OwnedItem, upstream: types.UpstreamEntry): number {
+    const droppedEvents = isOriginOf(owned, upstream) ? 0 : owned.texts.length;
+    if (droppedEvents > 0) {
+        owned.texts.length = 0;
+        owned.lastEventId = undefined;
+    }
+    owned.origin = [upstream.service, upstream.softwareVersion];
+    return droppedEvents;
+}
--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -23,6 +23,13 @@
     /** Data of the events so far. The next run continues after the last one. */
     readonly texts: string[];
     lastEventId: number | undefined;
+    /**
+     * Where the events so far come from; undefined if there are none, or if it is not known. Only upstreams of this origin may
+     * continue the item, since the events of two software versions don't fit together.
+     */
+    origin: records.ItemOrigin | undefined;
+    /** When the last run ended, or the progress of a previous owner was taken over. */
+    waitingSince: core.MonotonicMilliseconds;
     /** Failed attempts, which count towards the route's maximum. */
     failures: number;
     /** Earliest time of the next run; later than now only if the last run was lost. */
@@ -92,6 +99,8 @@
             state: finished.has(item.id) ? ItemState.Finished : ItemState.Waiting,
             texts: [],
             lastEventId: undefined,
+            origin: undefined,
+            waitingSince: -Infinity,
             failures: failures.get(index) ?? 0,
             notBefore: -Infinity,
         }));
@@ -179,17 +188,19 @@
         return this.items.flatMap((owned): records.ItemProgress[] =>
             owned.state === ItemState.Finished || owned.lastEventId === undefined
                 ? []
-                : [[owned.index, owned.lastEventId, [...owned.texts]]],
+                : [[owned.index, owned.lastEventId, [...owned.texts], owned.origin]],
         );
     }
 
     /** Sets the progress that a previous owner made, so that items continue from there. */
     setProgress(progress: readonly records.ItemProgress[]): void {
-        for (const [index, lastEventId, texts] of progress) {
+        for (const [index, lastEventId, texts, origin] of progress) {
             const owned = this.items[index];
             if (owned?.state === ItemState.Waiting && owned.texts.length === 0) {
                 owned.texts.push(...texts);
                 owned.lastEventId = lastEventId;
+                owned.origin = origin;
+                owned.waitingSince = this.options.clock.now();
             }
         }
     }
@@ -265,7 +276,7 @@
         );
         return this.items.flatMap((owned): records.ItemProgress[] =>
             wanted.has(owned.item.id) && owned.lastEventId !== undefined && owned.texts.length > 1
-                ? [[owned.index, owned.lastEventId - 1, owned.texts.slice(0, -1)]]
+                ? [[owned.index, owned.lastEventId - 1, owned.texts.slice(0, -1), owned.origin]]
                 : [],
         );
     }
--- a/packages/gateway/src/submissionRecords.ts
+++ b/packages/gateway/src/submissionRecords.ts
@@ -36,8 +36,16 @@
     readonly customer?: string | undefined;
 }
 
-/** Index of an item, id of its last event, and the data of its events so far. */
-export type ItemProgress = readonly [item: number, lastEventId: number, texts: readonly string[]];
+/** The service whose upstreams sent an item's events so far, and their software version. */
+export type ItemOrigin = readonly [service: string, softwareVersion: string];
+
+/** Index of an item, id of its last event, and the data and origin of its events so far. Earlier versions stored no origin. */
+export type ItemProgress = readonly [
+    item: number,
+    lastEventId: number,
+    texts: readonly string[],
+    origin?: ItemOrigin | undefined,
+];
 
 const HeadSchema = zod.object({
     owner: zod.string(),
@@ -56,7 +64,11 @@
     customer: zod.string().optional(),
 });
 
-const ProgressSchema = zod.array(zod.tuple([zod.number(), zod.number(), zod.array(zod.string())]));
+const OriginSchema = zod.tuple([zod.string(), zod.string()]);
+
+const ProgressSchema = zod.array(
+    zod.tuple([zod.number(), zod.number(), zod.array(zod.string()), OriginSchema.optional()]),
+);
 
 const ItemSchema = zod.object({
     id: zod.string(),
--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -239,7 +239,12 @@
         submission: string,
         progress: readonly records.ItemProgress[],
     ): Promise<boolean> {
-        const message = { kind: protocol.MessageKind.SubmissionHandover, submission, progress } as const;
+        const message = {
+            kind: protocol.MessageKind.SubmissionHandover,
+            submission,
+            progress: progress.map(([item, lastEventId, texts]) => [item, lastEventId, texts] as const),
+            origins: progress.map(([, , , origin]) => origin ?? []),
+        } as const;
         const reply = await this.parts.network.request(successor, message, {
             lane: protocol.Lane.Bulk,
             timeoutMilliseconds: submissionRegistry.HandoverTimeoutMilliseconds,
@@ -251,7 +256,12 @@
         if (this.registry.isShuttingDown) {
             return { kind: protocol.MessageKind.Refused, text: "this member leaves too" };
         }
-        await this.takeOver(message.submission, message.progress);
+        const progress = message.progress.map(([item, lastEventId, texts], index): records.ItemProgress => {
+            const [service, softwareVersion] = message.origins?.[index] ?? [];
+            const isKnown = service !== undefined && softwareVersion !== undefined;
+            return [item, lastEventId, texts, isKnown ? [service, softwareVersion] : undefined];
+        });
+        await this.takeOver(message.submission, progress);
         return this.registry.tryGetOwned(message.submission) !== undefined
             ? { kind: protocol.MessageKind.SubmissionKept }
             : { kind: protocol.MessageKind.Refused, text: "not taken over" };
--- a/packages/gateway/test/itemVersions.test.ts
+++ b/packages/gateway/test/itemVersions.test.ts
@@ -62,4 +62,23 @@
     results?.forEach(result => assert.is(result.text, testEngines.getExpectedText(result.id)));
 });
 
+// Guards against an item that waits for a software version that has left, and holds up the items behind it.
+suite("items start over when their software version has left, and don't hold up others meanwhile", async () => {
+    const fleet = await createVersionedFleet(1, 2);
+    const items = fixtures.createItems(30);
+    items.forEach(item => fleet.channels.behaviour.breaks.set(item.id, 3));
+    await testFleet.submit(fleet, fleet.members[0]!, "s", items);
+    await fleet.clock.advance(60);
+    fleet.metadata.remove("upstreams/engine-0");
+    await fleet.clock.advance(8_000);
+    assertSameVersions(fleet);
+    const results = await testFleet.readAll(fleet, fleet.members[0]!, "s");
+    assert.is(results?.length, 30);
+    results?.forEach(result => assert.is(result.text, testEngines.getExpectedText(result.id)));
+    const restarted = fleet.channels.runs.filter(
+        ({ upstream, after }) => upstream === "engine-1" && after === undefined,
+    );
+    assert.ok(restarted.length > 15, `${restarted.length} runs from the start at the version that is left`);
+});
+
 suite.run();
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -181,6 +181,7 @@
         kind: zod.literal(types.MessageKind.SubmissionHandover),
         submission: name,
         progress: zod.array(zod.tuple([count, count, zod.array(zod.string())])),
+        origins: zod.array(zod.array(name)).optional(),
     }),
     zod.object({
         kind: zod.literal(types.MessageKind.SubmissionForward),
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -354,6 +354,11 @@
     readonly submission: string;
     /** For each started item: its index, the id of its last event, and the data of its events so far. */
     readonly progress: readonly (readonly [item: number, lastEventId: number, texts: readonly string[]])[];
+    /**
+     * For each element of `progress`: the service whose upstreams sent the events, and their software version; empty if
+     * unknown. Absent if the sender doesn't know them.
+     */
+    readonly origins?: readonly (readonly string[])[];
 }
 
 /** Sent by an instance that can't reach the store. Asks the receiver to store the submission and run it. */
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -397,7 +397,7 @@
     729,
     "ItemStarted",
     EventLevel.Debug,
-    "An attempt at an item started; the fields give the known load of its upstream.",
+    "An attempt at an item started; the fields give the known load of its upstream, and the events that were dropped because they came from another software version.",
 );
 export const SettingsReloaded = defineEvent(
     730,
