--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./serviceTime.js";
 export * from "./stepCost.js";
 export * from "./suspects.js";
+export * from "./partsInProgress.js";
 export * from "./versionHistory.js";
 export * from "./upstreamHealth.js";
 export * from "./slotEnds.js";
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -64,6 +64,8 @@
     readonly onProgress: () => void;
     /** Called before the first byte of the answer is sent to the caller. */
     readonly onStarted: () => void;
+    /** Called when events of a stream arrive, with their number so far in this attempt. */
+    readonly onEvents: (eventCount: number) => void;
     /** Measures the times between the events of a stream; undefined if they are not needed. */
     readonly meter?: engineMeter.StreamMeter | undefined;
 }
@@ -227,6 +229,7 @@
             return true;
         }
         if (events.length > 0) {
+            this.options.onEvents(splitter.getEventCount());
             this.options.meter?.onEvents(events.length, this.options.now());
         }
         const delivery = this.options.delivery;
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -10,12 +10,18 @@
 
 /** Crashed upstreams after which a request is quarantined: the platform allows one request to crash three. */
 const CrashesToQuarantine = 3;
+/**
+ * Events after which an answer is past its beginning. Upstreams that crash on a part of a prompt do so at the first one; the others
+ * allow for events that are sent before the crash.
+ */
+const BeginningEvents = 4;
 /** A running upstream accepts a connection within a few milliseconds; the rest allows for a full connection queue. */
 const ProbeTimeoutMilliseconds = 300;
 
 /** Detects requests that crash upstreams. Members share their suspicions. */
 export class CrashWatch {
     readonly suspects = new decisions.SuspectRegistry(CrashesToQuarantine);
+    private readonly partsInProgress = new decisions.PartsInProgress();
     private readonly probes = new Map<core.UpstreamId, Promise<void>>();
 
     constructor(
@@ -31,6 +37,23 @@
         });
     }
 
+    /** Call when a request with a prompt is sent. */
+    onSent(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
+        this.partsInProgress.onSent(getIncarnation(upstream), request);
+    }
+
+    /** Call when events of its answer have arrived, with their number in this attempt. */
+    onEvents(upstream: types.UpstreamEntry, request: decisions.PromptRequest, eventCount: number): void {
+        if (eventCount >= BeginningEvents) {
+            this.partsInProgress.remove(getIncarnation(upstream), request.id);
+        }
+    }
+
+    /** Call when the attempt has ended, after `onBroken` if its connection broke. */
+    onEnded(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
+        this.partsInProgress.remove(getIncarnation(upstream), request.id);
+    }
+
     /**
      * Call when a connection breaks while a request runs, before reporting the end of the request to `suspects`. A broken
      * connection alone doesn't prove a crash, since connections are also reset by the network. If no new connection can
@@ -50,7 +73,12 @@
             return;
         }
         const reports = this.suspects.onUpstreamDied(upstream.id, this.clock.now());
-        this.log.recordEvent(gatewayLog.GatewayEvent.UpstreamDied, { upstream: upstream.id, suspects: reports.length });
+        const parts = this.partsInProgress.list(getIncarnation(upstream));
+        this.log.recordEvent(gatewayLog.GatewayEvent.UpstreamDied, {
+            upstream: upstream.id,
+            suspects: reports.length,
+            parts: [...new Set(parts.map(({ part }) => part))].join(","),
+        });
         for (const { fingerprint, deathsByUpstream } of reports) {
             const deaths = Object.values(deathsByUpstream).reduce((sum, count) => sum + count, 0);
             const kind = protocol.MessageKind.SuspectReport;
@@ -59,6 +87,16 @@
     }
 }
 
+/** The parts of a prompt that other requests may share: the last one belongs to the request or its session. */
+export function getSharedParts(head: types.RequestHead): readonly string[] {
+    return head.promptParts.slice(0, -1);
+}
+
+/** Identifies one run of an upstream, which may start again under its id. */
+function getIncarnation(upstream: types.UpstreamEntry): string {
+    return `${upstream.id}@${upstream.bornMilliseconds}`;
+}
+
 /** Identifies a request across attempts by path and body. The attempt id is new whenever a caller repeats its request. */
 export function createFingerprint(target: string, body: Uint8Array): string {
     return `${decisions.hashText(target)}-${decisions.hashBytes(body)}-${body.length}`;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -49,6 +49,7 @@
     readonly request: ReadRequest;
     /** Identical for all attempts of the same request, including the caller's own retries. */
     readonly fingerprint: string;
+    readonly prompt: decisions.PromptRequest;
     readonly delivery: answerRelay.Delivery;
     /** Upstreams to which an attempt was made. */
     readonly tried: Set<core.UpstreamId>;
@@ -121,9 +122,11 @@
     /** Resolves when the request has ended, to whether an upstream may have run it. */
     async forward(request: ReadRequest, response: http.ServerResponse): Promise<boolean> {
         const delivery = { response, isStarted: false, lastEventId: undefined, firstByteAt: undefined };
+        const fingerprint = crashWatch.createFingerprint(request.raw.target, request.body);
         const progress: Progress = {
             request,
-            fingerprint: crashWatch.createFingerprint(request.raw.target, request.body),
+            fingerprint,
+            prompt: { id: request.head.attemptId, fingerprint, parts: crashWatch.getSharedParts(request.head) },
             delivery,
             tried: new Set(),
             runs: 0,
@@ -369,6 +372,7 @@
             now: () => clock.now(),
             onSent: () => progress.runs++,
             onProgress: restartSilenceTimer,
+            onEvents: eventCount => this.parts.crashWatch.onEvents(upstream, progress.prompt, eventCount),
             onStarted: () => {
                 progress.streamVersion ??= upstream.softwareVersion;
                 this.noteStreamOrigin(progress, upstream.service);
@@ -381,6 +385,7 @@
         progress.tried.add(upstream.id);
         this.parts.slots.take(upstream.id, false, placement.isCounted);
         this.parts.crashWatch.suspects.onSent(request.head.attemptId, progress.fingerprint, upstream.id, startedAt);
+        this.parts.crashWatch.onSent(upstream, progress.prompt);
         const headers = this.parts.wire.createForwardHeaders(request.raw.rawHeaders, {
             upstream: upstream.id,
             remainingMilliseconds: request.deadline - startedAt,
@@ -405,6 +410,7 @@
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
+        this.parts.crashWatch.onEnded(upstream, progress.prompt);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.recordDuration(upstream.service, clock.now() - startedAt);
             if (progress.sends === 1 && delivery.firstByteAt !== undefined) {
