--- a/packages/gateway/test/softwareVersions.test.ts
+++ b/packages/gateway/test/softwareVersions.test.ts
@@ -1,6 +1,6 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as scenes from "./versionScenes.js";
+import * as scenes from "./gatewayScenes.js";
 
 const suite = uvu.suite("softwareVersions");
 
--- a/packages/gateway/test/testEngines.ts
+++ b/packages/gateway/test/testEngines.ts
@@ -10,6 +10,8 @@
     readonly breaks: Map<string, number>;
     /** Number of events after which the connection is closed within the next one, by item id. 0: before any data. Each entry applies to one run. */
     readonly cuts: Map<string, number>;
+    /** Items that crash the engine as it begins to answer. */
+    readonly crashing: Set<string>;
     /** Time between two events of a run. */
     eventMilliseconds: number;
 }
@@ -23,6 +25,7 @@
         statuses: new Map(),
         breaks: new Map(),
         cuts: new Map(),
+        crashing: new Set(),
         eventMilliseconds: EventMilliseconds,
     };
     /** Runs that reached an engine. `after` is the id of the event after which the run continues. */
@@ -84,6 +87,10 @@
                 });
                 return;
             }
+            if (this.owner.behaviour.crashing.has(item)) {
+                finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "crashed" }));
+                return;
+            }
             if (next === (this.owner.behaviour.breaks.get(item) ?? -1)) {
                 this.owner.behaviour.breaks.delete(item);
                 finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "broken" }));
