--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -82,9 +82,7 @@
         quotaOwners: awilix.asFunction(({ members }: Components) => new gateway.QuotaOwners(members)).singleton(),
         quotas: awilix.asFunction(createQuotas).singleton(),
         channels: awilix.asFunction(({ clock }: Components) => new gateway.ChannelDirectory(clock)).singleton(),
-        crashWatch: awilix
-            .asFunction(({ network, clock, log }: Components) => new gateway.CrashWatch(network, clock, log))
-            .singleton(),
+        crashWatch: awilix.asFunction(createCrashWatch).singleton(),
         streamOrigins: awilix.asFunction(createStreamOrigins).singleton(),
         registration: awilix.asFunction(createRegistration).singleton(),
         scheduler: awilix.asFunction(createScheduler).singleton(),
@@ -271,6 +269,11 @@
     return quotas;
 }
 
+function createCrashWatch({ network, members, quotaOwners, store, clock, log }: Components): gateway.CrashWatch {
+    const records = new gateway.QuarantineRecords({ store, clock, random: Math.random });
+    return new gateway.CrashWatch({ network, members, owners: quotaOwners, records, clock, log });
+}
+
 function createStreamOrigins(components: Components): gateway.StreamOrigins {
     const { view, members, quotaOwners, network, clock } = components;
     return new gateway.StreamOrigins({
@@ -322,7 +325,7 @@
 }
 
 function createRegistry(components: Components): gateway.FleetRegistry {
-    const { store, clock, log, codec, view, members, network, registration, submissions } = components;
+    const { store, clock, log, codec, view, members, network, registration, submissions, crashWatch } = components;
     const registry = new gateway.FleetRegistry({
         store,
         clock,
@@ -332,7 +335,10 @@
         members,
         network,
         registration,
-        onFleetEntries: entries => submissions.applyEndMarkers(entries),
+        onFleetEntries: entries => {
+            submissions.applyEndMarkers(entries);
+            crashWatch.applyEntries(entries);
+        },
         random: Math.random,
     });
     log.metrics.observeGauge("boragedale_registry_age_seconds", {}, () => registry.getAgeMilliseconds() / 1_000);
--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -21,6 +21,7 @@
     [gateway.GatewayEvent.StoreReturned]: telemetry.events.StoreReturned,
     [gateway.GatewayEvent.ConfigurationTaken]: telemetry.events.ConfigurationTaken,
     [gateway.GatewayEvent.UpstreamDied]: telemetry.events.UpstreamDied,
+    [gateway.GatewayEvent.PartQuarantined]: telemetry.events.PartQuarantined,
     [gateway.GatewayEvent.UpstreamChanged]: telemetry.events.UpstreamChanged,
     [gateway.GatewayEvent.EntryUnusable]: telemetry.events.RegistryEntryUnusable,
     [gateway.GatewayEvent.MemberRegistered]: telemetry.events.MemberRegistered,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./stepCost.js";
 export * from "./suspects.js";
 export * from "./partsInProgress.js";
+export * from "./crashingParts.js";
 export * from "./versionHistory.js";
 export * from "./upstreamHealth.js";
 export * from "./slotEnds.js";
--- a/packages/decisions/src/partsInProgress.ts
+++ b/packages/decisions/src/partsInProgress.ts
@@ -35,13 +35,14 @@
         requests.set(request.id, request);
     }
 
-    /** Call when the request has got beyond its beginning, or has ended. Does nothing if it was called before. */
-    remove(upstream: string, id: string): void {
+    /** Call when the answer is past its beginning, or has ended. Returns false if it was called before for the request. */
+    remove(upstream: string, id: string): boolean {
         const requests = this.requests.get(upstream);
-        requests?.delete(id);
+        const wasInProgress = requests?.delete(id) === true;
         if (requests?.size === 0) {
             this.requests.delete(upstream);
         }
+        return wasInProgress;
     }
 
     /** The parts in progress on an upstream that has crashed. */
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -3,6 +3,10 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import * as gatewayLog from "./gatewayLog.js";
+import * as coordinatorDirectory from "./homeDirectory.js";
+import type * as memberDirectory from "./memberDirectory.js";
+import type * as quarantineRecords from "./quarantineRecords.js";
+import type * as quotaOwners from "./quotaKeepers.js";
 import type * as types from "./types.js";
 
 /** Checks whether an upstream accepts connections. Tests replace it. */
@@ -18,23 +22,75 @@
 /** A running upstream accepts a connection within a few milliseconds; the rest allows for a full connection queue. */
 const ProbeTimeoutMilliseconds = 300;
 
-/** Detects requests that crash upstreams. Members share their suspicions. */
+/** Members of a large fleet to which crashes are reported. Two suffice if one of them is lost. */
+const CrashRecorders = 2;
+/** Time in which a link to a recorder is opened if there is none. */
+const RecorderTimeoutMilliseconds = 1_000;
+/** Hash key by which all members choose the same recorders. */
+const RecorderKey = "crashes";
+/** Parts in one report, which must fit into a frame of the control lane. */
+const MaximumReportedParts = 100;
+/** Parts of a prompt that are considered, and the length of their ids, which limit the size of a report. */
+const MaximumParts = 32;
+const MaximumPartLength = 64;
+
+/** Dependencies of `CrashWatch`. */
+export interface CrashWatchParts {
+    readonly network: protocol.PeerNetwork;
+    readonly members: memberDirectory.MemberDirectory;
+    readonly owners: quotaOwners.QuotaOwners;
+    readonly records: quarantineRecords.QuarantineRecords;
+    readonly clock: core.Clock;
+    readonly log: gatewayLog.GatewayLog;
+    /** Absent: connects to the upstream. */
+    readonly probe?: Probe;
+}
+
+/** Detects requests that crash upstreams, by the whole request or by a part of its prompt. Members share their findings. */
 export class CrashWatch {
     readonly suspects = new decisions.SuspectRegistry(CrashesToQuarantine);
     private readonly partsInProgress = new decisions.PartsInProgress();
+    private readonly detector = new decisions.CrashingPartDetector();
     private readonly probes = new Map<core.UpstreamId, Promise<void>>();
 
-    constructor(
-        private readonly network: protocol.PeerNetwork,
-        private readonly clock: core.Clock,
-        private readonly log: gatewayLog.GatewayLog,
-        private readonly probe: Probe = canConnect,
-    ) {
+    constructor(private readonly parts: CrashWatchParts) {
+        const { network, clock } = parts;
         network.handle(protocol.MessageKind.SuspectReport, async message => {
             const report = { fingerprint: message.fingerprint, deathsByUpstream: message.deathsByUpstream ?? {} };
             this.suspects.merge(report, clock.now());
             return undefined;
         });
+        network.handle(protocol.MessageKind.PromptPartCrash, async ({ upstream, parts: rows }) => {
+            const inProgress = rows.map(([part, position, fingerprint]) => ({ part, position, fingerprint }));
+            this.recordCrash({ upstream, parts: inProgress });
+            return undefined;
+        });
+        network.handle(protocol.MessageKind.PromptPartsAnswered, async message => {
+            this.detector.recordAnswered(message.parts, clock.now());
+            return undefined;
+        });
+        network.handle(protocol.MessageKind.PromptPartQuarantined, async ({ part, remainingMilliseconds }) => {
+            this.detector.quarantine(part, remainingMilliseconds, clock.now());
+            return undefined;
+        });
+    }
+
+    /** The first of the prompt parts that crashes upstreams. A request that has it must not be sent. */
+    tryGetQuarantined(parts: readonly string[]): decisions.QuarantinedPart | undefined {
+        return this.detector.tryGetQuarantined(parts, this.parts.clock.now());
+    }
+
+    /** Applies changed entries of the fleet. */
+    applyEntries(entries: readonly types.StoreEntry[]): void {
+        const now = this.parts.clock.now();
+        for (const { part, remainingMilliseconds } of this.parts.records.readChanges(entries)) {
+            if (remainingMilliseconds > 0) {
+                this.detector.quarantine(part, remainingMilliseconds, now);
+            }
+            else {
+                this.detector.endQuarantine(part, now);
+            }
+        }
     }
 
     /** Call when a request with a prompt is sent. */
@@ -45,7 +101,19 @@
     /** Call when events of its answer have arrived, with their number in this attempt. */
     onEvents(upstream: types.UpstreamEntry, request: decisions.PromptRequest, eventCount: number): void {
         if (eventCount >= BeginningEvents) {
-            this.partsInProgress.remove(getIncarnation(upstream), request.id);
+            this.onAnswered(upstream, request);
+        }
+    }
+
+    /** Call when the request was answered beyond the beginning, which proves its parts innocent. */
+    onAnswered(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
+        if (!this.partsInProgress.remove(getIncarnation(upstream), request.id)) {
+            return;
+        }
+        const cleared = this.detector.recordAnswered(request.parts, this.parts.clock.now());
+        if (cleared.length > 0) {
+            this.send({ kind: protocol.MessageKind.PromptPartsAnswered, parts: cleared });
+            cleared.forEach(part => void this.parts.records.removeIfListed(part));
         }
     }
 
@@ -69,27 +137,64 @@
     }
 
     private async runProbe(upstream: types.UpstreamEntry): Promise<void> {
-        if (await this.probe(upstream.address)) {
+        const { probe = canConnect, clock, log, network } = this.parts;
+        if (await probe(upstream.address)) {
             return;
         }
-        const reports = this.suspects.onUpstreamDied(upstream.id, this.clock.now());
-        const parts = this.partsInProgress.list(getIncarnation(upstream));
-        this.log.recordEvent(gatewayLog.GatewayEvent.UpstreamDied, {
+        const reports = this.suspects.onUpstreamDied(upstream.id, clock.now());
+        const crash = {
+            upstream: getIncarnation(upstream),
+            parts: this.partsInProgress.list(getIncarnation(upstream)).slice(0, MaximumReportedParts),
+        };
+        log.recordEvent(gatewayLog.GatewayEvent.UpstreamDied, {
             upstream: upstream.id,
             suspects: reports.length,
-            parts: [...new Set(parts.map(({ part }) => part))].join(","),
+            parts: [...new Set(crash.parts.map(({ part }) => part))].join(","),
         });
         for (const { fingerprint, deathsByUpstream } of reports) {
             const deaths = Object.values(deathsByUpstream).reduce((sum, count) => sum + count, 0);
             const kind = protocol.MessageKind.SuspectReport;
-            this.network.notifyAll({ kind, fingerprint, deaths, deathsByUpstream }, protocol.Lane.Control);
+            network.notifyAll({ kind, fingerprint, deaths, deathsByUpstream }, protocol.Lane.Control);
+        }
+        this.send({
+            kind: protocol.MessageKind.PromptPartCrash,
+            upstream: crash.upstream,
+            parts: crash.parts.map(({ part, position, fingerprint }) => [part, position, fingerprint] as const),
+        });
+        this.recordCrash(crash);
+    }
+
+    /** Records a crash here, and announces the part that it proves guilty. */
+    private recordCrash(crash: decisions.UpstreamCrash): void {
+        const { network, clock, log, records } = this.parts;
+        const guilty = this.detector.recordCrash(crash, clock.now());
+        if (guilty === undefined) {
+            return;
+        }
+        log.recordEvent(gatewayLog.GatewayEvent.PartQuarantined, { part: guilty.part, upstream: crash.upstream });
+        network.notifyAll({ kind: protocol.MessageKind.PromptPartQuarantined, ...guilty }, protocol.Lane.Control);
+        void records.write(guilty.part, guilty.remainingMilliseconds);
+    }
+
+    /** Sends a finding to the members that judge the parts: all in a small fleet, in a large one two of its owners. */
+    private send(message: protocol.PromptPartCrash | protocol.PromptPartsAnswered): void {
+        const { network, members, owners } = this.parts;
+        if (members.getOthers().length <= coordinatorDirectory.NeighbourCount) {
+            network.notifyAll(message, protocol.Lane.Control);
+            return;
+        }
+        const recorders = owners.rank(RecorderKey, new Set(network.getSilentPeers())).slice(0, CrashRecorders);
+        for (const recorder of recorders.filter(id => id !== members.self.id)) {
+            const options = { lane: protocol.Lane.Control, timeoutMilliseconds: RecorderTimeoutMilliseconds };
+            void network.request(recorder, message, options);
         }
     }
 }
 
 /** The parts of a prompt that other requests may share: the last one belongs to the request or its session. */
 export function getSharedParts(head: types.RequestHead): readonly string[] {
-    return head.promptParts.slice(0, -1);
+    const shared = head.promptParts.slice(0, -1).slice(0, MaximumParts);
+    return shared.filter(part => part !== "" && part.length <= MaximumPartLength);
 }
 
 /** Identifies one run of an upstream, which may start again under its id. */
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -57,6 +57,7 @@
     StoreReturned = "StoreReturned",
     ConfigurationTaken = "ConfigurationTaken",
     UpstreamDied = "UpstreamDied",
+    PartQuarantined = "PartQuarantined",
     UpstreamChanged = "UpstreamChanged",
     EntryUnusable = "EntryUnusable",
     MemberRegistered = "MemberRegistered",
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,7 @@
 export * from "./slotSharing.js";
 export * from "./upstreamExchange.js";
 export * from "./channelDirectory.js";
+export * from "./quarantineRecords.js";
 export * from "./crashWatch.js";
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -176,6 +176,11 @@
                 this.abandon(progress, placement);
                 return;
             }
+            // The part may have been proved guilty while the request waited for its slot.
+            if (this.refuseIfQuarantined(progress)) {
+                this.returnSlot(placement);
+                return;
+            }
             const outcome = await this.attempt(progress, placement);
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
                 return;
@@ -205,9 +210,7 @@
     /** Ends a request whose caller disconnected or whose deadline passed while a slot was requested, and returns the slot. */
     private abandon(progress: Progress, placement: Placement | undefined): void {
         const id = placement?.upstream.id ?? "";
-        if (placement?.isCounted === true) {
-            this.parts.slots.returnSlot(id);
-        }
+        this.returnSlot(placement);
         if (progress.isCallerDisconnected) {
             this.parts.log.finished(progress.request, "the caller left", id, progress);
             return;
@@ -215,14 +218,40 @@
         this.refuse(progress, getTimeoutReason(progress), undefined, id);
     }
 
+    private returnSlot(placement: Placement | undefined): void {
+        if (placement?.isCounted === true) {
+            this.parts.slots.returnSlot(placement.upstream.id);
+        }
+    }
+
+    /** Refuses a request that crashes upstreams, by itself or by a part of its prompt. Returns whether it does. */
+    private refuseIfQuarantined(progress: Progress): boolean {
+        const { crashWatch, clock } = this.parts;
+        const suspicion = crashWatch.suspects.getDecision(progress.fingerprint, clock.now());
+        if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
+            const { retryAfterMilliseconds, deaths } = suspicion;
+            this.refuse(
+                progress,
+                types.RefusalReason.Quarantined,
+                retryAfterMilliseconds,
+                `${deaths} upstreams crashed`,
+            );
+            return true;
+        }
+        const guilty = crashWatch.tryGetQuarantined(progress.prompt.parts);
+        if (guilty === undefined) {
+            return false;
+        }
+        const { part, remainingMilliseconds } = guilty;
+        this.refuse(progress, types.RefusalReason.Quarantined, remainingMilliseconds, `prompt part ${part}`);
+        return true;
+    }
+
     /** Chooses the upstream for the next attempt. If there is none, refuses the request and returns undefined. */
     private async tryChoosePlacement(progress: Progress): Promise<Placement | undefined> {
         const { request } = progress;
         const now = this.parts.clock.now();
-        const suspicion = this.parts.crashWatch.suspects.getDecision(progress.fingerprint, now);
-        if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
-            const retryAfter = suspicion.retryAfterMilliseconds;
-            this.refuse(progress, types.RefusalReason.Quarantined, retryAfter, `${suspicion.deaths} upstreams crashed`);
+        if (this.refuseIfQuarantined(progress)) {
             return undefined;
         }
         const service = chooseService(request);
@@ -410,7 +439,6 @@
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
-        this.parts.crashWatch.onEnded(upstream, progress.prompt);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.recordDuration(upstream.service, clock.now() - startedAt);
             if (progress.sends === 1 && delivery.firstByteAt !== undefined) {
@@ -492,12 +520,17 @@
         const id = progress.request.head.attemptId;
         if (outcome.kind === kinds.Delivered || outcome.kind === kinds.Failed) {
             suspects.onFinished(id, upstream.id);
+            if (outcome.kind === kinds.Delivered) {
+                this.parts.crashWatch.onAnswered(upstream, progress.prompt);
+            }
+            this.parts.crashWatch.onEnded(upstream, progress.prompt);
             return;
         }
         if (outcome.kind === kinds.Lost) {
             await this.parts.crashWatch.onBroken(upstream);
         }
         suspects.onAbandoned(id, upstream.id);
+        this.parts.crashWatch.onEnded(upstream, progress.prompt);
     }
 
     /** Handles the outcome of an attempt. Returns whether the request has ended. */
--- a/packages/gateway/test/crashingParts.test.ts
+++ b/packages/gateway/test/crashingParts.test.ts
@@ -97,6 +97,15 @@
     assert.is(scene.countCrashes(), crashes);
 });
 
+// Guards against a large fleet in which each member hears of the crashes of a few others only.
+suite("a large fleet refuses a part that crashes upstreams", async () => {
+    const scene = createCrashScene(20);
+    for (let round = 0; round < 20; round++) {
+        await scene.sendCrashing(scene.gateways[round]!);
+    }
+    assert.ok(scene.countCrashes() <= 5, `${scene.countCrashes()} upstreams crashed`);
+});
+
 // Guards against batch items that crash engines without end.
 suite("items with a part that crashes engines stop, the others complete", async () => {
     const fleet = await testFleet.createFleet(1, 3);
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -199,3 +199,12 @@
     const owners = new gateway.QuotaOwners(parts.members);
     return new gateway.StreamOrigins({ ...parts, owners, isViewCurrent: () => true });
 }
+
+/** Creates the crash watch of a member. `store` keeps its quarantined parts. */
+export function createCrashWatch(
+    parts: Pick<gateway.CrashWatchParts, "network" | "members" | "clock" | "log" | "probe">,
+    store: gateway.MetadataStore,
+): gateway.CrashWatch {
+    const records = new gateway.QuarantineRecords({ store, clock: parts.clock, random: () => 0.5 });
+    return new gateway.CrashWatch({ ...parts, owners: new gateway.QuotaOwners(parts.members), records });
+}
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -217,6 +217,17 @@
         recentVersions: zod.array(name),
         softwareVersion: name.optional(),
     }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.PromptPartCrash),
+        upstream: name,
+        parts: zod.array(zod.tuple([name, count, name])),
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.PromptPartsAnswered), parts: zod.array(name) }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.PromptPartQuarantined),
+        part: name,
+        remainingMilliseconds: count,
+    }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/packedForm.ts
+++ b/packages/protocol/src/packedForm.ts
@@ -52,6 +52,9 @@
     [types.MessageKind.StreamOrigins]: 41,
     [types.MessageKind.StreamOriginRequest]: 42,
     [types.MessageKind.StreamOriginReply]: 43,
+    [types.MessageKind.PromptPartCrash]: 44,
+    [types.MessageKind.PromptPartsAnswered]: 45,
+    [types.MessageKind.PromptPartQuarantined]: 46,
 };
 
 const KindsByNumber = new Map(Object.entries(KindNumbers).map(([kind, number]) => [number, kind]));
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -58,6 +58,9 @@
     StreamOrigins = "StreamOrigins",
     StreamOriginRequest = "StreamOriginRequest",
     StreamOriginReply = "StreamOriginReply",
+    PromptPartCrash = "PromptPartCrash",
+    PromptPartsAnswered = "PromptPartsAnswered",
+    PromptPartQuarantined = "PromptPartQuarantined",
 }
 
 /** First frame sent by the accepting side. The other side's proof must cover the challenge, which prevents replays. */
@@ -436,6 +439,27 @@
     readonly softwareVersion?: string;
 }
 
+/** Reports that an upstream crashed, and the prompt parts of the sender's requests whose answers were at their beginning there. */
+export interface PromptPartCrash {
+    readonly kind: MessageKind.PromptPartCrash;
+    /** Identifies the run of the upstream; several senders may report the same crash. */
+    readonly upstream: string;
+    readonly parts: readonly (readonly [part: string, position: number, fingerprint: string])[];
+}
+
+/** Reports parts that were in progress at a crash and have been answered since. */
+export interface PromptPartsAnswered {
+    readonly kind: MessageKind.PromptPartsAnswered;
+    readonly parts: readonly string[];
+}
+
+/** States that requests with this prompt part crash upstreams and must not be sent. */
+export interface PromptPartQuarantined {
+    readonly kind: MessageKind.PromptPartQuarantined;
+    readonly part: string;
+    readonly remainingMilliseconds: number;
+}
+
 /** Reply of a peer that could not serve a request; `text` gives the reason. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -486,6 +510,9 @@
     | StreamOrigins
     | StreamOriginRequest
     | StreamOriginReply
+    | PromptPartCrash
+    | PromptPartsAnswered
+    | PromptPartQuarantined
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -387,6 +387,12 @@
     EventLevel.Info,
     "An item released its slot for online work; a field gives the time that it had to spare.",
 );
+export const PartQuarantined = defineEvent(
+    739,
+    "PartQuarantined",
+    EventLevel.Warn,
+    "Requests with a part of the prompt crash upstreams and are refused; the fields give the part and the upstream whose crash proved it.",
+);
 export const ItemCompleted = defineEvent(
     738,
     "ItemCompleted",
