--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -92,7 +92,6 @@
                 (components: Components) =>
                     new gateway.RequestForwarder({
                         ...pickSchedulerParts(components),
-                        crashWatch: components.crashWatch,
                         streamOrigins: components.streamOrigins,
                         random: Math.random,
                     }),
@@ -346,6 +345,6 @@
 }
 
 function pickSchedulerParts(components: Components): gateway.SchedulerParts {
-    const { wire, view, channels, slots, clock, log, settings } = components;
-    return { wire, view, channels, slots, clock, log, dataCentre: settings.dataCentre };
+    const { wire, view, channels, slots, crashWatch, clock, log, settings } = components;
+    return { wire, view, channels, slots, crashWatch, clock, log, dataCentre: settings.dataCentre };
 }
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -71,6 +71,11 @@
      */
     constructor(private readonly deathsToQuarantine = DefaultDeathsToQuarantine) {}
 
+    /** Whether any request is a suspect, as a quick check. */
+    hasSuspects(): boolean {
+        return this.suspects.size > 0;
+    }
+
     /** Decides how a request with this fingerprint may run. */
     getDecision(fingerprint: string, now: core.MonotonicMilliseconds): SuspectDecision {
         const suspect = this.tryGetSuspect(fingerprint, now);
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -75,6 +75,19 @@
         });
     }
 
+    /**
+     * Whether a request crashes upstreams, by itself or by a part of its prompt, and must not be sent. `getRequest` is only
+     * called if there is any quarantine.
+     */
+    isQuarantined(getRequest: () => decisions.PromptRequest): boolean {
+        if (!this.detector.hasQuarantines() && !this.suspects.hasSuspects()) {
+            return false;
+        }
+        const { fingerprint, parts } = getRequest();
+        const { verdict } = this.suspects.getDecision(fingerprint, this.parts.clock.now());
+        return verdict === decisions.SuspectVerdict.Quarantined || this.tryGetQuarantined(parts) !== undefined;
+    }
+
     /** The first of the prompt parts that crashes upstreams. A request that has it must not be sent. */
     tryGetQuarantined(parts: readonly string[]): decisions.QuarantinedPart | undefined {
         return this.detector.tryGetQuarantined(parts, this.parts.clock.now());
@@ -98,11 +111,16 @@
         this.partsInProgress.onSent(getIncarnation(upstream), request);
     }
 
-    /** Call when events of its answer have arrived, with their number in this attempt. */
-    onEvents(upstream: types.UpstreamEntry, request: decisions.PromptRequest, eventCount: number): void {
-        if (eventCount >= BeginningEvents) {
+    /**
+     * Call when events of its answer have arrived, with their number in this attempt. Returns whether the answer is past its
+     * beginning.
+     */
+    onEvents(upstream: types.UpstreamEntry, request: decisions.PromptRequest, eventCount: number): boolean {
+        const isAnswered = eventCount >= BeginningEvents;
+        if (isAnswered) {
             this.onAnswered(upstream, request);
         }
+        return isAnswered;
     }
 
     /** Call when the request was answered beyond the beginning, which proves its parts innocent. */
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -2,6 +2,7 @@
 import * as decisions from "@boragedale/decisions";
 import * as batchSlotGranting from "./batchSlotGranting.js";
 import type * as channelDirectory from "./channelDirectory.js";
+import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as itemEstimates from "./itemEstimates.js";
@@ -19,6 +20,7 @@
     readonly view: fleetView.FleetView;
     readonly channels: channelDirectory.Channels;
     readonly slots: slotSharing.SlotSharing;
+    readonly crashWatch: crashWatch.CrashWatch;
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
     readonly dataCentre: core.DataCentre;
@@ -83,6 +85,8 @@
     /** Number of unanswered slot requests, by upstream. */
     private readonly pendingSlotRequests = new Map<core.UpstreamId, number>();
     private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
+    /** How crashes recognise the items, computed on first use. */
+    private readonly prompts = new WeakMap<types.BatchItem, decisions.PromptRequest>();
     private readonly estimates: itemEstimates.ItemEstimates;
     private isStopped = false;
 
@@ -288,7 +292,10 @@
             if (submission.isActive()) {
                 waiting.push(
                     ...submission.items.filter(
-                        owned => owned.state === ownedSubmission.ItemState.Waiting && owned.notBefore <= now,
+                        owned =>
+                            owned.state === ownedSubmission.ItemState.Waiting &&
+                            owned.notBefore <= now &&
+                            !this.parts.crashWatch.isQuarantined(() => this.getPrompt(owned.item)),
                     ),
                 );
             }
@@ -299,6 +306,17 @@
             .sort((left, right) => decisions.compareItems(left.outlook, right.outlook));
     }
 
+    private getPrompt(item: types.BatchItem): decisions.PromptRequest {
+        let prompt = this.prompts.get(item);
+        if (prompt === undefined) {
+            const head = this.parts.wire.readRequest(item.headers.flat());
+            const fingerprint = crashWatch.createFingerprint(item.target, item.body);
+            prompt = { id: item.id, fingerprint, parts: crashWatch.getSharedParts(head) };
+            this.prompts.set(item, prompt);
+        }
+        return prompt;
+    }
+
     private tryStart(item: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
         const destination = this.tryFindDestination(item.owned);
         return (
@@ -440,9 +458,17 @@
         );
         const restartSilenceTimer = (): void => silenceTimer.restart(SilenceTimeoutMilliseconds);
         const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
-        const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, events =>
-            meter?.onEvents(events, this.parts.clock.now()),
-        );
+        const prompt = this.getPrompt(owned.item);
+        const { suspects } = this.parts.crashWatch;
+        let events = 0;
+        const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, newEvents => {
+            meter?.onEvents(newEvents, this.parts.clock.now());
+            events += newEvents;
+            if (this.parts.crashWatch.onEvents(upstream, prompt, events)) {
+                // An item that is past its beginning runs for seconds, in which its engine may crash for other reasons.
+                suspects.onFinished(prompt.id, upstream.id);
+            }
+        });
         this.running.set(owned, { upstream: upstream.id, run });
         this.parts.slots.take(upstream.id, true, isCounted);
         const { host, customer } = owned.submission.getHead();
@@ -460,23 +486,53 @@
             body: Buffer.from(owned.item.body),
         };
         const startedAt = this.parts.clock.now();
+        this.parts.crashWatch.onSent(upstream, prompt);
+        suspects.onSent(prompt.id, prompt.fingerprint, upstream.id, startedAt);
         const eventsBefore = owned.texts.length;
         run.attach(this.parts.channels.get(upstream).start(request, run));
         restartSilenceTimer();
         const outcome = await run.outcome;
         silenceTimer.stop();
         this.running.delete(owned);
+        await this.reportToCrashWatch(prompt, upstream, outcome);
         if (outcome.kind === itemRun.ItemOutcomeKind.Completed) {
-            const events = owned.texts.length;
+            const allEvents = owned.texts.length;
             // Converted to an engine of usual speed.
             const speed = this.parts.slots.speeds?.getRelativeSpeed(upstream.service, upstream.id) ?? 1;
             const milliseconds = (this.parts.clock.now() - startedAt) * speed;
-            this.estimates.recordLength(route, events, events - eventsBefore, milliseconds);
+            this.estimates.recordLength(route, allEvents, allEvents - eventsBefore, milliseconds);
         }
         this.handleOutcome(owned, upstream, route, outcome, run.getFraming());
         this.parts.slots.release(upstream.id, true);
     }
 
+    private async reportToCrashWatch(
+        prompt: decisions.PromptRequest,
+        upstream: types.UpstreamEntry,
+        outcome: itemRun.ItemOutcome,
+    ): Promise<void> {
+        const { crashWatch: watch } = this.parts;
+        switch (outcome.kind) {
+            case itemRun.ItemOutcomeKind.Lost:
+                await watch.onBroken(upstream);
+                break;
+            case itemRun.ItemOutcomeKind.Completed:
+                watch.onAnswered(upstream, prompt);
+                watch.suspects.onFinished(prompt.id, upstream.id);
+                break;
+            case itemRun.ItemOutcomeKind.Failed:
+            case itemRun.ItemOutcomeKind.Impossible:
+                watch.suspects.onFinished(prompt.id, upstream.id);
+                break;
+            case itemRun.ItemOutcomeKind.NotRun:
+            case itemRun.ItemOutcomeKind.NotSent:
+            case itemRun.ItemOutcomeKind.Stopped:
+                break;
+        }
+        watch.onEnded(upstream, prompt);
+        watch.suspects.onAbandoned(prompt.id, upstream.id);
+    }
+
     private handleOutcome(
         owned: ownedSubmission.OwnedItem,
         upstream: types.UpstreamEntry,
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -401,7 +401,7 @@
             now: () => clock.now(),
             onSent: () => progress.runs++,
             onProgress: restartSilenceTimer,
-            onEvents: eventCount => this.parts.crashWatch.onEvents(upstream, progress.prompt, eventCount),
+            onEvents: eventCount => void this.parts.crashWatch.onEvents(upstream, progress.prompt, eventCount),
             onStarted: () => {
                 progress.streamVersion ??= upstream.softwareVersion;
                 this.noteStreamOrigin(progress, upstream.service);
--- a/packages/gateway/test/crashingParts.test.ts
+++ b/packages/gateway/test/crashingParts.test.ts
@@ -124,4 +124,17 @@
     results?.forEach(result => assert.is(result.text, testEngines.getExpectedText(result.id)));
 });
 
+// Guards against an item that crashes engines by itself: without a prompt, only the whole request tells it from others.
+suite("an item that crashes engines stops after three crashes, the others complete", async () => {
+    const fleet = await testFleet.createFleet(2, 3);
+    const [crashing, ...others] = fixtures.createItems(20);
+    fleet.channels.behaviour.crashing.add(crashing!.id);
+    await testFleet.submit(fleet, fleet.members[0]!, "s", [crashing!, ...others]);
+    await fleet.clock.advance(6_000);
+    assert.is(fleet.channels.runs.filter(({ item }) => item === crashing!.id).length, 3);
+    const results = await testFleet.readAll(fleet, fleet.members[0]!, "s");
+    assert.is(results?.length, 19);
+    results?.forEach(result => assert.is(result.text, testEngines.getExpectedText(result.id)));
+});
+
 suite.run();
--- a/packages/gateway/test/testEngines.ts
+++ b/packages/gateway/test/testEngines.ts
@@ -36,6 +36,8 @@
         readonly at: number;
     }[] = [];
     activeRuns = 0;
+    /** When an engine last crashed. */
+    private crashedAt = -Infinity;
 
     constructor(private readonly clock: core.Clock) {
         super();
@@ -48,6 +50,15 @@
     override hasIdleConnection(): boolean {
         return true;
     }
+
+    noteCrash(): void {
+        this.crashedAt = this.clock.now();
+    }
+
+    /** Whether the connection that has just broken belongs to an engine that has crashed. */
+    isCrashing(): boolean {
+        return this.crashedAt === this.clock.now();
+    }
 }
 
 class TestChannel extends gateway.Channel {
@@ -88,6 +99,7 @@
                 return;
             }
             if (this.owner.behaviour.crashing.has(item)) {
+                this.owner.noteCrash();
                 finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "crashed" }));
                 return;
             }
