--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -5,7 +5,7 @@
 import * as gatewayLog from "./gatewayLog.js";
 import * as coordinatorDirectory from "./homeDirectory.js";
 import type * as memberDirectory from "./memberDirectory.js";
-import type * as quarantineRecords from "./quarantineRecords.js";
+import * as quarantineRecords from "./quarantineRecords.js";
 import type * as quotaOwners from "./quotaKeepers.js";
 import type * as types from "./types.js";
 
@@ -24,6 +24,8 @@
 
 /** Members of a large fleet to which crashes are reported. Two suffice if one of them is lost. */
 const CrashRecorders = 2;
+/** Stands for the upstreams that a recorded request has crashed. */
+const RecordedCrashes = "recorded";
 /** Time in which a link to a recorder is opened if there is none. */
 const RecorderTimeoutMilliseconds = 1_000;
 /** Hash key by which all members choose the same recorders. */
@@ -51,6 +53,8 @@
     readonly suspects = new decisions.SuspectRegistry(CrashesToQuarantine);
     private readonly partsInProgress = new decisions.PartsInProgress();
     private readonly detector = new decisions.CrashingPartDetector();
+    /** Fingerprints of the quarantined requests of which the store has a record, or which is being written. */
+    private readonly recordedRequests = new Set<string>();
     private readonly probes = new Map<core.UpstreamId, Promise<void>>();
 
     constructor(private readonly parts: CrashWatchParts) {
@@ -58,6 +62,7 @@
         network.handle(protocol.MessageKind.SuspectReport, async message => {
             const report = { fingerprint: message.fingerprint, deathsByUpstream: message.deathsByUpstream ?? {} };
             this.suspects.merge(report, clock.now());
+            this.recordIfQuarantined(message.fingerprint);
             return undefined;
         });
         network.handle(protocol.MessageKind.PromptPartCrash, async ({ upstream, parts: rows }) => {
@@ -96,12 +101,20 @@
     /** Applies changed entries of the fleet. */
     applyEntries(entries: readonly types.StoreEntry[]): void {
         const now = this.parts.clock.now();
-        for (const { part, remainingMilliseconds } of this.parts.records.readChanges(entries)) {
-            if (remainingMilliseconds > 0) {
-                this.detector.quarantine(part, remainingMilliseconds, now);
+        for (const { kind, name, remainingMilliseconds } of this.parts.records.readChanges(entries)) {
+            const isQuarantined = remainingMilliseconds > 0;
+            if (kind === quarantineRecords.QuarantineKind.Request) {
+                if (isQuarantined) {
+                    this.recordedRequests.add(name);
+                    const deathsByUpstream = { [RecordedCrashes]: CrashesToQuarantine };
+                    this.suspects.merge({ fingerprint: name, deathsByUpstream }, now);
+                }
+            }
+            else if (isQuarantined) {
+                this.detector.quarantine(name, remainingMilliseconds, now);
             }
             else {
-                this.detector.endQuarantine(part, now);
+                this.detector.endQuarantine(name, now);
             }
         }
     }
@@ -172,7 +185,10 @@
         for (const { fingerprint, deathsByUpstream } of reports) {
             const deaths = Object.values(deathsByUpstream).reduce((sum, count) => sum + count, 0);
             const kind = protocol.MessageKind.SuspectReport;
-            network.notifyAll({ kind, fingerprint, deaths, deathsByUpstream }, protocol.Lane.Control);
+            const message = { kind, fingerprint, deaths, deathsByUpstream } as const;
+            network.notifyAll(message, protocol.Lane.Control);
+            this.sendToRecorders(message);
+            this.recordIfQuarantined(fingerprint);
         }
         this.send({
             kind: protocol.MessageKind.PromptPartCrash,
@@ -191,22 +207,48 @@
         }
         log.recordEvent(gatewayLog.GatewayEvent.PartQuarantined, { part: guilty.part, upstream: crash.upstream });
         network.notifyAll({ kind: protocol.MessageKind.PromptPartQuarantined, ...guilty }, protocol.Lane.Control);
-        void records.write(guilty.part, guilty.remainingMilliseconds);
+        const { Part } = quarantineRecords.QuarantineKind;
+        void records.write(Part, guilty.part, guilty.remainingMilliseconds);
     }
 
-    /** Sends a finding to the members that judge the parts: all in a small fleet, in a large one two of its owners. */
+    /** Tells members that start, and in a large fleet those that hear of no crash, of a request that is quarantined here. */
+    private recordIfQuarantined(fingerprint: string): void {
+        const { verdict, retryAfterMilliseconds } = this.suspects.getDecision(fingerprint, this.parts.clock.now());
+        if (verdict === decisions.SuspectVerdict.Quarantined && !this.recordedRequests.has(fingerprint)) {
+            this.recordedRequests.add(fingerprint);
+            const { Request } = quarantineRecords.QuarantineKind;
+            void this.parts.records.write(Request, fingerprint, retryAfterMilliseconds);
+        }
+    }
+
+    /** Sends a finding to the members that judge the parts: all in a small fleet, in a large one its recorders. */
     private send(message: protocol.PromptPartCrash | protocol.PromptPartsAnswered): void {
+        if (this.isLargeFleet()) {
+            this.sendToRecorders(message);
+            return;
+        }
+        this.parts.network.notifyAll(message, protocol.Lane.Control);
+    }
+
+    /** In a large fleet, sends a finding to the members that collect them. In a small one all members are connected. */
+    private sendToRecorders(message: protocol.Message): void {
         const { network, members, owners } = this.parts;
-        if (members.getOthers().length <= coordinatorDirectory.NeighbourCount) {
-            network.notifyAll(message, protocol.Lane.Control);
+        if (!this.isLargeFleet()) {
             return;
         }
         const recorders = owners.rank(RecorderKey, new Set(network.getSilentPeers())).slice(0, CrashRecorders);
         for (const recorder of recorders.filter(id => id !== members.self.id)) {
-            const options = { lane: protocol.Lane.Control, timeoutMilliseconds: RecorderTimeoutMilliseconds };
-            void network.request(recorder, message, options);
+            if (!network.notify(recorder, message, protocol.Lane.Control)) {
+                // Opens a link. The recorder doesn't reply.
+                const options = { lane: protocol.Lane.Control, timeoutMilliseconds: RecorderTimeoutMilliseconds };
+                void network.request(recorder, message, options);
+            }
         }
     }
+
+    private isLargeFleet(): boolean {
+        return this.parts.members.getOthers().length > coordinatorDirectory.NeighbourCount;
+    }
 }
 
 /** The parts of a prompt that other requests may share: the last one belongs to the request or its session. */
