--- a/packages/bench/src/quotas/quotaWays.ts
+++ b/packages/bench/src/quotas/quotaWays.ts
@@ -12,7 +12,7 @@
     private readonly buckets = new Map<string, customers.TokenBucket>();
 
     constructor(
-        private readonly owners: gateway.QuotaOwners,
+        private readonly owners: gateway.StateOwners,
         private readonly clock: core.Clock,
     ) {}
 
@@ -47,7 +47,7 @@
 
     constructor(
         private readonly self: core.InstanceId,
-        private readonly owners: gateway.QuotaOwners,
+        private readonly owners: gateway.StateOwners,
         private readonly network: protocol.PeerNetwork,
         private readonly clock: core.Clock,
     ) {
--- a/packages/bench/src/quotas/quotasFleet.ts
+++ b/packages/bench/src/quotas/quotasFleet.ts
@@ -91,7 +91,7 @@
     const restartKilled = (): void => killed.forEach(id => start(Number(/\d+/.exec(id)?.[0]), "4567cdef"));
     const rankOwners = (customer: string): readonly core.InstanceId[] => {
         const [member] = members;
-        return member === undefined ? [] : new gateway.QuotaOwners(member.directory).rank(customer);
+        return member === undefined ? [] : new gateway.StateOwners(member.directory).rank(customer);
     };
     return { hub, members, setCustomers, rankOwners, kill, add, restartKilled, delistKilled };
 }
@@ -107,7 +107,7 @@
 function createMember({ hub, way, getCustomers, self, seed }: MemberOptions): QuotaMember {
     const network = hub.createNetwork(self.id);
     const directory = new gateway.MemberDirectory(self);
-    const owners = new gateway.QuotaOwners(directory);
+    const owners = new gateway.StateOwners(directory);
     const { clock } = hub;
     const common = { id: self.id, network, directory };
     switch (way) {
--- a/packages/daemon/src/composition.ts
+++ b/packages/daemon/src/composition.ts
@@ -34,7 +34,7 @@
     readonly members: gateway.MemberDirectory;
     readonly coordinators: gateway.CoordinatorDirectory;
     readonly slots: gateway.SlotSharing;
-    readonly quotaOwners: gateway.QuotaOwners;
+    readonly stateOwners: gateway.StateOwners;
     readonly quotas: gateway.CustomerQuotas;
     readonly channels: gateway.ChannelDirectory;
     readonly crashWatch: gateway.CrashWatch;
@@ -79,7 +79,7 @@
             )
             .singleton(),
         slots: awilix.asFunction(createSlots).singleton(),
-        quotaOwners: awilix.asFunction(({ members }: Components) => new gateway.QuotaOwners(members)).singleton(),
+        stateOwners: awilix.asFunction(({ members }: Components) => new gateway.StateOwners(members)).singleton(),
         quotas: awilix.asFunction(createQuotas).singleton(),
         channels: awilix.asFunction(({ clock }: Components) => new gateway.ChannelDirectory(clock)).singleton(),
         crashWatch: awilix.asFunction(createCrashWatch).singleton(),
@@ -162,7 +162,7 @@
         return [];
     }
     const hasLimits = components.view.getConfiguration()?.customers?.some(customer => customer.limit !== undefined);
-    return [...registry.assignment.getWatchers(), ...(hasLimits === true ? components.quotaOwners.getAll() : [])];
+    return [...registry.assignment.getWatchers(), ...(hasLimits === true ? components.stateOwners.getAll() : [])];
 }
 
 function createPlatformStore({ settings }: Components): platform.PlatformStore {
@@ -244,7 +244,7 @@
 
 function createQuotas({
     members,
-    quotaOwners,
+    stateOwners,
     network,
     view,
     clock,
@@ -253,7 +253,7 @@
 }: Components): gateway.CustomerQuotas {
     const quotas = new gateway.CustomerQuotas({
         self: members.self.id,
-        owners: quotaOwners,
+        owners: stateOwners,
         network,
         getCustomers: () => view.getCustomers(),
         clock,
@@ -268,17 +268,17 @@
     return quotas;
 }
 
-function createCrashWatch({ network, members, quotaOwners, store, clock, log }: Components): gateway.CrashWatch {
+function createCrashWatch({ network, members, stateOwners, store, clock, log }: Components): gateway.CrashWatch {
     const records = new gateway.QuarantineRecords({ store, clock, random: Math.random });
-    return new gateway.CrashWatch({ network, members, owners: quotaOwners, records, clock, log });
+    return new gateway.CrashWatch({ network, members, owners: stateOwners, records, clock, log });
 }
 
 function createStreamOrigins(components: Components): gateway.StreamOrigins {
-    const { view, members, quotaOwners, network, clock } = components;
+    const { view, members, stateOwners, network, clock } = components;
     return new gateway.StreamOrigins({
         view,
         members,
-        owners: quotaOwners,
+        owners: stateOwners,
         network,
         clock,
         isViewCurrent: () => components.registry.getAgeMilliseconds() < CurrentViewMilliseconds,
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import type * as core from "@boragedale/core";
+import * as crashWatch from "./crashWatch.js";
 import * as eventSplitter from "./eventSplitter.js";
 import type * as engineMeter from "./engineMeter.js";
 import * as rawHeaderList from "./rawHeaders.js";
@@ -64,8 +65,8 @@
     readonly onProgress: () => void;
     /** Called before the first byte of the answer is sent to the caller. */
     readonly onStarted: () => void;
-    /** Called when events of a stream arrive, with their number so far in this attempt. */
-    readonly onEvents: (eventCount: number) => void;
+    /** Called once when the stream of this attempt has `crashWatch.BeginningEvents` events. */
+    readonly onPastBeginning: () => void;
     /** Measures the times between the events of a stream; undefined if they are not needed. */
     readonly meter?: engineMeter.StreamMeter | undefined;
 }
@@ -91,6 +92,7 @@
     private bufferedBytes = 0;
     private splitter: eventSplitter.EventSplitter | undefined;
     private receivedBytes = 0;
+    private isPastBeginning = false;
 
     constructor(private readonly options: RelayOptions) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
@@ -229,7 +231,7 @@
             return true;
         }
         if (events.length > 0) {
-            this.options.onEvents(splitter.getEventCount());
+            this.notePastBeginning(splitter);
             this.options.meter?.onEvents(events.length, this.options.now());
         }
         const delivery = this.options.delivery;
@@ -248,6 +250,13 @@
         return this.writeAll(accepted);
     }
 
+    private notePastBeginning(splitter: eventSplitter.EventSplitter): void {
+        if (!this.isPastBeginning && splitter.getEventCount() >= crashWatch.BeginningEvents) {
+            this.isPastBeginning = true;
+            this.options.onPastBeginning();
+        }
+    }
+
     private completeStream(splitter: eventSplitter.EventSplitter): void {
         const breakReason = splitter.tryGetBreakReason(rawHeaderList.getBodyFraming(this.status, this.headers));
         if (breakReason !== undefined) {
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -5,7 +5,8 @@
 import type * as customerQuotas from "./customerQuotas.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
-import * as requestForwarder from "./requestForwarder.js";
+import * as refusals from "./refusals.js";
+import type * as requestForwarder from "./requestForwarder.js";
 import type * as submissionService from "./submissionService.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
@@ -125,7 +126,7 @@
         }
         catch (error) {
             this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) });
-            requestForwarder.breakOff(response);
+            refusals.breakOff(response);
         }
         finally {
             this.inProgress--;
@@ -230,7 +231,7 @@
         const fields = { request: head.attemptId, customer, decider, keeper, milliseconds };
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.QuotaExceeded, fields);
         const refusal = { reason: types.RefusalReason.QuotaExceeded, retryAfterMilliseconds };
-        requestForwarder.sendRefusal(this.parts.wire, response, refusal);
+        refusals.sendRefusal(this.parts.wire, response, refusal);
     }
 
     private async serveCall(
@@ -317,7 +318,7 @@
             sendEmpty(response, 202);
             return;
         }
-        requestForwarder.sendRefusal(this.parts.wire, response, outcome.refusal);
+        refusals.sendRefusal(this.parts.wire, response, outcome.refusal);
     }
 
     /** Reads the complete body. Returns undefined if the request was refused or the caller disconnected. */
@@ -366,11 +367,11 @@
             response.shouldKeepAlive = false;
             request.resume();
         }
-        requestForwarder.sendRefusal(this.parts.wire, response, refusal);
+        refusals.sendRefusal(this.parts.wire, response, refusal);
     }
 
     private refuseCall(response: http.ServerResponse, reason: types.RefusalReason): void {
-        requestForwarder.sendRefusal(this.parts.wire, response, {
+        refusals.sendRefusal(this.parts.wire, response, {
             reason,
             retryAfterMilliseconds: NoConfigurationRetryMilliseconds,
         });
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -6,7 +6,7 @@
 import * as coordinatorDirectory from "./homeDirectory.js";
 import type * as memberDirectory from "./memberDirectory.js";
 import * as quarantineRecords from "./quarantineRecords.js";
-import type * as quotaOwners from "./quotaKeepers.js";
+import type * as stateOwners from "./stateOwners.js";
 import type * as types from "./types.js";
 
 /** Checks whether an upstream accepts connections. Tests replace it. */
@@ -18,7 +18,7 @@
  * Events after which an answer is past its beginning. Upstreams that crash on a part of a prompt do so at the first one; the others
  * allow for events that are sent before the crash.
  */
-const BeginningEvents = 4;
+export const BeginningEvents = 4;
 /** A running upstream accepts a connection within a few milliseconds; the rest allows for a full connection queue. */
 const ProbeTimeoutMilliseconds = 300;
 
@@ -40,7 +40,7 @@
 export interface CrashWatchParts {
     readonly network: protocol.PeerNetwork;
     readonly members: memberDirectory.MemberDirectory;
-    readonly owners: quotaOwners.QuotaOwners;
+    readonly owners: stateOwners.StateOwners;
     readonly records: quarantineRecords.QuarantineRecords;
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
@@ -124,19 +124,7 @@
         this.partsInProgress.onSent(getIncarnation(upstream), request);
     }
 
-    /**
-     * Call when events of its answer have arrived, with their number in this attempt. Returns whether the answer is past its
-     * beginning.
-     */
-    onEvents(upstream: types.UpstreamEntry, request: decisions.PromptRequest, eventCount: number): boolean {
-        const isAnswered = eventCount >= BeginningEvents;
-        if (isAnswered) {
-            this.onAnswered(upstream, request);
-        }
-        return isAnswered;
-    }
-
-    /** Call when the request was answered beyond the beginning, which proves its parts innocent. */
+    /** Call when an answer has `BeginningEvents` events or is complete, which proves the request's parts innocent. */
     onAnswered(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
         if (!this.partsInProgress.remove(getIncarnation(upstream), request.id)) {
             return;
--- a/packages/gateway/src/customerQuotas.ts
+++ b/packages/gateway/src/customerQuotas.ts
@@ -2,7 +2,7 @@
 import * as customers from "@boragedale/customers";
 import * as protocol from "@boragedale/protocol";
 import * as quotaAdmissions from "./quotaAdmissions.js";
-import type * as quotaOwners from "./quotaKeepers.js";
+import type * as stateOwners from "./stateOwners.js";
 import * as quotaReach from "./quotaReach.js";
 
 /** Time for an owner to answer: a few milliseconds of network latency, plus the delay of a busy event loop. */
@@ -21,7 +21,7 @@
 
 export interface CustomerQuotasParts {
     readonly self: core.InstanceId;
-    readonly owners: quotaOwners.QuotaOwners;
+    readonly owners: stateOwners.StateOwners;
     readonly network: protocol.PeerNetwork;
     /** Undefined if no customers are configured. */
     readonly getCustomers: () => customers.CustomerDirectory | undefined;
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -6,6 +6,7 @@
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as itemEstimates from "./itemEstimates.js";
+import * as itemOrigins from "./itemOrigins.js";
 import * as itemRun from "./itemRun.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import * as routeTable from "./routeTable.js";
@@ -30,6 +31,8 @@
 const SilenceTimeoutMilliseconds = 1_500;
 /** Pause before an item whose run was lost is run again. */
 const RetryPauseMilliseconds = 100;
+/** Interval at which an item that crashes upstreams is checked for the end of its quarantine. */
+const QuarantineCheckMilliseconds = 2_000;
 /** Time for which an upstream that rejected an item as full is avoided. */
 const FullPenaltyMilliseconds = 80;
 /** Time for which an unreachable upstream is avoided. */
@@ -257,8 +260,8 @@
         }
         for (const { owned } of this.getWaiting(now)) {
             const destination = this.tryFindDestination(owned);
-            const mayRun = isOriginOf(owned, upstream) || !this.isVersionBound(owned, now);
-            if (destination?.service === service && mayRun) {
+            const mayRun = itemOrigins.isOriginOf(owned, upstream) || !this.isVersionBound(owned, now);
+            if (destination?.service === service && mayRun && !this.holdIfQuarantined(owned, now)) {
                 void this.run(owned, upstream, destination.route, true);
                 return true;
             }
@@ -292,10 +295,7 @@
             if (submission.isActive()) {
                 waiting.push(
                     ...submission.items.filter(
-                        owned =>
-                            owned.state === ownedSubmission.ItemState.Waiting &&
-                            owned.notBefore <= now &&
-                            !this.parts.crashWatch.isQuarantined(() => this.getPrompt(owned.item)),
+                        owned => owned.state === ownedSubmission.ItemState.Waiting && owned.notBefore <= now,
                     ),
                 );
             }
@@ -317,6 +317,15 @@
         return prompt;
     }
 
+    /** If the item crashes upstreams, keeps it waiting until it is checked again. Returns whether it does. */
+    private holdIfQuarantined(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
+        const isQuarantined = this.parts.crashWatch.isQuarantined(() => this.getPrompt(owned.item));
+        if (isQuarantined) {
+            owned.notBefore = now + QuarantineCheckMilliseconds;
+        }
+        return isQuarantined;
+    }
+
     private tryStart(item: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
         const destination = this.tryFindDestination(item.owned);
         return (
@@ -344,7 +353,7 @@
         if (service === undefined || owned.texts.length === 0 || hasWaited) {
             return false;
         }
-        return this.parts.view.getUsable(service, now).some(({ entry }) => isOriginOf(owned, entry));
+        return this.parts.view.getUsable(service, now).some(({ entry }) => itemOrigins.isOriginOf(owned, entry));
     }
 
     /** Of the upstreams of an item's service, those that may run the item now. */
@@ -353,7 +362,7 @@
         usable: readonly types.UpstreamEntry[],
         now: core.MonotonicMilliseconds,
     ): readonly types.UpstreamEntry[] {
-        const sameOrigin = usable.filter(entry => isOriginOf(owned, entry));
+        const sameOrigin = usable.filter(entry => itemOrigins.isOriginOf(owned, entry));
         return sameOrigin.length === usable.length || !this.isVersionBound(owned, now) ? usable : sameOrigin;
     }
 
@@ -363,6 +372,9 @@
         usable: readonly types.UpstreamEntry[],
         now: core.MonotonicMilliseconds,
     ): boolean {
+        if (this.holdIfQuarantined(owned, now)) {
+            return true;
+        }
         const { slots } = this.parts;
         const isLending = slots.requiresGrant(service);
         const followsDemand = isLending && slots.reserve.isActive();
@@ -443,7 +455,7 @@
         route: types.Route,
         isCounted: boolean,
     ): Promise<void> {
-        const droppedEvents = prepareProgress(owned, upstream);
+        const droppedEvents = itemOrigins.prepareProgress(owned, upstream);
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.ItemStarted, {
             item: owned.item.id,
             upstream: upstream.id,
@@ -464,7 +476,8 @@
         const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, newEvents => {
             meter?.onEvents(newEvents, this.parts.clock.now());
             events += newEvents;
-            if (this.parts.crashWatch.onEvents(upstream, prompt, events)) {
+            if (events >= crashWatch.BeginningEvents && events - newEvents < crashWatch.BeginningEvents) {
+                this.parts.crashWatch.onAnswered(upstream, prompt);
                 // An item that is past its beginning runs for seconds, in which its engine may crash for other reasons.
                 suspects.onFinished(prompt.id, upstream.id);
             }
@@ -646,23 +659,3 @@
         });
     }
 }
-
-/** Whether the upstream may continue the item after its events so far, if it has any. */
-function isOriginOf(owned: ownedSubmission.OwnedItem, upstream: types.UpstreamEntry): boolean {
-    if (owned.texts.length === 0) {
-        return true;
-    }
-    const [service, softwareVersion] = owned.origin ?? [];
-    return service === upstream.service && softwareVersion === upstream.softwareVersion;
-}
-
-/** Makes the item start over if the upstream may not continue it. Returns the number of events that are dropped. */
-function prepareProgress(owned: ownedSubmission.OwnedItem, upstream: types.UpstreamEntry): number {
-    const droppedEvents = isOriginOf(owned, upstream) ? 0 : owned.texts.length;
-    if (droppedEvents > 0) {
-        owned.texts.length = 0;
-        owned.lastEventId = undefined;
-    }
-    owned.origin = [upstream.service, upstream.softwareVersion];
-    return droppedEvents;
-}
--- a/packages/gateway/src/quotaReach.ts
+++ b/packages/gateway/src/quotaReach.ts
@@ -1,10 +1,10 @@
 import type * as core from "@boragedale/core";
 import type * as customers from "@boragedale/customers";
 import type * as protocol from "@boragedale/protocol";
-import type * as quotaOwners from "./quotaKeepers.js";
+import type * as stateOwners from "./stateOwners.js";
 
 export interface QuotaReachParts {
-    readonly owners: quotaOwners.QuotaOwners;
+    readonly owners: stateOwners.StateOwners;
     readonly network: protocol.PeerNetwork;
     readonly clock: core.Clock;
     readonly terms: customers.QuotaTerms;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -1,4 +1,4 @@
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as answerRelay from "./answerRelay.js";
@@ -7,6 +7,7 @@
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as onlinePlacement from "./onlinePlacement.js";
+import * as refusals from "./refusals.js";
 import * as routeTable from "./routeTable.js";
 import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
@@ -401,7 +402,7 @@
             now: () => clock.now(),
             onSent: () => progress.runs++,
             onProgress: restartSilenceTimer,
-            onEvents: eventCount => void this.parts.crashWatch.onEvents(upstream, progress.prompt, eventCount),
+            onPastBeginning: () => this.parts.crashWatch.onAnswered(upstream, progress.prompt),
             onStarted: () => {
                 progress.streamVersion ??= upstream.softwareVersion;
                 this.noteStreamOrigin(progress, upstream.service);
@@ -608,10 +609,10 @@
         if (delivery.isStarted) {
             this.noteStreamOrigin(progress, chooseService(request));
             // Part of the answer has been sent, so ending the connection is the only way to signal the failure.
-            breakOff(delivery.response);
+            refusals.breakOff(delivery.response);
             return;
         }
-        sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
+        refusals.sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
     }
 
     /** Records which version began the stream, for when the caller continues it at another member. */
@@ -643,34 +644,6 @@
     }
 }
 
-/** Ends the connection of an incomplete answer so that its caller notices. */
-export function breakOff(response: http.ServerResponse): void {
-    if (response.headersSent && !response.chunkedEncoding) {
-        // HTTP/1.0 has no chunks: for such a caller, an answer without a length is complete when its connection is closed.
-        response.socket?.resetAndDestroy();
-    }
-    response.destroy();
-}
-
-/** Sends a refusal, or breaks the answer off if it has already been started. */
-export function sendRefusal(
-    callerWire: wire.CallerWire,
-    response: http.ServerResponse,
-    refusal: types.GatewayRefusal,
-): void {
-    if (response.headersSent || response.destroyed) {
-        breakOff(response);
-        return;
-    }
-    const answer = callerWire.createRefusal(refusal);
-    response.writeHead(answer.status, http.STATUS_CODES[answer.status], [
-        ...answer.headers,
-        "Content-Length",
-        String(Buffer.byteLength(answer.body)),
-    ]);
-    response.end(answer.body);
-}
-
 function recordMean(means: Map<string, number>, service: string, milliseconds: number): void {
     const mean = means.get(service);
     means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
--- a/packages/gateway/src/quotaKeepers.ts
+++ b/packages/gateway/src/stateOwners.ts
@@ -3,16 +3,16 @@
 import * as coordinatorDirectory from "./homeDirectory.js";
 import type * as memberDirectory from "./memberDirectory.js";
 
-/** Members for each quota owner in a large fleet. All members stay linked to every owner. */
+/** Members for each owner in a large fleet. Where customers have limits, all members stay linked to every owner. */
 const MembersPerOwner = 16;
 const MinimumOwners = 3;
-/** Owners that are tried for one customer: the current one and its successors. */
+/** Owners that are tried for one key: the current one and its successors. */
 const MaximumOwnersTried = 3;
 /** Hash key for ranking the members. All of them compute the same order. */
 const RankKey = "quota";
 
-/** Determines which member owns the quota of which customer. */
-export class QuotaOwners {
+/** Determines which member keeps the shared state of a key: the quota of a customer, the origin of a stream, crashes. */
+export class StateOwners {
     /** Computed on first use after a change of the members. */
     private owners: readonly core.InstanceId[] | undefined;
     private memberCount: number | undefined;
@@ -29,11 +29,11 @@
         return this.owners;
     }
 
-    /** The owner of a customer's quota, followed by its successors, without those that are unreachable. */
-    rank(customer: string, unreachable: ReadonlySet<core.InstanceId> = new Set()): readonly core.InstanceId[] {
+    /** The owner of a key's state, followed by its successors, without those that are unreachable. */
+    rank(key: string, unreachable: ReadonlySet<core.InstanceId> = new Set()): readonly core.InstanceId[] {
         const all = this.getAll();
         const reachable = unreachable.size === 0 ? all : all.filter(id => !unreachable.has(id));
-        return decisions.chooseSubset(customer, reachable, MaximumOwnersTried);
+        return decisions.chooseSubset(key, reachable, MaximumOwnersTried);
     }
 
     /**
@@ -48,7 +48,7 @@
         return this.memberCount;
     }
 
-    /** Whether this member is a quota owner. */
+    /** Whether this member is an owner. */
     isOwner(): boolean {
         return this.getAll().includes(this.members.self.id);
     }
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -3,7 +3,7 @@
 import type * as fleetView from "./fleetView.js";
 import * as coordinatorDirectory from "./homeDirectory.js";
 import type * as memberDirectory from "./memberDirectory.js";
-import type * as quotaOwners from "./quotaKeepers.js";
+import type * as stateOwners from "./stateOwners.js";
 
 /** How long the origin of a stream is kept. Callers take up a broken stream within seconds. */
 const OriginMemoryMilliseconds = 60_000;
@@ -26,7 +26,7 @@
 export interface StreamOriginParts {
     readonly view: fleetView.FleetView;
     readonly members: memberDirectory.MemberDirectory;
-    readonly owners: quotaOwners.QuotaOwners;
+    readonly owners: stateOwners.StateOwners;
     readonly network: protocol.PeerNetwork;
     readonly clock: core.Clock;
     /** Whether the view was recently confirmed by the store or by a member that watches it. */
