--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -107,6 +107,14 @@
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
 const UnreachablePenaltyMilliseconds = 1_000;
+/** Reasons that promise the caller that no upstream has run the request. */
+const NotRunReasons: ReadonlySet<types.RefusalReason> = new Set([
+    types.RefusalReason.Overloaded,
+    types.RefusalReason.NoUpstream,
+    types.RefusalReason.Quarantined,
+    types.RefusalReason.StreamVersionUnknown,
+    types.RefusalReason.DeadlinePassedNotRun,
+]);
 /** Retry delay given to callers if no upstream is known or reachable. */
 const NoUpstreamRetryMilliseconds = 500;
 
@@ -605,14 +613,17 @@
         detail: string,
     ): void {
         const { request, delivery } = progress;
-        this.parts.log.refused(request, reason, detail, progress);
+        // Where an earlier attempt has run, the refusal must not promise that none has.
+        const isFalsePromise = progress.runs > 0 && NotRunReasons.has(reason);
+        const trueReason = isFalsePromise ? types.RefusalReason.UpstreamFailed : reason;
+        this.parts.log.refused(request, trueReason, detail, progress);
         if (delivery.isStarted) {
             this.noteStreamOrigin(progress, chooseService(request));
             // Part of the answer has been sent, so ending the connection is the only way to signal the failure.
             refusals.breakOff(delivery.response);
             return;
         }
-        refusals.sendRefusal(this.parts.wire, delivery.response, { reason, retryAfterMilliseconds });
+        refusals.sendRefusal(this.parts.wire, delivery.response, { reason: trueReason, retryAfterMilliseconds });
     }
 
     /** Records which version began the stream, for when the caller continues it at another member. */
--- a/packages/gateway/test/crashingParts.test.ts
+++ b/packages/gateway/test/crashingParts.test.ts
@@ -83,6 +83,15 @@
     },
 );
 
+// Guards against a refusal that promises the caller that its request has not run, after it has crashed an upstream.
+suite("a request that is quarantined after it has run isn't refused as not run", async () => {
+    const scene = createCrashScene(2);
+    await scene.sendCrashing(scene.gateways[0]!);
+    const proving = await scene.sendCrashing(scene.gateways[1]!);
+    assert.is(scene.countCrashes(), 3);
+    assert.equal(proving.headers.slice(0, 2), ["reason", gateway.RefusalReason.UpstreamFailed]);
+});
+
 // Guards against a part that only one gateway sees crashing, because the others never hear of it.
 suite("a part that crashed upstreams at one gateway is refused at the others", async () => {
     const scene = createCrashScene(3);
