--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -197,7 +197,9 @@
             if (this.tryStart(item, now)) {
                 continue;
             }
-            if (!this.isVersionBound(item.owned, now)) {
+            const service = this.tryFindDestination(item.owned)?.service;
+            const usable = service === undefined ? [] : this.getUsable(service, now);
+            if (!this.isVersionBound(item.owned, usable, now)) {
                 return [...bound, ...waiting.slice(index)];
             }
             bound.push(item);
@@ -226,7 +228,7 @@
             const usable = usableByService.get(service) ?? this.getUsable(service, now);
             usableByService.set(service, usable);
             const isStarted = this.tryStartOn(item, destination, usable, now);
-            if (!isStarted && this.isVersionBound(item.owned, now)) {
+            if (!isStarted && this.isVersionBound(item.owned, usable, now)) {
                 return true;
             }
             if (!isStarted && !(this.parts.slots.requiresGrant(service) && reserve.hasFreeSlot(usable))) {
@@ -260,7 +262,7 @@
         }
         for (const { owned } of this.getWaiting(now)) {
             const destination = this.tryFindDestination(owned);
-            const mayRun = itemOrigins.isOriginOf(owned, upstream) || !this.isVersionBound(owned, now);
+            const mayRun = itemOrigins.isOriginOf(owned, upstream) || !this.isVersionBound(owned, [upstream], now);
             if (destination?.service === service && mayRun && !this.holdIfQuarantined(owned, now)) {
                 void this.run(owned, upstream, destination.route, true);
                 return true;
@@ -344,28 +346,26 @@
     }
 
     /**
-     * Whether the item must wait for an upstream of the software version that sent its events. If there is none, or none has had
-     * a free slot for a while, the item starts over.
+     * Whether the item must wait for an upstream of the software version that sent its events, and leaves out some of the usable ones
+     * until then. If there is none, or none has had a free slot for a while, the item starts over.
      */
-    private isVersionBound(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
+    private isVersionBound(
+        owned: ownedSubmission.OwnedItem,
+        usable: readonly types.UpstreamEntry[],
+        now: core.MonotonicMilliseconds,
+    ): boolean {
         const [service] = owned.origin ?? [];
         const hasWaited = now - owned.waitingSince >= VersionWaitMilliseconds;
         if (service === undefined || owned.texts.length === 0 || hasWaited) {
             return false;
         }
+        // With one version, which is usual, the upstreams of the whole service need not be looked through for each waiting item.
+        if (usable.every(entry => itemOrigins.isOriginOf(owned, entry))) {
+            return false;
+        }
         return this.parts.view.getUsable(service, now).some(({ entry }) => itemOrigins.isOriginOf(owned, entry));
     }
 
-    /** Of the upstreams of an item's service, those that may run the item now. */
-    private filterByVersion(
-        owned: ownedSubmission.OwnedItem,
-        usable: readonly types.UpstreamEntry[],
-        now: core.MonotonicMilliseconds,
-    ): readonly types.UpstreamEntry[] {
-        const sameOrigin = usable.filter(entry => itemOrigins.isOriginOf(owned, entry));
-        return sameOrigin.length === usable.length || !this.isVersionBound(owned, now) ? usable : sameOrigin;
-    }
-
     private tryStartOn(
         { owned, outlook }: ItemWithOutlook,
         { route, service }: ItemDestination,
@@ -378,7 +378,9 @@
         const { slots } = this.parts;
         const isLending = slots.requiresGrant(service);
         const followsDemand = isLending && slots.reserve.isActive();
-        const fitting = this.filterByVersion(owned, usable, now);
+        const fitting = this.isVersionBound(owned, usable, now)
+            ? usable.filter(entry => itemOrigins.isOriginOf(owned, entry))
+            : usable;
         const allowed = followsDemand ? slots.reserve.filterStarts(service, fitting, outlook) : fitting;
         if (allowed.length === 0) {
             return false;
