--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -43,6 +43,8 @@
 export * from "./answerRelay.js";
 export * from "./streamOrigins.js";
 export * from "./refusals.js";
+export * from "./requestProgress.js";
+export * from "./upstreamChooser.js";
 export * from "./requestForwarder.js";
 export * from "./submissionRecords.js";
 export * from "./submissionStore.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -6,13 +6,13 @@
 import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
-import * as onlinePlacement from "./onlinePlacement.js";
 import * as refusals from "./refusals.js";
-import * as routeTable from "./routeTable.js";
+import * as requestProgress from "./requestProgress.js";
 import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
 import type * as streamOrigins from "./streamOrigins.js";
 import * as types from "./types.js";
+import * as upstreamChooser from "./upstreamChooser.js";
 import type * as wire from "./wire.js";
 
 /** Dependencies of `RequestForwarder`. */
@@ -29,64 +29,6 @@
     readonly random: () => number;
 }
 
-/** A completely read request, with the route and deadline that limit its attempts. */
-export interface ReadRequest {
-    readonly raw: types.RawRequest;
-    readonly head: types.RequestHead;
-    readonly route: types.Route;
-    readonly body: Buffer;
-    readonly arrivedAt: core.MonotonicMilliseconds;
-    readonly deadline: core.MonotonicMilliseconds;
-    /** Name of the customer; undefined if the request needed no key. */
-    readonly customer: string | undefined;
-    /** Relative share of the customer. Absent: 1. */
-    readonly weight?: number | undefined;
-    /** Priority of the customer. Absent: that of the route. */
-    readonly priority?: number | undefined;
-}
-
-/** State of a request over all its attempts. */
-interface Progress {
-    readonly request: ReadRequest;
-    /** Identical for all attempts of the same request, including the caller's own retries. */
-    readonly fingerprint: string;
-    readonly prompt: decisions.PromptRequest;
-    readonly delivery: answerRelay.Delivery;
-    /** Upstreams to which an attempt was made. */
-    readonly tried: Set<core.UpstreamId>;
-    /** Attempts that may have run at an upstream. */
-    runs: number;
-    /** Attempts started, including those that provably did not run. */
-    sends: number;
-    /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
-    waitMilliseconds: number | undefined;
-    relay: answerRelay.AnswerRelay | undefined;
-    /** What the last attempt received of an answer. */
-    received: answerRelay.ReceivedAnswer | undefined;
-    /** Software version of the last attempt's upstream; undefined before the first attempt. */
-    upstreamVersion: string | undefined;
-    /**
-     * Software version of the upstream that began the stream. The events of two versions don't fit together, and upstreams
-     * don't check which version a stream began at. Undefined while the stream has no events.
-     */
-    streamVersion: string | undefined;
-    /** Whether the last choice of an upstream left out those of other versions. */
-    isVersionBound: boolean;
-    isCallerDisconnected: boolean;
-    isTimedOut: boolean;
-    /** Estimated number of requests at the chosen upstream at the time it was chosen. */
-    estimatedUse: decisions.SlotUse;
-    /** Number of usable upstreams of the service at the time the upstream was chosen. */
-    knownUpstreams: number;
-}
-
-/** The upstream of the next attempt. */
-interface Placement {
-    readonly upstream: types.UpstreamEntry;
-    /** Whether the upstream's coordinator has already counted the slot as used by this member. */
-    readonly isCounted: boolean;
-}
-
 /**
  * Share of the remaining time after which a repeatable request without an answer goes to another upstream: late enough for a
  * working upstream to answer, and early enough for a second one to do so.
@@ -97,12 +39,6 @@
 const GatewayTimeoutStatus = 504;
 /** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
 const FirstEventOverdueFactor = 2;
-/** Estimated time that a request occupies a slot, until durations have been recorded. */
-const InitialServiceMilliseconds = 800;
-/** Estimated time to the first event. */
-const ExpectedFirstAnswerMilliseconds = 70;
-/** Weight of a new duration in the moving average. */
-const MeanWeight = 0.1;
 /** Time for which an upstream that rejected a request as full is avoided: about the time until one of its slots is free. */
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
@@ -115,24 +51,22 @@
     types.RefusalReason.StreamVersionUnknown,
     types.RefusalReason.DeadlinePassedNotRun,
 ]);
-/** Retry delay given to callers if no upstream is known or reachable. */
-const NoUpstreamRetryMilliseconds = 500;
 
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
-    private readonly meanServiceMilliseconds = new Map<string, number>();
-    /** Mean time from sending a request to its first event, by service. */
-    private readonly meanFirstMilliseconds = new Map<string, number>();
+    private readonly chooser: upstreamChooser.UpstreamChooser;
     /** By service, since the number of upstreams avoided at the same time is limited to a share of the service's upstreams. */
     private readonly failureWatches = new Map<string, decisions.FailureWatch>();
 
-    constructor(private readonly parts: ForwarderParts) {}
+    constructor(private readonly parts: ForwarderParts) {
+        this.chooser = new upstreamChooser.UpstreamChooser(parts);
+    }
 
     /** Resolves when the request has ended, to whether an upstream may have run it. */
-    async forward(request: ReadRequest, response: http.ServerResponse): Promise<boolean> {
+    async forward(request: requestProgress.ReadRequest, response: http.ServerResponse): Promise<boolean> {
         const delivery = { response, isStarted: false, lastEventId: undefined, firstByteAt: undefined };
         const fingerprint = crashWatch.createFingerprint(request.raw.target, request.body);
-        const progress: Progress = {
+        const progress: requestProgress.Progress = {
             request,
             fingerprint,
             prompt: { id: request.head.attemptId, fingerprint, parts: crashWatch.getSharedParts(request.head) },
@@ -172,7 +106,7 @@
         return progress.runs > 0;
     }
 
-    private async run(progress: Progress): Promise<void> {
+    private async run(progress: requestProgress.Progress): Promise<void> {
         if (!(await this.resolveStreamVersion(progress))) {
             return;
         }
@@ -181,15 +115,6 @@
             if (placement === undefined) {
                 return;
             }
-            if (progress.isCallerDisconnected || progress.isTimedOut) {
-                this.abandon(progress, placement);
-                return;
-            }
-            // The part may have been proved guilty while the request waited for its slot.
-            if (this.refuseIfQuarantined(progress)) {
-                this.returnSlot(placement);
-                return;
-            }
             const outcome = await this.attempt(progress, placement);
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
                 return;
@@ -201,9 +126,9 @@
      * If the caller continues a stream that may have begun at another member, finds out its software version. Returns false
      * if the request has been refused, because the stream may have begun at any of several.
      */
-    private async resolveStreamVersion(progress: Progress): Promise<boolean> {
+    private async resolveStreamVersion(progress: requestProgress.Progress): Promise<boolean> {
         const { head, route } = progress.request;
-        const service = chooseService(progress.request);
+        const service = requestProgress.tryGetService(progress.request);
         if (route.kind !== types.RouteKind.Stream || head.lastEventId === undefined || service === undefined) {
             return true;
         }
@@ -217,9 +142,9 @@
     }
 
     /** Ends a request whose caller disconnected or whose deadline passed while a slot was requested, and returns the slot. */
-    private abandon(progress: Progress, placement: Placement | undefined): void {
+    private abandon(progress: requestProgress.Progress, placement: requestProgress.Placement | undefined): void {
         const id = placement?.upstream.id ?? "";
-        this.returnSlot(placement);
+        this.chooser.returnSlot(placement);
         if (progress.isCallerDisconnected) {
             this.parts.log.finished(progress.request, "the caller left", id, progress);
             return;
@@ -227,163 +152,34 @@
         this.refuse(progress, getTimeoutReason(progress), undefined, id);
     }
 
-    private returnSlot(placement: Placement | undefined): void {
-        if (placement?.isCounted === true) {
-            this.parts.slots.returnSlot(placement.upstream.id);
-        }
-    }
-
-    /** Refuses a request that crashes upstreams, by itself or by a part of its prompt. Returns whether it does. */
-    private refuseIfQuarantined(progress: Progress): boolean {
-        const { crashWatch, clock } = this.parts;
-        const suspicion = crashWatch.suspects.getDecision(progress.fingerprint, clock.now());
-        if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
-            const { retryAfterMilliseconds, deaths } = suspicion;
-            this.refuse(
-                progress,
-                types.RefusalReason.Quarantined,
-                retryAfterMilliseconds,
-                `${deaths} upstreams crashed`,
-            );
-            return true;
-        }
-        const guilty = crashWatch.tryGetQuarantined(progress.prompt.parts);
-        if (guilty === undefined) {
-            return false;
-        }
-        const { part, remainingMilliseconds } = guilty;
-        this.refuse(progress, types.RefusalReason.Quarantined, remainingMilliseconds, `prompt part ${part}`);
-        return true;
-    }
-
-    /** Chooses the upstream for the next attempt. If there is none, refuses the request and returns undefined. */
-    private async tryChoosePlacement(progress: Progress): Promise<Placement | undefined> {
-        const { request } = progress;
-        const now = this.parts.clock.now();
-        if (this.refuseIfQuarantined(progress)) {
-            return undefined;
-        }
-        const service = chooseService(request);
-        const usable = service === undefined ? [] : this.getUsable(progress, service, now);
-        const untried = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
-        const preferred = (untried.length > 0 ? untried : usable).map(upstream => upstream.entry);
-        // A suspect request avoids upstreams that run other suspects, so that the next crash can be attributed to one of them.
-        const distinguishable = preferred.filter(entry =>
-            this.parts.crashWatch.suspects.maySend(progress.fingerprint, entry.id, now),
-        );
-        const candidates = (distinguishable.length > 0 ? distinguishable : preferred).map(entry => ({
-            ...entry,
-            hasIdleConnection: this.parts.channels.hasIdleConnection(entry),
-        }));
-        if (service === undefined || candidates.length === 0) {
-            const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
-            const detail = `service: ${service ?? "none"}${version}`;
-            this.refuse(progress, types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, detail);
-            return undefined;
-        }
-        const outcome = await this.choose(progress, service, candidates);
-        if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
-            const { expectedWaitMilliseconds } = outcome;
-            if (progress.isCallerDisconnected || progress.isTimedOut) {
-                this.abandon(progress, undefined);
-                return undefined;
-            }
-            this.refuse(
-                progress,
-                types.RefusalReason.Overloaded,
-                decisions.getOnlineRetryAfter(expectedWaitMilliseconds, this.parts.random),
-                `expected wait of ${Math.round(expectedWaitMilliseconds)} ms, ${candidates.length} candidates`,
-            );
+    /** Chooses the upstream for the next attempt. If there is none, ends the request and returns undefined. */
+    private async tryChoosePlacement(
+        progress: requestProgress.Progress,
+    ): Promise<requestProgress.Placement | undefined> {
+        const outcome = await this.chooser.find(progress);
+        const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
             return undefined;
         }
-        const choice = outcome.kind === onlinePlacement.OnlineOutcomeKind.Chosen ? outcome.choice : undefined;
-        const chosen = candidates.find(candidate => candidate.id === choice?.id);
-        if (choice === undefined || chosen === undefined) {
-            this.refuse(progress, types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, `service: ${service}`);
+        if (progress.isCallerDisconnected || progress.isTimedOut) {
+            this.abandon(progress, placement);
             return undefined;
         }
-        const outlook = {
-            waiting: choice.waiting,
-            slots: chosen.slots,
-            serviceMilliseconds: this.meanServiceMilliseconds.get(service) ?? InitialServiceMilliseconds,
-            firstAnswerMilliseconds: ExpectedFirstAnswerMilliseconds,
-            latencyTargetMilliseconds: request.route.latencyTargetMilliseconds,
-            remainingMilliseconds: request.deadline - now,
-        };
-        const verdict = decisions.decideOnlineAdmission(outlook, this.parts.random);
-        if (!verdict.isAdmitted && isRefusable(progress)) {
-            this.refuse(
-                progress,
-                types.RefusalReason.Overloaded,
-                verdict.retryAfterMilliseconds,
-                `${choice.waiting} requests wait at ${chosen.id}, ${candidates.length} candidates`,
-            );
+        // The part may have been proved guilty while the request waited for its slot.
+        const quarantine = this.chooser.tryGetQuarantine(progress);
+        if (quarantine !== undefined) {
+            this.chooser.returnSlot(placement);
+            this.refuse(progress, quarantine.reason, quarantine.retryAfterMilliseconds, quarantine.detail);
             return undefined;
         }
-        if (choice.yielder !== undefined) {
-            this.parts.slots.requestYield(choice.id, choice.yielder);
-        }
-        progress.knownUpstreams = usable.length;
-        progress.estimatedUse = this.parts.slots.slotTable.getTotal(chosen.id);
-        return { upstream: chosen, isCounted: choice.isCounted };
-    }
-
-    /** The upstreams that may be given new work; if a stream continues, only those of the software version that began it. */
-    private getUsable(
-        progress: Progress,
-        service: string,
-        now: core.MonotonicMilliseconds,
-    ): readonly fleetView.KnownUpstream[] {
-        const { streamVersion } = progress;
-        const usable = this.parts.view.getUsable(service, now);
-        if (streamVersion === undefined) {
-            return usable;
-        }
-        const sameVersion = usable.filter(({ entry }) => entry.softwareVersion === streamVersion);
-        progress.isVersionBound = sameVersion.length < usable.length;
-        return sameVersion;
-    }
-
-    /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
-    private async choose(
-        progress: Progress,
-        service: string,
-        candidates: readonly decisions.SlotCandidate[],
-    ): Promise<onlinePlacement.OnlineOutcome> {
-        const { slots, clock } = this.parts;
-        if (!slots.ordersOnline(service)) {
-            const choice = await slots.chooseOnline(service, candidates);
-            return choice === undefined
-                ? { kind: onlinePlacement.OnlineOutcomeKind.None }
-                : { kind: onlinePlacement.OnlineOutcomeKind.Chosen, choice };
-        }
-        const { request } = progress;
-        const { route } = request;
-        const startedAt = clock.now();
-        const remainingMilliseconds = request.deadline - startedAt;
-        const waitMilliseconds = decisions.getMaximumOnlineWait({
-            elapsedMilliseconds: startedAt - request.arrivedAt,
-            firstAnswerMilliseconds: this.meanFirstMilliseconds.get(service) ?? ExpectedFirstAnswerMilliseconds,
-            latencyTargetMilliseconds: route.latencyTargetMilliseconds,
-            givenMilliseconds: request.deadline - request.arrivedAt,
-            remainingMilliseconds,
-            timeoutMilliseconds: route.timeoutMilliseconds,
-            hasAttempts: progress.sends > 0,
-        });
-        const outcome = await slots.placeOnline(service, candidates, {
-            share: request.customer ?? `route/${route.name}`,
-            weight: request.weight ?? 1,
-            priority: request.priority ?? route.priority,
-            remainingMilliseconds,
-            waitMilliseconds,
-            isRefusable: isRefusable(progress),
-            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
-        });
-        progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
-        return outcome;
+        return placement;
     }
 
-    private async attempt(progress: Progress, placement: Placement): Promise<answerRelay.AttemptOutcome> {
+    private async attempt(
+        progress: requestProgress.Progress,
+        placement: requestProgress.Placement,
+    ): Promise<answerRelay.AttemptOutcome> {
         const { upstream } = placement;
         const { request, delivery } = progress;
         const { clock } = this.parts;
@@ -449,9 +245,9 @@
         this.recordOutcome(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
-            this.recordDuration(upstream.service, clock.now() - startedAt);
+            this.chooser.recordDuration(upstream.service, clock.now() - startedAt);
             if (progress.sends === 1 && delivery.firstByteAt !== undefined) {
-                recordMean(this.meanFirstMilliseconds, upstream.service, delivery.firstByteAt - startedAt);
+                this.chooser.recordFirstAnswer(upstream.service, delivery.firstByteAt - startedAt);
             }
         }
         return outcome;
@@ -459,7 +255,7 @@
 
     /** Records an attempt as success or failure of the upstream. Rejections as full and stops by the gateway are neither. */
     private recordOutcome(
-        progress: Progress,
+        progress: requestProgress.Progress,
         upstream: types.UpstreamEntry,
         outcome: answerRelay.AttemptOutcome,
     ): void {
@@ -485,7 +281,7 @@
     }
 
     /** Records a success or failure of the upstream, and avoids it for a time after repeated failures. */
-    private recordResult(progress: Progress, upstream: types.UpstreamEntry, isFailure: boolean): void {
+    private recordResult(progress: requestProgress.Progress, upstream: types.UpstreamEntry, isFailure: boolean): void {
         const now = this.parts.clock.now();
         const watch = this.failureWatches.get(upstream.service) ?? new decisions.FailureWatch();
         this.failureWatches.set(upstream.service, watch);
@@ -504,7 +300,7 @@
      * itself may not be repeatable, but later ones avoid the hanging upstream. Without this check it would be detected only
      * seconds later, when callers give up.
      */
-    private watchFirstEvent(progress: Progress, placement: Placement): () => void {
+    private watchFirstEvent(progress: requestProgress.Progress, placement: requestProgress.Placement): () => void {
         const { upstream } = placement;
         const { online, batch } = progress.estimatedUse;
         const hadFreeSlot = placement.isCounted || online + batch < upstream.slots;
@@ -520,7 +316,7 @@
     }
 
     private async reportToCrashWatch(
-        progress: Progress,
+        progress: requestProgress.Progress,
         upstream: types.UpstreamEntry,
         outcome: answerRelay.AttemptOutcome,
     ): Promise<void> {
@@ -544,7 +340,7 @@
 
     /** Handles the outcome of an attempt. Returns whether the request has ended. */
     private handleOutcome(
-        progress: Progress,
+        progress: requestProgress.Progress,
         upstream: types.UpstreamEntry,
         outcome: answerRelay.AttemptOutcome,
     ): boolean {
@@ -582,7 +378,7 @@
         const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
         const mayRepeat = decisions.mayRetry({
             end: isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun,
-            isRepeatable: isRepeatable(request.route),
+            isRepeatable: requestProgress.isRepeatable(request),
             runs: progress.runs,
             sends: progress.sends,
             allowedRuns: request.route.attempts,
@@ -607,7 +403,7 @@
     }
 
     private refuse(
-        progress: Progress,
+        progress: requestProgress.Progress,
         reason: types.RefusalReason,
         retryAfterMilliseconds: number | undefined,
         detail: string,
@@ -618,7 +414,7 @@
         const trueReason = isFalsePromise ? types.RefusalReason.UpstreamFailed : reason;
         this.parts.log.refused(request, trueReason, detail, progress);
         if (delivery.isStarted) {
-            this.noteStreamOrigin(progress, chooseService(request));
+            this.noteStreamOrigin(progress, requestProgress.tryGetService(request));
             // Part of the answer has been sent, so ending the connection is the only way to signal the failure.
             refusals.breakOff(delivery.response);
             return;
@@ -627,7 +423,7 @@
     }
 
     /** Records which version began the stream, for when the caller continues it at another member. */
-    private noteStreamOrigin({ request, streamVersion }: Progress, service: string | undefined): void {
+    private noteStreamOrigin({ request, streamVersion }: requestProgress.Progress, service: string | undefined): void {
         const { head, route } = request;
         if (route.kind === types.RouteKind.Stream && service !== undefined && streamVersion !== undefined) {
             this.parts.streamOrigins.note(head.firstAttemptId ?? head.attemptId, service, streamVersion);
@@ -635,9 +431,9 @@
     }
 
     /** Maximum silence before the attempt is stopped; undefined if another attempt would not be allowed. */
-    private getSilenceLimit(progress: Progress, runsBefore: number): number | undefined {
+    private getSilenceLimit(progress: requestProgress.Progress, runsBefore: number): number | undefined {
         const { request, delivery } = progress;
-        if (!isRepeatable(request.route) || runsBefore + 1 >= request.route.attempts) {
+        if (!requestProgress.isRepeatable(request) || runsBefore + 1 >= request.route.attempts) {
             return undefined;
         }
         const remaining = request.deadline - this.parts.clock.now();
@@ -648,40 +444,13 @@
             ? StreamSilenceMilliseconds
             : Math.max(StreamSilenceMilliseconds, remaining * SilenceShare);
     }
-
-    private recordDuration(service: string, milliseconds: number): void {
-        this.parts.slots.recordServiceTime(service, milliseconds);
-        recordMean(this.meanServiceMilliseconds, service, milliseconds);
-    }
-}
-
-function recordMean(means: Map<string, number>, service: string, milliseconds: number): void {
-    const mean = means.get(service);
-    means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
-}
-
-/** The service of the request's route; undefined if the route has none. */
-function chooseService({ head, route }: ReadRequest): string | undefined {
-    return routeTable.chooseService(route, head.promptParts.at(-1) ?? head.attemptId);
 }
 
-/**
- * Whether the request may be refused because of a queue. A stream that is bound to a software version can't choose among
- * all upstreams as others can, and its caller would lose what it has.
- */
-function isRefusable({ runs, isVersionBound }: Progress): boolean {
-    return runs === 0 && !isVersionBound;
-}
-
-function getTimeoutReason(progress: Progress): types.RefusalReason {
+function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
 
-function isRepeatable(route: types.Route): boolean {
-    return route.kind === types.RouteKind.Safe || (route.kind === types.RouteKind.Stream && route.isResumable);
-}
-
-function toBody(request: ReadRequest): Buffer | undefined {
+function toBody(request: requestProgress.ReadRequest): Buffer | undefined {
     const hasNone = request.body.length === 0 && (request.raw.method === "GET" || request.raw.method === "HEAD");
     return hasNone ? undefined : request.body;
 }
--- /dev/null
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -0,0 +1,251 @@
+import type * as core from "@boragedale/core";
+import * as decisions from "@boragedale/decisions";
+import type * as channelDirectory from "./channelDirectory.js";
+import type * as crashWatch from "./crashWatch.js";
+import type * as fleetView from "./fleetView.js";
+import * as onlinePlacement from "./onlinePlacement.js";
+import * as requestProgress from "./requestProgress.js";
+import type * as slotSharing from "./slotSharing.js";
+import * as types from "./types.js";
+
+/** Dependencies of `UpstreamChooser`. */
+export interface UpstreamChooserParts {
+    readonly view: fleetView.FleetView;
+    readonly channels: channelDirectory.Channels;
+    readonly slots: slotSharing.SlotSharing;
+    readonly crashWatch: crashWatch.CrashWatch;
+    readonly clock: core.Clock;
+    readonly random: () => number;
+}
+
+export enum PlacementOutcomeKind {
+    Found = "Found",
+    /** No upstream may or can serve the request now. */
+    Refused = "Refused",
+    /** The caller disconnected or the deadline passed while a slot was requested. */
+    Unwanted = "Unwanted",
+}
+
+/** Why a request gets no upstream. */
+export interface PlacementRefusal {
+    readonly kind: PlacementOutcomeKind.Refused;
+    readonly reason: types.RefusalReason;
+    readonly retryAfterMilliseconds: number | undefined;
+    /** For the log. */
+    readonly detail: string;
+}
+
+/** An upstream that may serve the request, as the choice of a slot sees it. */
+type Candidate = types.UpstreamEntry & decisions.SlotCandidate;
+
+export type PlacementOutcome =
+    | { readonly kind: PlacementOutcomeKind.Found; readonly placement: requestProgress.Placement }
+    | PlacementRefusal
+    | { readonly kind: PlacementOutcomeKind.Unwanted };
+
+/** Estimated time that a request occupies a slot, until durations have been recorded. */
+const InitialServiceMilliseconds = 800;
+/** Estimated time to the first event. */
+const ExpectedFirstAnswerMilliseconds = 70;
+/** Weight of a new duration in the moving average. */
+const MeanWeight = 0.1;
+/** Retry delay given to callers if no upstream is known or reachable. */
+const NoUpstreamRetryMilliseconds = 500;
+
+/** Chooses the upstream for the next attempt of an online request, and requests a slot there. */
+export class UpstreamChooser {
+    private readonly meanServiceMilliseconds = new Map<string, number>();
+    /** Mean time from sending a request to its first event, by service. */
+    private readonly meanFirstMilliseconds = new Map<string, number>();
+
+    constructor(private readonly parts: UpstreamChooserParts) {}
+
+    /** Why the request must not be sent: it crashes upstreams, by itself or by a part of its prompt. */
+    tryGetQuarantine(progress: requestProgress.Progress): PlacementRefusal | undefined {
+        const { crashWatch, clock } = this.parts;
+        const suspicion = crashWatch.suspects.getDecision(progress.fingerprint, clock.now());
+        if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
+            const { retryAfterMilliseconds, deaths } = suspicion;
+            return createRefusal(
+                types.RefusalReason.Quarantined,
+                retryAfterMilliseconds,
+                `${deaths} upstreams crashed`,
+            );
+        }
+        const guilty = crashWatch.tryGetQuarantined(progress.prompt.parts);
+        if (guilty === undefined) {
+            return undefined;
+        }
+        const { part, remainingMilliseconds } = guilty;
+        return createRefusal(types.RefusalReason.Quarantined, remainingMilliseconds, `prompt part ${part}`);
+    }
+
+    /** Chooses an upstream, if possible one that has not been tried, and requests a slot there. */
+    async find(progress: requestProgress.Progress): Promise<PlacementOutcome> {
+        const { request } = progress;
+        const now = this.parts.clock.now();
+        const quarantine = this.tryGetQuarantine(progress);
+        if (quarantine !== undefined) {
+            return quarantine;
+        }
+        const service = requestProgress.tryGetService(request);
+        const usable = service === undefined ? [] : this.getUsable(progress, service, now);
+        const candidates = this.listCandidates(progress, usable, now);
+        if (service === undefined || candidates.length === 0) {
+            const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
+            return refuseNoUpstream(`service: ${service ?? "none"}${version}`);
+        }
+        const outcome = await this.choose(progress, service, candidates);
+        if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
+            if (progress.isCallerDisconnected || progress.isTimedOut) {
+                return { kind: PlacementOutcomeKind.Unwanted };
+            }
+            const { expectedWaitMilliseconds } = outcome;
+            return createRefusal(
+                types.RefusalReason.Overloaded,
+                decisions.getOnlineRetryAfter(expectedWaitMilliseconds, this.parts.random),
+                `expected wait of ${Math.round(expectedWaitMilliseconds)} ms, ${candidates.length} candidates`,
+            );
+        }
+        const choice = outcome.kind === onlinePlacement.OnlineOutcomeKind.Chosen ? outcome.choice : undefined;
+        const chosen = candidates.find(candidate => candidate.id === choice?.id);
+        if (choice === undefined || chosen === undefined) {
+            return refuseNoUpstream(`service: ${service}`);
+        }
+        const verdict = decisions.decideOnlineAdmission(
+            {
+                waiting: choice.waiting,
+                slots: chosen.slots,
+                serviceMilliseconds: this.meanServiceMilliseconds.get(service) ?? InitialServiceMilliseconds,
+                firstAnswerMilliseconds: ExpectedFirstAnswerMilliseconds,
+                latencyTargetMilliseconds: request.route.latencyTargetMilliseconds,
+                remainingMilliseconds: request.deadline - now,
+            },
+            this.parts.random,
+        );
+        if (!verdict.isAdmitted && requestProgress.isRefusable(progress)) {
+            return createRefusal(
+                types.RefusalReason.Overloaded,
+                verdict.retryAfterMilliseconds,
+                `${choice.waiting} requests wait at ${chosen.id}, ${candidates.length} candidates`,
+            );
+        }
+        if (choice.yielder !== undefined) {
+            this.parts.slots.requestYield(choice.id, choice.yielder);
+        }
+        progress.knownUpstreams = usable.length;
+        progress.estimatedUse = this.parts.slots.slotTable.getTotal(chosen.id);
+        return {
+            kind: PlacementOutcomeKind.Found,
+            placement: { upstream: chosen, isCounted: choice.isCounted },
+        };
+    }
+
+    /** Gives back the slot of a placement that isn't used. */
+    returnSlot(placement: requestProgress.Placement | undefined): void {
+        if (placement?.isCounted === true) {
+            this.parts.slots.returnSlot(placement.upstream.id);
+        }
+    }
+
+    /** Records how long an answered request occupied its slot. */
+    recordDuration(service: string, milliseconds: number): void {
+        this.parts.slots.recordServiceTime(service, milliseconds);
+        recordMean(this.meanServiceMilliseconds, service, milliseconds);
+    }
+
+    /** Records the time from sending a request to its first event. */
+    recordFirstAnswer(service: string, milliseconds: number): void {
+        recordMean(this.meanFirstMilliseconds, service, milliseconds);
+    }
+
+    /** The upstreams that may be given new work; if a stream continues, only those of the software version that began it. */
+    private getUsable(
+        progress: requestProgress.Progress,
+        service: string,
+        now: core.MonotonicMilliseconds,
+    ): readonly fleetView.KnownUpstream[] {
+        const { streamVersion } = progress;
+        const usable = this.parts.view.getUsable(service, now);
+        if (streamVersion === undefined) {
+            return usable;
+        }
+        const sameVersion = usable.filter(({ entry }) => entry.softwareVersion === streamVersion);
+        progress.isVersionBound = sameVersion.length < usable.length;
+        return sameVersion;
+    }
+
+    private listCandidates(
+        progress: requestProgress.Progress,
+        usable: readonly fleetView.KnownUpstream[],
+        now: core.MonotonicMilliseconds,
+    ): readonly Candidate[] {
+        const { crashWatch, channels } = this.parts;
+        const untried = usable.filter(upstream => !progress.tried.has(upstream.entry.id));
+        const preferred = (untried.length > 0 ? untried : usable).map(upstream => upstream.entry);
+        // A suspect request avoids upstreams that run other suspects, so that the next crash can be attributed to one of them.
+        const distinguishable = preferred.filter(entry =>
+            crashWatch.suspects.maySend(progress.fingerprint, entry.id, now),
+        );
+        return (distinguishable.length > 0 ? distinguishable : preferred).map(entry => ({
+            ...entry,
+            hasIdleConnection: channels.hasIdleConnection(entry),
+        }));
+    }
+
+    /** Chooses a slot. Where coordinators order waiting requests, the request may wait for it. */
+    private async choose(
+        progress: requestProgress.Progress,
+        service: string,
+        candidates: readonly decisions.SlotCandidate[],
+    ): Promise<onlinePlacement.OnlineOutcome> {
+        const { slots, clock } = this.parts;
+        if (!slots.ordersOnline(service)) {
+            const choice = await slots.chooseOnline(service, candidates);
+            return choice === undefined
+                ? { kind: onlinePlacement.OnlineOutcomeKind.None }
+                : { kind: onlinePlacement.OnlineOutcomeKind.Chosen, choice };
+        }
+        const { request } = progress;
+        const { route } = request;
+        const startedAt = clock.now();
+        const remainingMilliseconds = request.deadline - startedAt;
+        const waitMilliseconds = decisions.getMaximumOnlineWait({
+            elapsedMilliseconds: startedAt - request.arrivedAt,
+            firstAnswerMilliseconds: this.meanFirstMilliseconds.get(service) ?? ExpectedFirstAnswerMilliseconds,
+            latencyTargetMilliseconds: route.latencyTargetMilliseconds,
+            givenMilliseconds: request.deadline - request.arrivedAt,
+            remainingMilliseconds,
+            timeoutMilliseconds: route.timeoutMilliseconds,
+            hasAttempts: progress.sends > 0,
+        });
+        const outcome = await slots.placeOnline(service, candidates, {
+            share: request.customer ?? `route/${route.name}`,
+            weight: request.weight ?? 1,
+            priority: request.priority ?? route.priority,
+            remainingMilliseconds,
+            waitMilliseconds,
+            isRefusable: requestProgress.isRefusable(progress),
+            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
+        });
+        progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
+        return outcome;
+    }
+}
+
+function createRefusal(
+    reason: types.RefusalReason,
+    retryAfterMilliseconds: number | undefined,
+    detail: string,
+): PlacementRefusal {
+    return { kind: PlacementOutcomeKind.Refused, reason, retryAfterMilliseconds, detail };
+}
+
+function refuseNoUpstream(detail: string): PlacementRefusal {
+    return createRefusal(types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, detail);
+}
+
+function recordMean(means: Map<string, number>, service: string, milliseconds: number): void {
+    const mean = means.get(service);
+    means.set(service, mean === undefined ? milliseconds : mean + (milliseconds - mean) * MeanWeight);
+}
