--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -82,7 +82,7 @@
     readonly outcome: Promise<AttemptOutcome>;
     private exchange: upstreamExchange.RunningExchange | undefined;
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => undefined;
-    private isSettled = false;
+    private hasOutcome = false;
     private status = 0;
     private statusText = "";
     private headers: string[] = [];
@@ -100,7 +100,7 @@
 
     attach(exchange: upstreamExchange.RunningExchange): void {
         this.exchange = exchange;
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             exchange.abort();
         }
     }
@@ -111,6 +111,11 @@
         this.exchange?.abort();
     }
 
+    /** Whether the outcome is determined. */
+    isSettled(): boolean {
+        return this.hasOutcome;
+    }
+
     /** Returns undefined if no headers have arrived. */
     getReceived(): ReceivedAnswer | undefined {
         if (this.status === 0) {
@@ -128,7 +133,7 @@
     }
 
     onHeaders(status: number, rawHeaders: string[], statusText: string): void {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return;
         }
         const head = this.options.wire.readAnswer(status, rawHeaders);
@@ -151,7 +156,7 @@
     }
 
     onData(data: Buffer): boolean {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return true;
         }
         this.options.onProgress();
@@ -176,7 +181,7 @@
     }
 
     onComplete(): void {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return;
         }
         if (this.isNotRun) {
@@ -311,8 +316,8 @@
     }
 
     private settle(outcome: AttemptOutcome): void {
-        if (!this.isSettled) {
-            this.isSettled = true;
+        if (!this.hasOutcome) {
+            this.hasOutcome = true;
             this.resolveOutcome(outcome);
         }
     }
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -155,6 +155,12 @@
         return running;
     }
 
+    /** Whether a new connection to the upstream can be established. */
+    async acceptsConnections(upstream: types.UpstreamEntry): Promise<boolean> {
+        const { probe = canConnect } = this.parts;
+        return probe(upstream.address);
+    }
+
     private async runProbe(upstream: types.UpstreamEntry): Promise<void> {
         const { probe = canConnect, clock, log, network } = this.parts;
         if (await probe(upstream.address)) {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -34,8 +34,13 @@
  * working upstream to answer, and early enough for a second one to do so.
  */
 const SilenceShare = 0.4;
-/** Silence after which a resumable stream continues at another upstream. Engines send an event every 30 ms. */
-const StreamSilenceMilliseconds = 800;
+/**
+ * Silence after which a resumable stream continues at another upstream, if one can take it. Engines send an event every
+ * 30 ms, but a sound upstream may be silent for a second or so. Callers abandon a stream after two seconds or more.
+ */
+const StreamSilenceMilliseconds = 1_500;
+/** Interval at which another upstream is looked for while a silent one can't be left. */
+const SuccessorCheckMilliseconds = 200;
 const GatewayTimeoutStatus = 504;
 /** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
 const FirstEventOverdueFactor = 2;
@@ -52,6 +57,14 @@
     types.RefusalReason.DeadlinePassedNotRun,
 ]);
 
+/** An attempt of which nothing has arrived for a while. */
+interface SilentAttempt {
+    readonly upstream: types.UpstreamEntry;
+    readonly relay: answerRelay.AnswerRelay;
+    readonly silenceTimer: silenceTimers.SilenceTimer;
+    readonly getLastDataAt: () => core.MonotonicMilliseconds;
+}
+
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly chooser: upstreamChooser.UpstreamChooser;
@@ -78,6 +91,7 @@
             relay: undefined,
             received: undefined,
             upstreamVersion: undefined,
+            successor: undefined,
             streamVersion: undefined,
             isVersionBound: false,
             isCallerDisconnected: response.destroyed,
@@ -111,12 +125,14 @@
             return;
         }
         for (;;) {
-            const placement = await this.tryChoosePlacement(progress);
+            const placement = progress.successor ?? (await this.tryChoosePlacement(progress));
+            progress.successor = undefined;
             if (placement === undefined) {
                 return;
             }
             const outcome = await this.attempt(progress, placement);
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
+                this.chooser.returnSlot(progress.successor);
                 return;
             }
         }
@@ -186,14 +202,15 @@
         const lastEventId = delivery.lastEventId === undefined ? undefined : String(delivery.lastEventId);
         const startedAt = clock.now();
         const runsBefore = progress.runs;
-        let silenceLimit = 0;
-        const silenceTimer = new silenceTimers.SilenceTimer(clock, () =>
-            relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${Math.round(silenceLimit)} ms`),
+        let lastDataAt = startedAt;
+        const silenceTimer = new silenceTimers.SilenceTimer(
+            clock,
+            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt: () => lastDataAt }),
         );
-        const restartSilenceTimer = (): void => {
+        const noteData = (): void => {
+            lastDataAt = clock.now();
             const limit = this.getSilenceLimit(progress, runsBefore);
             if (limit !== undefined) {
-                silenceLimit = limit;
                 silenceTimer.restart(limit);
             }
         };
@@ -205,7 +222,7 @@
             isStream,
             now: () => clock.now(),
             onSent: () => progress.runs++,
-            onProgress: restartSilenceTimer,
+            onProgress: noteData,
             onPastBeginning: () => this.parts.crashWatch.onAnswered(upstream, progress.prompt),
             onStarted: () => {
                 progress.streamVersion ??= upstream.softwareVersion;
@@ -231,7 +248,7 @@
             .get(upstream)
             .start({ method: request.raw.method, target: request.raw.target, headers, body: toBody(request) }, relay);
         relay.attach(exchange);
-        restartSilenceTimer();
+        noteData();
         const stopFirstEventTimer = this.watchFirstEvent(progress, placement);
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             relay.stop(answerRelay.AttemptOutcomeKind.Stopped, "ended before it was sent");
@@ -253,6 +270,62 @@
         return outcome;
     }
 
+    /**
+     * Leaves a silent upstream if the request can go on elsewhere. Otherwise the attempt continues: the upstream may be
+     * sound, and without another one the answer would be broken off.
+     */
+    private async handleSilence(progress: requestProgress.Progress, attempt: SilentAttempt): Promise<void> {
+        const { upstream, relay, silenceTimer } = attempt;
+        const silentSince = attempt.getLastDataAt();
+        const successor = await this.tryFindSuccessor(progress, upstream);
+        const isOver = relay.isSettled() || attempt.getLastDataAt() !== silentSince;
+        if (isOver || successor === undefined) {
+            this.chooser.returnSlot(successor);
+            if (!isOver) {
+                silenceTimer.restart(SuccessorCheckMilliseconds);
+            }
+            return;
+        }
+        progress.successor = successor;
+        const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
+        relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${silentMilliseconds} ms`);
+    }
+
+    /** Finds an upstream that can take over from a silent one at once. */
+    private async tryFindSuccessor(
+        progress: requestProgress.Progress,
+        silent: types.UpstreamEntry,
+    ): Promise<requestProgress.Placement | undefined> {
+        if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
+            return undefined;
+        }
+        const outcome = await this.chooser.find(progress, { mustStartSoon: true });
+        if (outcome.kind !== upstreamChooser.PlacementOutcomeKind.Found) {
+            return undefined;
+        }
+        const { upstream } = outcome.placement;
+        // The other connections to the silent upstream may be as dead as the one in use.
+        const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
+        if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
+            return outcome.placement;
+        }
+        this.chooser.returnSlot(outcome.placement);
+        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+        return undefined;
+    }
+
+    private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
+        const { request, runs, sends } = progress;
+        return decisions.mayRetry({
+            end,
+            isRepeatable: requestProgress.isRepeatable(request),
+            runs,
+            sends,
+            allowedRuns: request.route.attempts,
+            remainingMilliseconds: request.deadline - this.parts.clock.now(),
+        });
+    }
+
     /** Records an attempt as success or failure of the upstream. Rejections as full and stops by the gateway are neither. */
     private recordOutcome(
         progress: requestProgress.Progress,
@@ -376,14 +449,8 @@
                 break;
         }
         const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
-        const mayRepeat = decisions.mayRetry({
-            end: isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun,
-            isRepeatable: requestProgress.isRepeatable(request),
-            runs: progress.runs,
-            sends: progress.sends,
-            allowedRuns: request.route.attempts,
-            remainingMilliseconds: request.deadline - now,
-        });
+        const end = isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
+        const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
         const text = outcome.kind === kinds.Failed ? `status ${outcome.answer.status}` : outcome.text;
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
         if (mayRepeat) {
@@ -430,7 +497,7 @@
         }
     }
 
-    /** Maximum silence before the attempt is stopped; undefined if another attempt would not be allowed. */
+    /** Silence after which another upstream is looked for; undefined if another attempt would not be allowed. */
     private getSilenceLimit(progress: requestProgress.Progress, runsBefore: number): number | undefined {
         const { request, delivery } = progress;
         if (!requestProgress.isRepeatable(request) || runsBefore + 1 >= request.route.attempts) {
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -36,6 +36,8 @@
     /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
     waitMilliseconds: number | undefined;
     relay: answerRelay.AnswerRelay | undefined;
+    /** Where the request goes on after the attempt in progress, which is stopped because its upstream is silent. */
+    successor: Placement | undefined;
     /** What the last attempt received of an answer. */
     received: answerRelay.ReceivedAnswer | undefined;
     /** Software version of the last attempt's upstream; undefined before the first attempt. */
--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -43,6 +43,11 @@
     | PlacementRefusal
     | { readonly kind: PlacementOutcomeKind.Unwanted };
 
+export interface FindOptions {
+    /** Whether an upstream is only wanted if the request would start there within its latency target or shortly after. */
+    readonly mustStartSoon?: boolean;
+}
+
 /** Estimated time that a request occupies a slot, until durations have been recorded. */
 const InitialServiceMilliseconds = 800;
 /** Estimated time to the first event. */
@@ -81,8 +86,9 @@
     }
 
     /** Chooses an upstream, if possible one that has not been tried, and requests a slot there. */
-    async find(progress: requestProgress.Progress): Promise<PlacementOutcome> {
+    async find(progress: requestProgress.Progress, options: FindOptions = {}): Promise<PlacementOutcome> {
         const { request } = progress;
+        const isRefusable = options.mustStartSoon === true || requestProgress.isRefusable(progress);
         const now = this.parts.clock.now();
         const quarantine = this.tryGetQuarantine(progress);
         if (quarantine !== undefined) {
@@ -95,7 +101,7 @@
             const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
             return refuseNoUpstream(`service: ${service ?? "none"}${version}`);
         }
-        const outcome = await this.choose(progress, service, candidates);
+        const outcome = await this.choose(progress, service, candidates, isRefusable);
         if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
             if (progress.isCallerDisconnected || progress.isTimedOut) {
                 return { kind: PlacementOutcomeKind.Unwanted };
@@ -123,7 +129,7 @@
             },
             this.parts.random,
         );
-        if (!verdict.isAdmitted && requestProgress.isRefusable(progress)) {
+        if (!verdict.isAdmitted && isRefusable) {
             return createRefusal(
                 types.RefusalReason.Overloaded,
                 verdict.retryAfterMilliseconds,
@@ -198,6 +204,7 @@
         progress: requestProgress.Progress,
         service: string,
         candidates: readonly decisions.SlotCandidate[],
+        isRefusable: boolean,
     ): Promise<onlinePlacement.OnlineOutcome> {
         const { slots, clock } = this.parts;
         if (!slots.ordersOnline(service)) {
@@ -225,7 +232,7 @@
             priority: request.priority ?? route.priority,
             remainingMilliseconds,
             waitMilliseconds,
-            isRefusable: requestProgress.isRefusable(progress),
+            isRefusable,
             isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
         });
         progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
