--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -93,6 +93,7 @@
     private splitter: eventSplitter.EventSplitter | undefined;
     private receivedBytes = 0;
     private isPastBeginning = false;
+    private waitsForCaller = false;
 
     constructor(private readonly options: RelayOptions) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
@@ -116,6 +117,11 @@
         return this.hasOutcome;
     }
 
+    /** Whether no data is read from the upstream because the caller reads slowly. */
+    isWaitingForCaller(): boolean {
+        return this.waitsForCaller;
+    }
+
     /** Returns undefined if no headers have arrived. */
     getReceived(): ReceivedAnswer | undefined {
         if (this.status === 0) {
@@ -303,7 +309,12 @@
         if (response.write(data)) {
             return true;
         }
+        this.waitsForCaller = true;
         response.once("drain", () => {
+            this.waitsForCaller = false;
+            if (!this.hasOutcome) {
+                this.options.onProgress();
+            }
             this.options.meter?.onResumed(this.options.now());
             this.exchange?.resume();
         });
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -276,6 +276,10 @@
      */
     private async handleSilence(progress: requestProgress.Progress, attempt: SilentAttempt): Promise<void> {
         const { upstream, relay, silenceTimer } = attempt;
+        if (relay.isWaitingForCaller()) {
+            // The relay reports progress, which starts the timer again, when the caller has read.
+            return;
+        }
         const silentSince = attempt.getLastDataAt();
         const successor = await this.tryFindSuccessor(progress, upstream);
         const isOver = relay.isSettled() || attempt.getLastDataAt() !== silentSince;
