--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -322,7 +322,7 @@
         const { request, runs, sends } = progress;
         return decisions.mayRetry({
             end,
-            isRepeatable: requestProgress.isRepeatable(request),
+            isRepeatable: requestProgress.isRepeatable(progress),
             runs,
             sends,
             allowedRuns: request.route.attempts,
@@ -504,7 +504,7 @@
     /** Silence after which another upstream is looked for; undefined if another attempt would not be allowed. */
     private getSilenceLimit(progress: requestProgress.Progress, runsBefore: number): number | undefined {
         const { request, delivery } = progress;
-        if (!requestProgress.isRepeatable(request) || runsBefore + 1 >= request.route.attempts) {
+        if (!requestProgress.isRepeatable(progress) || runsBefore + 1 >= request.route.attempts) {
             return undefined;
         }
         const remaining = request.deadline - this.parts.clock.now();
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -70,8 +70,18 @@
 }
 
 /** Whether the request may be sent to another upstream although the last one may have run it. */
-export function isRepeatable({ route }: ReadRequest): boolean {
-    return route.kind === types.RouteKind.Safe || (route.kind === types.RouteKind.Stream && route.isResumable);
+export function isRepeatable({ request, delivery }: Progress): boolean {
+    switch (request.route.kind) {
+        case types.RouteKind.Safe:
+            // A second answer would be appended to what the caller has of the first one.
+            return !delivery.isStarted;
+        case types.RouteKind.Stream:
+            // Without event ids, no upstream can tell where the stream goes on.
+            return request.route.isResumable && (!delivery.isStarted || delivery.lastEventId !== undefined);
+        case types.RouteKind.Unsafe:
+        case types.RouteKind.Batch:
+            return false;
+    }
 }
 
 /**
--- a/packages/gateway/test/silentUpstreams.test.ts
+++ b/packages/gateway/test/silentUpstreams.test.ts
@@ -146,4 +146,18 @@
     }
 });
 
+// Guards against events that a caller receives twice because they have no ids.
+suite("a stream that has begun without event ids is not repeated", async () => {
+    const scene = await scenes.createScene({ isResumable: true });
+    const attempt = getLatest(scene);
+    scenes.startAnswer(attempt);
+    attempt.handler.onData(Buffer.from("data: a\n\n"));
+    await scene.clock.advance(3_000);
+    assert.is(attempt.isStopped, false);
+    attempt.handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "reset" });
+    await scene.done;
+    assert.is(scene.channels.attempts.length, 1);
+    assert.is(scene.response.destroyed, true);
+});
+
 suite.run();
