--- a/packages/decisions/src/retryRule.ts
+++ b/packages/decisions/src/retryRule.ts
@@ -17,6 +17,8 @@
     /** Maximum number of upstreams on which one attempt of a caller may run. */
     readonly allowedRuns: number;
     readonly remainingMilliseconds: number;
+    /** Whether the caller has received part of the answer. */
+    readonly hasBegun: boolean;
 }
 
 /**
@@ -24,6 +26,11 @@
  * full, a request must not try one upstream after the other.
  */
 const MaximumSends = 4;
+/**
+ * The same for an answer that has begun. It can't be refused any more, only broken off, and the upstreams that refuse it
+ * at a peak have free slots again within tens of milliseconds.
+ */
+const MaximumSendsOfBegunAnswer = 8;
 /** With less time than this a retry is useless: a new attempt needs a connection and a first answer. */
 const MinimumRemainingMilliseconds = 30;
 
@@ -34,7 +41,8 @@
  * once, and would spread a request that crashes upstreams to all of them.
  */
 export function mayRetry(state: RetryState): boolean {
-    if (state.sends >= MaximumSends || state.remainingMilliseconds < MinimumRemainingMilliseconds) {
+    const maximumSends = state.hasBegun ? MaximumSendsOfBegunAnswer : MaximumSends;
+    if (state.sends >= maximumSends || state.remainingMilliseconds < MinimumRemainingMilliseconds) {
         return false;
     }
     return state.end === AttemptEnd.NotRun || (state.isRepeatable && state.runs < state.allowedRuns);
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -319,7 +319,7 @@
     }
 
     private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
-        const { request, runs, sends } = progress;
+        const { request, delivery, runs, sends } = progress;
         return decisions.mayRetry({
             end,
             isRepeatable: requestProgress.isRepeatable(progress),
@@ -327,6 +327,7 @@
             sends,
             allowedRuns: request.route.attempts,
             remainingMilliseconds: request.deadline - this.parts.clock.now(),
+            hasBegun: delivery.isStarted,
         });
     }
 
