--- a/packages/daemon/src/eventLog.ts
+++ b/packages/daemon/src/eventLog.ts
@@ -30,6 +30,7 @@
     [gateway.GatewayEvent.MembersChanged]: telemetry.events.MembersChanged,
     [gateway.GatewayEvent.HomeSilent]: telemetry.events.HomeSilent,
     [gateway.GatewayEvent.UpstreamAvoided]: telemetry.events.UpstreamAvoided,
+    [gateway.GatewayEvent.SilentUpstreamKept]: telemetry.events.SilentUpstreamKept,
     [gateway.GatewayEvent.EngineExcluded]: telemetry.events.EngineExcluded,
     [gateway.GatewayEvent.EngineReturned]: telemetry.events.EngineReturned,
     [gateway.GatewayEvent.SubmissionAccepted]: telemetry.events.SubmissionAccepted,
--- a/packages/gateway/src/gatewayLog.ts
+++ b/packages/gateway/src/gatewayLog.ts
@@ -66,6 +66,7 @@
     MembersChanged = "MembersChanged",
     HomeSilent = "HomeSilent",
     UpstreamAvoided = "UpstreamAvoided",
+    SilentUpstreamKept = "SilentUpstreamKept",
     EngineExcluded = "EngineExcluded",
     EngineReturned = "EngineReturned",
     SubmissionAccepted = "SubmissionAccepted",
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -63,8 +63,14 @@
     readonly relay: answerRelay.AnswerRelay;
     readonly silenceTimer: silenceTimers.SilenceTimer;
     readonly getLastDataAt: () => core.MonotonicMilliseconds;
+    /** Logs, once for each attempt, that the request stays at the silent upstream. */
+    readonly logKept: (silentMilliseconds: number, reason: string) => void;
 }
 
+/** Where a request can go on that waits for a silent upstream, or why nowhere. */
+type SuccessorSearch =
+    { readonly successor: requestProgress.Placement } | { readonly successor: undefined; readonly reason: string };
+
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly chooser: upstreamChooser.UpstreamChooser;
@@ -203,9 +209,18 @@
         const startedAt = clock.now();
         const runsBefore = progress.runs;
         let lastDataAt = startedAt;
+        let isKeptLogged = false;
+        const logKept = (milliseconds: number, reason: string): void => {
+            if (!isKeptLogged) {
+                isKeptLogged = true;
+                const fields = { request: request.head.attemptId, upstream: upstream.id, milliseconds, reason };
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.SilentUpstreamKept, fields);
+            }
+        };
+        const getLastDataAt = (): core.MonotonicMilliseconds => lastDataAt;
         const silenceTimer = new silenceTimers.SilenceTimer(
             clock,
-            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt: () => lastDataAt }),
+            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt, logKept }),
         );
         const noteData = (): void => {
             lastDataAt = clock.now();
@@ -281,41 +296,45 @@
             return;
         }
         const silentSince = attempt.getLastDataAt();
-        const successor = await this.tryFindSuccessor(progress, upstream);
-        const isOver = relay.isSettled() || attempt.getLastDataAt() !== silentSince;
-        if (isOver || successor === undefined) {
-            this.chooser.returnSlot(successor);
-            if (!isOver) {
-                silenceTimer.restart(SuccessorCheckMilliseconds);
-            }
+        const found = await this.findSuccessor(progress, upstream);
+        const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
+        if (relay.isSettled() || attempt.getLastDataAt() !== silentSince) {
+            this.chooser.returnSlot(found.successor);
             return;
         }
-        progress.successor = successor;
-        const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
+        if (found.successor === undefined) {
+            attempt.logKept(silentMilliseconds, found.reason);
+            silenceTimer.restart(SuccessorCheckMilliseconds);
+            return;
+        }
+        progress.successor = found.successor;
         relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${silentMilliseconds} ms`);
     }
 
     /** Finds an upstream that can take over from a silent one at once. */
-    private async tryFindSuccessor(
+    private async findSuccessor(
         progress: requestProgress.Progress,
         silent: types.UpstreamEntry,
-    ): Promise<requestProgress.Placement | undefined> {
+    ): Promise<SuccessorSearch> {
         if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
-            return undefined;
+            return { successor: undefined, reason: "may not be sent again" };
         }
         const outcome = await this.chooser.find(progress, { mustStartSoon: true });
-        if (outcome.kind !== upstreamChooser.PlacementOutcomeKind.Found) {
-            return undefined;
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+            return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
+        }
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
+            return { successor: undefined, reason: "the caller left" };
         }
         const { upstream } = outcome.placement;
         // The other connections to the silent upstream may be as dead as the one in use.
         const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
         if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
-            return outcome.placement;
+            return { successor: outcome.placement };
         }
         this.chooser.returnSlot(outcome.placement);
         this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
-        return undefined;
+        return { successor: undefined, reason: `${upstream.id} accepts no connection` };
     }
 
     private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
--- a/packages/gateway/test/silentUpstreams.test.ts
+++ b/packages/gateway/test/silentUpstreams.test.ts
@@ -65,6 +65,11 @@
     removeOthers(scene, attempt);
     await scene.clock.advance(3_000);
     await checkGoesOn(scene, attempt);
+    const kept = scene.log.events.filter(({ event }) => event === gateway.GatewayEvent.SilentUpstreamKept);
+    assert.equal(
+        kept.map(({ fields }) => fields.reason),
+        ["NoUpstream: service: service, version: v1"],
+    );
 });
 
 // Guards against streams that are broken off for silence after other upstreams have refused them.
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -258,6 +258,12 @@
     EventLevel.Info,
     "A customer's request exceeded its limit; the fields say who counted it and when the caller may retry.",
 );
+export const SilentUpstreamKept = defineEvent(
+    706,
+    "SilentUpstreamKept",
+    EventLevel.Info,
+    "An upstream has sent nothing for a while, and the request stays there because it can't go on elsewhere; the fields give the reason.",
+);
 export const StoreLost = defineEvent(710, "StoreLost", EventLevel.Warn, "A watch on the metadata store failed.");
 export const StoreRegained = defineEvent(
     711,
