--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -204,7 +204,9 @@
             headers: this.headers,
             body: Buffer.concat(this.buffered),
         };
-        if (this.status >= 500) {
+        // The answer to the request for the rest of a stream can't be passed on in place of that rest.
+        const isOtherAnswer = this.options.delivery.isStarted && !this.isUnbuffered;
+        if (this.status >= 500 || isOtherAnswer) {
             this.settle({ kind: AttemptOutcomeKind.Failed, answer });
             return;
         }
--- a/packages/gateway/src/upstreamExchange.ts
+++ b/packages/gateway/src/upstreamExchange.ts
@@ -208,7 +208,13 @@
             return;
         }
         this.finish();
-        this.handler.onComplete();
+        try {
+            this.handler.onComplete();
+        }
+        catch (error) {
+            // The HTTP client would report the exception to this exchange, which ignores what comes after its end.
+            this.handler.onFailure({ kind: ExchangeFailureKind.Broken, text: String(error) });
+        }
     }
 
     onError(error: Error): void {
--- a/packages/gateway/test/upstreamExchange.test.ts
+++ b/packages/gateway/test/upstreamExchange.test.ts
@@ -146,4 +146,26 @@
     server.close();
 });
 
+// Guards against a request that waits until its deadline because passing on its answer threw an exception.
+suite("an exception at the end of an answer ends the exchange as broken", () => {
+    const failures: gateway.ExchangeFailure[] = [];
+    const exchange = new gateway.Exchange({
+        onSent: () => undefined,
+        onHeaders: () => undefined,
+        onData: () => true,
+        onComplete: () => {
+            throw new Error("headers were sent");
+        },
+        onFailure: failure => failures.push(failure),
+    });
+    exchange.onConnect(() => undefined);
+    exchange.onHeaders(200, [], undefined, "OK");
+    exchange.onComplete();
+    exchange.onError(new Error("headers were sent"));
+    assert.equal(
+        failures.map(({ kind }) => kind),
+        [gateway.ExchangeFailureKind.Broken],
+    );
+});
+
 suite.run();
