--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -214,6 +214,7 @@
             this.options.delivery.response.end();
         }
         else {
+            this.options.onStarted();
             deliverBuffered(this.options.wire, this.options.delivery, answer);
         }
         this.settle({ kind: AttemptOutcomeKind.Delivered, text: `status ${this.status}` });
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -94,7 +94,8 @@
             runs: 0,
             sends: 0,
             waitMilliseconds: undefined,
-            relay: undefined,
+            relays: new Set(),
+            rival: undefined,
             received: undefined,
             upstreamVersion: undefined,
             successor: undefined,
@@ -108,13 +109,13 @@
         const onClose = (): void => {
             if (!response.writableFinished) {
                 progress.isCallerDisconnected = true;
-                progress.relay?.stop(answerRelay.AttemptOutcomeKind.Stopped, "the caller left");
+                stopAll(progress, "the caller left");
             }
         };
         response.once("close", onClose);
         const stopTimer = this.parts.clock.schedule(request.deadline - this.parts.clock.now(), () => {
             progress.isTimedOut = true;
-            progress.relay?.stop(answerRelay.AttemptOutcomeKind.Stopped, "the deadline passed");
+            stopAll(progress, "the deadline passed");
         });
         try {
             await this.run(progress);
@@ -137,6 +138,9 @@
                 return;
             }
             const outcome = await this.attempt(progress, placement);
+            if ((await progress.rival) === true) {
+                return;
+            }
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
                 this.chooser.returnSlot(progress.successor);
                 return;
@@ -201,6 +205,7 @@
     private async attempt(
         progress: requestProgress.Progress,
         placement: requestProgress.Placement,
+        isRival = false,
     ): Promise<answerRelay.AttemptOutcome> {
         const { upstream } = placement;
         const { request, delivery } = progress;
@@ -224,7 +229,7 @@
         );
         const noteData = (): void => {
             lastDataAt = clock.now();
-            const limit = this.getSilenceLimit(progress, runsBefore);
+            const limit = isRival ? undefined : this.getSilenceLimit(progress, runsBefore);
             if (limit !== undefined) {
                 silenceTimer.restart(limit);
             }
@@ -240,12 +245,13 @@
             onProgress: noteData,
             onPastBeginning: () => this.parts.crashWatch.onAnswered(upstream, progress.prompt),
             onStarted: () => {
+                stopAll(progress, "another attempt answers", relay);
                 progress.streamVersion ??= upstream.softwareVersion;
                 this.noteStreamOrigin(progress, upstream.service);
             },
             meter: isStream ? this.parts.slots.speeds?.startStream(upstream.id, upstream.service) : undefined,
         });
-        progress.relay = relay;
+        progress.relays.add(relay);
         progress.sends++;
         progress.upstreamVersion = upstream.softwareVersion;
         progress.tried.add(upstream.id);
@@ -271,7 +277,7 @@
         const outcome = await relay.outcome;
         silenceTimer.stop();
         stopFirstEventTimer();
-        progress.relay = undefined;
+        progress.relays.delete(relay);
         progress.received = relay.getReceived();
         this.parts.slots.release(upstream.id, false);
         this.recordOutcome(progress, upstream, outcome);
@@ -307,10 +313,40 @@
             silenceTimer.restart(SuccessorCheckMilliseconds);
             return;
         }
+        if (progress.request.route.kind === types.RouteKind.Safe) {
+            this.avoidSilent(upstream);
+            progress.rival = this.runRival(progress, found.successor, attempt);
+            return;
+        }
         progress.successor = found.successor;
         relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${silentMilliseconds} ms`);
     }
 
+    /**
+     * Sends the request to a second upstream while the first one is silent. The first one may still answer, and without
+     * its answer the request would fail if no other upstream takes it. Returns whether the second one answered.
+     */
+    private async runRival(
+        progress: requestProgress.Progress,
+        placement: requestProgress.Placement,
+        silent: SilentAttempt,
+    ): Promise<boolean> {
+        const { upstream } = placement;
+        const outcome = await this.attempt(progress, placement, true);
+        if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
+            this.parts.log.finished(progress.request, outcome.text, upstream.id, progress);
+            silent.relay.stop(answerRelay.AttemptOutcomeKind.Silent, "another upstream answered");
+            return true;
+        }
+        progress.rival = undefined;
+        this.noteFailure(progress, upstream, outcome);
+        this.parts.log.attemptEnded(progress.request, upstream.id, outcome.kind, getText(outcome), true, progress);
+        if (!silent.relay.isSettled()) {
+            silent.silenceTimer.restart(SuccessorCheckMilliseconds);
+        }
+        return false;
+    }
+
     /** Finds an upstream that can take over from a silent one at once. */
     private async findSuccessor(
         progress: requestProgress.Progress,
@@ -441,7 +477,6 @@
         upstream: types.UpstreamEntry,
         outcome: answerRelay.AttemptOutcome,
     ): boolean {
-        const now = this.parts.clock.now();
         const { request, delivery } = progress;
         const kinds = answerRelay.AttemptOutcomeKind;
         if (progress.isCallerDisconnected) {
@@ -452,30 +487,15 @@
             this.refuse(progress, getTimeoutReason(progress), undefined, upstream.id);
             return true;
         }
-        switch (outcome.kind) {
-            case kinds.Delivered:
-                this.parts.log.finished(request, outcome.text, upstream.id, progress);
-                return true;
-            case kinds.NotRun:
-                progress.runs--;
-                this.parts.slots.slotTable.penalize(upstream.id, now + FullPenaltyMilliseconds);
-                break;
-            case kinds.NotSent:
-                this.parts.slots.slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
-                break;
-            case kinds.Silent:
-                this.parts.channels.get(upstream).replaceConnections();
-                this.parts.slots.slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
-                break;
-            case kinds.Lost:
-            case kinds.Stopped:
-            case kinds.Failed:
-                break;
+        if (outcome.kind === kinds.Delivered) {
+            this.parts.log.finished(request, outcome.text, upstream.id, progress);
+            return true;
         }
+        this.noteFailure(progress, upstream, outcome);
         const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
         const end = isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
         const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
-        const text = outcome.kind === kinds.Failed ? `status ${outcome.answer.status}` : outcome.text;
+        const text = getText(outcome);
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
         if (mayRepeat) {
             return false;
@@ -493,6 +513,40 @@
         return true;
     }
 
+    /** Records what an attempt that brought no answer says of its upstream, and whether it ran. */
+    private noteFailure(
+        progress: requestProgress.Progress,
+        upstream: types.UpstreamEntry,
+        outcome: answerRelay.AttemptOutcome,
+    ): void {
+        const kinds = answerRelay.AttemptOutcomeKind;
+        const { slotTable } = this.parts.slots;
+        const now = this.parts.clock.now();
+        switch (outcome.kind) {
+            case kinds.NotRun:
+                progress.runs--;
+                slotTable.penalize(upstream.id, now + FullPenaltyMilliseconds);
+                break;
+            case kinds.NotSent:
+                slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
+                break;
+            case kinds.Silent:
+                this.avoidSilent(upstream);
+                break;
+            case kinds.Delivered:
+            case kinds.Lost:
+            case kinds.Stopped:
+            case kinds.Failed:
+                break;
+        }
+    }
+
+    /** Avoids a silent upstream for a while. Its other connections may be as dead as the silent one. */
+    private avoidSilent(upstream: types.UpstreamEntry): void {
+        this.parts.channels.get(upstream).replaceConnections();
+        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+    }
+
     private refuse(
         progress: requestProgress.Progress,
         reason: types.RefusalReason,
@@ -537,6 +591,18 @@
     }
 }
 
+function stopAll(progress: requestProgress.Progress, text: string, except?: answerRelay.AnswerRelay): void {
+    for (const relay of progress.relays) {
+        if (relay !== except) {
+            relay.stop(answerRelay.AttemptOutcomeKind.Stopped, text);
+        }
+    }
+}
+
+function getText(outcome: answerRelay.AttemptOutcome): string {
+    return outcome.kind === answerRelay.AttemptOutcomeKind.Failed ? `status ${outcome.answer.status}` : outcome.text;
+}
+
 function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -35,7 +35,10 @@
     sends: number;
     /** Time spent waiting for a slot; undefined where requests wait in the engines' own queues. */
     waitMilliseconds: number | undefined;
-    relay: answerRelay.AnswerRelay | undefined;
+    /** Relays of the attempts in progress: one, or two while a silent upstream may still answer. */
+    readonly relays: Set<answerRelay.AnswerRelay>;
+    /** A second attempt beside one that is silent; resolves to whether it answered the request. */
+    rival: Promise<boolean> | undefined;
     /** Where the request goes on after the attempt in progress, which is stopped because its upstream is silent. */
     successor: Placement | undefined;
     /** What the last attempt received of an answer. */
--- a/packages/gateway/test/requestForwarder.test.ts
+++ b/packages/gateway/test/requestForwarder.test.ts
@@ -231,12 +231,14 @@
     scene.channels.attempts[0]!.handler.onSent();
     await scene.clock.advance(620);
     assert.is(scene.channels.attempts.length, 2);
-    assert.is(scene.channels.attempts[0]?.isStopped, true);
+    assert.is(scene.channels.attempts[0]?.isStopped, false);
     assert.is(scene.channels.renewals, 1);
     scenes.startAnswer(scene.channels.attempts[1]!);
     scene.channels.attempts[1]!.handler.onComplete();
     await scene.done;
     assert.is(scene.response.status, 200);
+    assert.is(scene.channels.attempts[0]?.isStopped, true);
+    assert.is(scene.channels.attempts.length, 2);
 });
 
 suite("a silent stream that is not resumable is not stopped", async () => {
