--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -82,7 +82,7 @@
     readonly outcome: Promise<AttemptOutcome>;
     private exchange: upstreamExchange.RunningExchange | undefined;
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => undefined;
-    private isSettled = false;
+    private hasOutcome = false;
     private status = 0;
     private statusText = "";
     private headers: string[] = [];
@@ -93,6 +93,7 @@
     private splitter: eventSplitter.EventSplitter | undefined;
     private receivedBytes = 0;
     private isPastBeginning = false;
+    private waitsForCaller = false;
 
     constructor(private readonly options: RelayOptions) {
         this.outcome = new Promise(resolve => (this.resolveOutcome = resolve));
@@ -100,7 +101,7 @@
 
     attach(exchange: upstreamExchange.RunningExchange): void {
         this.exchange = exchange;
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             exchange.abort();
         }
     }
@@ -111,6 +112,16 @@
         this.exchange?.abort();
     }
 
+    /** Whether the outcome is determined. */
+    isSettled(): boolean {
+        return this.hasOutcome;
+    }
+
+    /** Whether no data is read from the upstream because the caller reads slowly. */
+    isWaitingForCaller(): boolean {
+        return this.waitsForCaller;
+    }
+
     /** Returns undefined if no headers have arrived. */
     getReceived(): ReceivedAnswer | undefined {
         if (this.status === 0) {
@@ -128,7 +139,7 @@
     }
 
     onHeaders(status: number, rawHeaders: string[], statusText: string): void {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return;
         }
         const head = this.options.wire.readAnswer(status, rawHeaders);
@@ -151,7 +162,7 @@
     }
 
     onData(data: Buffer): boolean {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return true;
         }
         this.options.onProgress();
@@ -176,7 +187,7 @@
     }
 
     onComplete(): void {
-        if (this.isSettled) {
+        if (this.hasOutcome) {
             return;
         }
         if (this.isNotRun) {
@@ -193,7 +204,9 @@
             headers: this.headers,
             body: Buffer.concat(this.buffered),
         };
-        if (this.status >= 500) {
+        // The answer to the request for the rest of a stream can't be passed on in place of that rest.
+        const isOtherAnswer = this.options.delivery.isStarted && !this.isUnbuffered;
+        if (this.status >= 500 || isOtherAnswer) {
             this.settle({ kind: AttemptOutcomeKind.Failed, answer });
             return;
         }
@@ -201,6 +214,7 @@
             this.options.delivery.response.end();
         }
         else {
+            this.options.onStarted();
             deliverBuffered(this.options.wire, this.options.delivery, answer);
         }
         this.settle({ kind: AttemptOutcomeKind.Delivered, text: `status ${this.status}` });
@@ -298,7 +312,12 @@
         if (response.write(data)) {
             return true;
         }
+        this.waitsForCaller = true;
         response.once("drain", () => {
+            this.waitsForCaller = false;
+            if (!this.hasOutcome) {
+                this.options.onProgress();
+            }
             this.options.meter?.onResumed(this.options.now());
             this.exchange?.resume();
         });
@@ -311,8 +330,8 @@
     }
 
     private settle(outcome: AttemptOutcome): void {
-        if (!this.isSettled) {
-            this.isSettled = true;
+        if (!this.hasOutcome) {
+            this.hasOutcome = true;
             this.resolveOutcome(outcome);
         }
     }
