--- a/packages/gateway/src/batchSlotGranting.ts
+++ b/packages/gateway/src/batchSlotGranting.ts
@@ -77,7 +77,8 @@
 /** Grants slots for batch items of peers on the engines that this member coordinates, and requests slots for its own. */
 export class BatchSlotGranting {
     private readonly waiting = new Set<WaitingItem>();
-    private readonly pendingBatchRequests = new Set<core.InstanceId>();
+    /** By service: the coordinators that have been asked for a slot and have not replied. */
+    private readonly pendingBatchRequests = new Map<string, Set<core.InstanceId>>();
 
     constructor(private readonly parts: BatchSlotGrantingParts) {
         const { network } = parts;
@@ -89,7 +90,7 @@
     }
 
     /**
-     * Requests slots from neighbours for the wanted number of items. `use` is called with each granted slot, and
+     * Requests slots from coordinators of the service's engines for the wanted number of items. `use` is called with each granted slot, and
      * returns whether it is used. `items` are the waiting items, most urgent first, as far as they are known.
      */
     requestBatchSlots(
@@ -98,11 +99,10 @@
         use: (upstream: core.UpstreamId) => boolean,
         items: readonly decisions.ItemEstimate[] = [],
     ): void {
-        const coordinators = new Set(
-            this.getLinkedCoordinators().filter(coordinator => !this.pendingBatchRequests.has(coordinator)),
-        );
-        const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - this.pendingBatchRequests.size;
-        const asked = this.parts.rank([...coordinators]).slice(0, Math.max(0, requestCount));
+        const pending = this.getPending(service);
+        const coordinators = this.getReachableCoordinators(service).filter(coordinator => !pending.has(coordinator));
+        const requestCount = Math.min(wanted, MaximumPendingBatchRequests) - pending.size;
+        const asked = this.parts.rank(coordinators).slice(0, Math.max(0, requestCount));
         asked.forEach((coordinator, index) => void this.requestBatchSlot(coordinator, service, items[index], use));
     }
 
@@ -169,7 +169,8 @@
         item: decisions.ItemEstimate | undefined,
         use: (upstream: core.UpstreamId) => boolean,
     ): Promise<void> {
-        this.pendingBatchRequests.add(coordinator);
+        const pending = this.getPending(service);
+        pending.add(coordinator);
         const message = {
             kind: protocol.MessageKind.BatchSlotRequest,
             service,
@@ -179,7 +180,7 @@
             lane: protocol.Lane.Control,
             timeoutMilliseconds: BatchTimeoutMilliseconds,
         });
-        this.pendingBatchRequests.delete(coordinator);
+        pending.delete(coordinator);
         if (!reply.ok || reply.message.kind !== protocol.MessageKind.BatchSlotReply) {
             this.parts.noteUnresponsive(coordinator, reply);
             // The coordinator may have granted a slot as the wait ended.
@@ -250,7 +251,19 @@
         return upstream;
     }
 
-    private getLinkedCoordinators(): readonly core.InstanceId[] {
-        return this.parts.network.getConnectedPeers().filter(peer => this.parts.coordinators.isCoordinator(peer));
+    private getPending(service: string): Set<core.InstanceId> {
+        const pending = this.pendingBatchRequests.get(service) ?? new Set();
+        this.pendingBatchRequests.set(service, pending);
+        return pending;
+    }
+
+    /**
+     * The other coordinators of the service's engines that this member is linked to. A service with few engines may have
+     * none of them; a link is then opened on request.
+     */
+    private getReachableCoordinators(service: string): readonly core.InstanceId[] {
+        const coordinators = this.parts.coordinators.getOtherCoordinators(service);
+        const linked = this.parts.network.getConnectedPeers().filter(peer => coordinators.has(peer));
+        return linked.length > 0 ? linked : [...coordinators];
     }
 }
--- a/packages/gateway/src/homeDirectory.ts
+++ b/packages/gateway/src/homeDirectory.ts
@@ -43,6 +43,7 @@
     /** Computed on first use after a change. */
     private coordinators: ReadonlyMap<core.UpstreamId, core.InstanceId> | undefined;
     private readonly enginesByCoordinator = new Map<core.InstanceId, core.UpstreamId[]>();
+    private readonly otherCoordinators = new Map<string, ReadonlySet<core.InstanceId>>();
 
     constructor(
         private readonly members: memberDirectory.MemberDirectory,
@@ -92,10 +93,10 @@
         return services.flatMap(({ name }) => this.getOwnEngines(name));
     }
 
-    /** Whether the member coordinates any engine. */
-    isCoordinator(member: core.InstanceId): boolean {
+    /** The other members that coordinate an engine of the service. */
+    getOtherCoordinators(service: string): ReadonlySet<core.InstanceId> {
         this.coordinators ??= this.assign();
-        return this.enginesByCoordinator.has(member);
+        return this.otherCoordinators.get(service) ?? new Set();
     }
 
     /** The engines of a service that a member coordinates, as far as known here. */
@@ -123,11 +124,14 @@
         const members = this.members.getMembers();
         const services = this.view.getConfiguration()?.services.filter(service => service.isEngine) ?? [];
         const assigned = new Map<core.UpstreamId, core.InstanceId>();
+        this.otherCoordinators.clear();
         for (const { name } of services) {
             const upstreams = this.view.getUsable(name, this.clock.now()).map(known => known.entry);
-            decisions
-                .assignCoordinators(upstreams, members)
-                .forEach((coordinator, upstream) => assigned.set(upstream, coordinator));
+            const ofService = decisions.assignCoordinators(upstreams, members);
+            ofService.forEach((coordinator, upstream) => assigned.set(upstream, coordinator));
+            const coordinators = new Set(ofService.values());
+            coordinators.delete(this.members.self.id);
+            this.otherCoordinators.set(name, coordinators);
         }
         this.enginesByCoordinator.clear();
         assigned.forEach((coordinator, upstream) =>
