--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -188,23 +188,27 @@
     }
 
     /**
-     * Starts items until one finds no free slot, and returns the others. An item that waits for upstreams of its software
-     * version doesn't hold up those behind it.
+     * Starts the items of each service until one finds no free slot, and returns the others. An item that waits for
+     * upstreams of its software version doesn't hold up those behind it.
      */
     private startInOrder(waiting: readonly ItemWithOutlook[], now: core.MonotonicMilliseconds): ItemWithOutlook[] {
-        const bound: ItemWithOutlook[] = [];
-        for (const [index, item] of waiting.entries()) {
-            if (this.tryStart(item, now)) {
-                continue;
+        const exhausted = new Set<string>();
+        const findDestination = this.createDestinationFinder();
+        return waiting.filter(item => {
+            const destination = findDestination(item.owned);
+            if (destination === undefined) {
+                return false;
             }
-            const service = this.tryFindDestination(item.owned)?.service;
-            const usable = service === undefined ? [] : this.getUsable(service, now);
-            if (!this.isVersionBound(item.owned, usable, now)) {
-                return [...bound, ...waiting.slice(index)];
+            if (exhausted.has(destination.service)) {
+                return true;
             }
-            bound.push(item);
-        }
-        return bound;
+            const usable = this.getUsable(destination.service, now);
+            const isStarted = this.tryStartOn(item, destination, usable, now);
+            if (!isStarted && !this.isVersionBound(item.owned, usable, now)) {
+                exhausted.add(destination.service);
+            }
+            return !isStarted;
+        });
     }
 
     /**
@@ -240,16 +244,20 @@
 
     /** In a large fleet, requests slots on engines that other members coordinate. */
     private requestRemoteSlots(waiting: readonly ItemWithOutlook[]): void {
-        const service = waiting[0] === undefined ? undefined : this.tryFindDestination(waiting[0].owned)?.service;
-        if (service === undefined || !this.parts.slots.requiresGrant(service)) {
-            return;
+        const outlooksByService = new Map<string, decisions.ItemEstimate[]>();
+        const findDestination = this.createDestinationFinder();
+        for (const { owned, outlook } of waiting) {
+            const service = findDestination(owned)?.service;
+            if (service !== undefined && this.parts.slots.requiresGrant(service)) {
+                const outlooks = outlooksByService.get(service) ?? [];
+                outlooksByService.set(service, outlooks);
+                outlooks.push(outlook);
+            }
+        }
+        for (const [service, outlooks] of outlooksByService) {
+            const use = (upstream: core.UpstreamId): boolean => this.startOnRemoteSlot(service, upstream);
+            this.parts.slots.requestBatchSlots(service, outlooks.length, use, outlooks);
         }
-        this.parts.slots.requestBatchSlots(
-            service,
-            waiting.length,
-            upstream => this.startOnRemoteSlot(service, upstream),
-            waiting.map(({ outlook }) => outlook),
-        );
     }
 
     /** Starts the most urgent waiting item on a granted slot. The item for which the slot was requested may have ended. */
@@ -328,14 +336,6 @@
         return isQuarantined;
     }
 
-    private tryStart(item: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
-        const destination = this.tryFindDestination(item.owned);
-        return (
-            destination === undefined ||
-            this.tryStartOn(item, destination, this.getUsable(destination.service, now), now)
-        );
-    }
-
     /** The upstreams of the service on which this member may start items. */
     private getUsable(service: string, now: core.MonotonicMilliseconds): readonly types.UpstreamEntry[] {
         const isLending = this.parts.slots.requiresGrant(service);
