--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -56,6 +56,8 @@
 const MeanWeight = 0.1;
 /** Retry delay given to callers if no upstream is known or reachable. */
 const NoUpstreamRetryMilliseconds = 500;
+/** Choices made for one attempt, if the chosen upstreams change while their slots are requested. */
+const MaximumChoices = 3;
 
 /** Chooses the upstream for the next attempt of an online request, and requests a slot there. */
 export class UpstreamChooser {
@@ -87,6 +89,36 @@
 
     /** Chooses an upstream, if possible one that has not been tried, and requests a slot there. */
     async find(progress: requestProgress.Progress, options: FindOptions = {}): Promise<PlacementOutcome> {
+        for (let choices = 0; choices < MaximumChoices; choices++) {
+            const outcome = await this.choosePlacement(progress, options);
+            if (outcome.kind !== PlacementOutcomeKind.Found) {
+                return outcome;
+            }
+            const upstream = this.tryGetCurrent(progress, outcome.placement.upstream);
+            if (upstream !== undefined) {
+                return { kind: outcome.kind, placement: { ...outcome.placement, upstream } };
+            }
+            this.returnSlot(outcome.placement);
+        }
+        return refuseNoUpstream("the chosen upstreams changed while their slots were requested");
+    }
+
+    /**
+     * The present entry of an upstream that was chosen a while ago; undefined if it may no longer serve the request. It may
+     * have begun to drain, or have restarted under its id with another software version.
+     */
+    tryGetCurrent(
+        progress: requestProgress.Progress,
+        { id, service }: types.UpstreamEntry,
+    ): types.UpstreamEntry | undefined {
+        const { streamVersion } = progress;
+        const entry = this.parts.view.tryGetUsable(id, this.parts.clock.now());
+        const isSuitable =
+            entry?.service === service && (streamVersion ?? entry.softwareVersion) === entry.softwareVersion;
+        return isSuitable ? entry : undefined;
+    }
+
+    private async choosePlacement(progress: requestProgress.Progress, options: FindOptions): Promise<PlacementOutcome> {
         const { request } = progress;
         const isRefusable = options.mustStartSoon === true || requestProgress.isRefusable(progress);
         const now = this.parts.clock.now();
