--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -48,6 +48,8 @@
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
 const UnreachablePenaltyMilliseconds = 1_000;
+/** Attempts in a row of an answer that has begun that may fail to run before the next one is delayed. */
+const ImmediateRefusals = 2;
 /** Reasons that promise the caller that no upstream has run the request. */
 const NotRunReasons: ReadonlySet<types.RefusalReason> = new Set([
     types.RefusalReason.Overloaded,
@@ -124,6 +126,7 @@
         if (!(await this.resolveStreamVersion(progress))) {
             return;
         }
+        let refusals = 0;
         for (;;) {
             const placement = progress.successor ?? (await this.tryChoosePlacement(progress));
             progress.successor = undefined;
@@ -135,6 +138,11 @@
                 this.chooser.returnSlot(progress.successor);
                 return;
             }
+            refusals = isNotRun(outcome) ? refusals + 1 : 0;
+            if (progress.delivery.isStarted && refusals >= ImmediateRefusals) {
+                // If few upstreams can continue the answer, its attempts would be used up in milliseconds.
+                await this.parts.clock.sleep(FullPenaltyMilliseconds);
+            }
         }
     }
 
@@ -174,14 +182,14 @@
     ): Promise<requestProgress.Placement | undefined> {
         const outcome = await this.chooser.find(progress);
         const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
-            return undefined;
-        }
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             this.abandon(progress, placement);
             return undefined;
         }
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
+            return undefined;
+        }
         // The part may have been proved guilty while the request waited for its slot.
         const quarantine = this.chooser.tryGetQuarantine(progress);
         if (quarantine !== undefined) {
@@ -453,8 +461,7 @@
             case kinds.Failed:
                 break;
         }
-        const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
-        const end = isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
+        const end = isNotRun(outcome) ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
         const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
         const text = outcome.kind === kinds.Failed ? `status ${outcome.answer.status}` : outcome.text;
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
@@ -518,6 +525,10 @@
     }
 }
 
+function isNotRun({ kind }: answerRelay.AttemptOutcome): boolean {
+    return kind === answerRelay.AttemptOutcomeKind.NotRun || kind === answerRelay.AttemptOutcomeKind.NotSent;
+}
+
 function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
