--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -48,6 +48,13 @@
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
 const UnreachablePenaltyMilliseconds = 1_000;
+/**
+ * How long an answer that has begun waits for an upstream if there is none. An entry that is replaced, or an upstream that
+ * restarts, is back within that time; callers abandon a stream after two seconds without data or more.
+ */
+const UpstreamWaitMilliseconds = 1_000;
+/** Interval at which an upstream is looked for during that wait. */
+const UpstreamCheckMilliseconds = 100;
 /** Attempts in a row of an answer that has begun that may fail to run before the next one is delayed. */
 const ImmediateRefusals = 2;
 /** Reasons that promise the caller that no upstream has run the request. */
@@ -180,7 +187,12 @@
     private async tryChoosePlacement(
         progress: requestProgress.Progress,
     ): Promise<requestProgress.Placement | undefined> {
-        const outcome = await this.chooser.find(progress);
+        const waitsUntil = this.parts.clock.now() + UpstreamWaitMilliseconds;
+        let outcome = await this.chooser.find(progress);
+        while (isWithoutUpstream(progress, outcome) && this.parts.clock.now() < waitsUntil) {
+            await this.parts.clock.sleep(UpstreamCheckMilliseconds);
+            outcome = await this.chooser.find(progress);
+        }
         const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             this.abandon(progress, placement);
@@ -529,6 +541,16 @@
     return kind === answerRelay.AttemptOutcomeKind.NotRun || kind === answerRelay.AttemptOutcomeKind.NotSent;
 }
 
+/** Whether an answer that has begun, and that somebody still waits for, has no upstream at present. */
+function isWithoutUpstream(
+    { delivery, isCallerDisconnected, isTimedOut }: requestProgress.Progress,
+    outcome: upstreamChooser.PlacementOutcome,
+): boolean {
+    const isWanted = delivery.isStarted && !isCallerDisconnected && !isTimedOut;
+    const kinds = upstreamChooser.PlacementOutcomeKind;
+    return isWanted && outcome.kind === kinds.Refused && outcome.reason === types.RefusalReason.NoUpstream;
+}
+
 function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
--- a/packages/gateway/test/softwareVersions.test.ts
+++ b/packages/gateway/test/softwareVersions.test.ts
@@ -29,6 +29,7 @@
     scene.removeUpstream("a");
     await scene.clock.advance(5_000 - 1_500);
     await scenes.breakOff(scene, attempt);
+    await scene.clock.advance(1_100);
     assert.is(member!.channels.attempts.length, 1);
     assert.is(response.destroyed, true);
 });
