--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -48,6 +48,15 @@
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
 const UnreachablePenaltyMilliseconds = 1_000;
+/**
+ * How long an answer that has begun waits for an upstream if there is none. An entry that is replaced, or an upstream that
+ * restarts, is back within that time; callers abandon a stream after two seconds without data or more.
+ */
+const UpstreamWaitMilliseconds = 1_000;
+/** Interval at which an upstream is looked for during that wait. */
+const UpstreamCheckMilliseconds = 100;
+/** Attempts in a row of an answer that has begun that may fail to run before the next one is delayed. */
+const ImmediateRefusals = 2;
 /** Reasons that promise the caller that no upstream has run the request. */
 const NotRunReasons: ReadonlySet<types.RefusalReason> = new Set([
     types.RefusalReason.Overloaded,
@@ -131,6 +140,7 @@
         if (!(await this.resolveStreamVersion(progress))) {
             return;
         }
+        let refusals = 0;
         for (;;) {
             const placement = progress.successor ?? (await this.tryChoosePlacement(progress));
             progress.successor = undefined;
@@ -145,6 +155,11 @@
                 this.chooser.returnSlot(progress.successor);
                 return;
             }
+            refusals = isNotRun(outcome) ? refusals + 1 : 0;
+            if (progress.delivery.isStarted && refusals >= ImmediateRefusals) {
+                // If few upstreams can continue the answer, its attempts would be used up in milliseconds.
+                await this.parts.clock.sleep(FullPenaltyMilliseconds);
+            }
         }
     }
 
@@ -182,16 +197,21 @@
     private async tryChoosePlacement(
         progress: requestProgress.Progress,
     ): Promise<requestProgress.Placement | undefined> {
-        const outcome = await this.chooser.find(progress);
-        const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
-            return undefined;
+        const waitsUntil = this.parts.clock.now() + UpstreamWaitMilliseconds;
+        let outcome = await this.chooser.find(progress);
+        while (isWithoutUpstream(progress, outcome) && this.parts.clock.now() < waitsUntil) {
+            await this.parts.clock.sleep(UpstreamCheckMilliseconds);
+            outcome = await this.chooser.find(progress);
         }
+        const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             this.abandon(progress, placement);
             return undefined;
         }
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
+            return undefined;
+        }
         // The part may have been proved guilty while the request waited for its slot.
         const quarantine = this.chooser.tryGetQuarantine(progress);
         if (quarantine !== undefined) {
@@ -492,8 +512,7 @@
             return true;
         }
         this.noteFailure(progress, upstream, outcome);
-        const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
-        const end = isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
+        const end = isNotRun(outcome) ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
         const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
         const text = getText(outcome);
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
@@ -603,6 +622,20 @@
     return outcome.kind === answerRelay.AttemptOutcomeKind.Failed ? `status ${outcome.answer.status}` : outcome.text;
 }
 
+function isNotRun({ kind }: answerRelay.AttemptOutcome): boolean {
+    return kind === answerRelay.AttemptOutcomeKind.NotRun || kind === answerRelay.AttemptOutcomeKind.NotSent;
+}
+
+/** Whether an answer that has begun, and that somebody still waits for, has no upstream at present. */
+function isWithoutUpstream(
+    { delivery, isCallerDisconnected, isTimedOut }: requestProgress.Progress,
+    outcome: upstreamChooser.PlacementOutcome,
+): boolean {
+    const isWanted = delivery.isStarted && !isCallerDisconnected && !isTimedOut;
+    const kinds = upstreamChooser.PlacementOutcomeKind;
+    return isWanted && outcome.kind === kinds.Refused && outcome.reason === types.RefusalReason.NoUpstream;
+}
+
 function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
