--- /dev/null
+++ b/packages/gateway/src/callerConnections.ts
@@ -0,0 +1,92 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** Serves a request and never rejects. */
+export type ServeRequest = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
+
+/** State of an open connection. */
+interface CallerConnection {
+    /** Responses that are not sent completely, or whose requests have not been read completely. */
+    readonly inProgress: Set<http.ServerResponse>;
+    /** Bytes received up to the end of the last request. Bytes beyond it belong to a request that is arriving. */
+    requestBytes: number;
+    /** Called when the connection has closed. */
+    readonly closeListeners: Set<() => void>;
+}
+
+/**
+ * An HTTP server that knows which connections are idle. To Node, a connection is idle as soon as its response has been ended,
+ * even while the caller reads slowly and most of the answer still waits in the process; closing it cuts the answer off.
+ */
+export class CallerHttpServer extends http.Server {
+    private readonly openConnections = new Map<net.Socket, CallerConnection>();
+
+    constructor(
+        options: http.ServerOptions,
+        private readonly serveRequest: ServeRequest,
+    ) {
+        super(options);
+        this.on("connection", (socket: net.Socket) => this.addConnection(socket));
+        this.on("request", (request, response) => void this.serveUntilSent(request, response));
+    }
+
+    /** Closes the connections without a request. Node calls this when the server stops listening. */
+    override closeIdleConnections(): void {
+        const idle = [...this.openConnections].filter(isIdle);
+        idle.forEach(([socket]) => socket.destroy());
+    }
+
+    private addConnection(socket: net.Socket): void {
+        const connection = {
+            inProgress: new Set<http.ServerResponse>(),
+            requestBytes: 0,
+            closeListeners: new Set<() => void>(),
+        };
+        this.openConnections.set(socket, connection);
+        socket.once("close", () => {
+            this.openConnections.delete(socket);
+            connection.closeListeners.forEach(listener => listener());
+        });
+    }
+
+    private async serveUntilSent(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const connection = this.openConnections.get(request.socket);
+        const sent = connection === undefined ? undefined : waitUntilSent(connection, request, response);
+        connection?.inProgress.add(response);
+        await Promise.all([this.serveRequest(request, response), sent]);
+        connection?.inProgress.delete(response);
+    }
+}
+
+function isIdle([socket, connection]: readonly [net.Socket, CallerConnection]): boolean {
+    return connection.inProgress.size === 0 && socket.bytesRead === connection.requestBytes;
+}
+
+/**
+ * Resolves when the request has been read and its answer handed to the operating system, or when the connection has closed.
+ * A response that waits behind another one on its connection has no `close` event of its own when the connection closes.
+ */
+async function waitUntilSent(
+    connection: CallerConnection,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+): Promise<void> {
+    const { socket } = request;
+    request.once("end", () => (connection.requestBytes = socket.bytesRead));
+    await new Promise<void>(resolve => {
+        let pending = 2;
+        const release = (): void => {
+            pending--;
+            if (pending === 0) {
+                end();
+            }
+        };
+        const end = (): void => {
+            connection.closeListeners.delete(end);
+            resolve();
+        };
+        connection.closeListeners.add(end);
+        request.once("close", release);
+        response.once("close", release);
+    });
+}
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,6 +1,7 @@
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as core from "@boragedale/core";
 import type * as customers from "@boragedale/customers";
+import * as callerConnections from "./callerConnections.js";
 import * as callerIdentity from "./callerIdentity.js";
 import type * as customerQuotas from "./customerQuotas.js";
 import type * as fleetView from "./fleetView.js";
@@ -50,16 +51,16 @@
  * and headers received, and the router and parsers of a web framework would decode them first.
  */
 export class CallerServer implements AsyncDisposable {
-    readonly server: http.Server;
+    readonly server: callerConnections.CallerHttpServer;
     private appliedVersion = -1;
     private bufferedBytes = 0;
     private inProgress = 0;
     private isClosing = false;
 
     constructor(private readonly parts: CallerServerParts) {
-        this.server = http.createServer(
+        this.server = new callerConnections.CallerHttpServer(
             { maxHeaderSize: MaximumHeaderBytes, requestTimeout: 0, noDelay: true, connectionsCheckingInterval: 500 },
-            (request, response) => void this.serve(request, response),
+            (request, response) => this.serve(request, response),
         );
         parts.view.onChange(() => this.applyConfiguration());
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,4 +54,5 @@
 export * from "./submissionRegistry.js";
 export * from "./submissionService.js";
 export * from "./submissionTakeover.js";
+export * from "./callerConnections.js";
 export * from "./callerServer.js";
--- /dev/null
+++ b/packages/gateway/test/callerConnections.test.ts
@@ -0,0 +1,65 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scenes from "./callerServerScenes.js";
+
+const suite = uvu.suite("callerConnections");
+
+/** More than the operating system buffers for a connection, so that part of it waits in the process. */
+const LargeBody = Buffer.alloc(30_000_000, "x");
+
+interface UnsentAnswer {
+    readonly scene: scenes.ServerScene;
+    /** Reads the rest and returns the length of the body received. */
+    readonly readRest: () => Promise<number>;
+}
+
+/** Has a server end a large answer whose caller does not read. */
+async function leaveUnsent(): Promise<UnsentAnswer> {
+    let notifyEnded: () => void = () => undefined;
+    const ended = new Promise<void>(resolve => (notifyEnded = resolve));
+    const scene = await scenes.startServer((request, response) => {
+        scenes.answerWith(response, LargeBody);
+        notifyEnded();
+    });
+    const caller = await scene.connect();
+    caller.socket.pause();
+    caller.send("/a/large", ["Content-Length: 0"]);
+    await ended;
+    const readRest = async (): Promise<number> => {
+        caller.socket.resume();
+        const head = await caller.receiveText("\r\n\r\n");
+        const headBytes = head.indexOf("\r\n\r\n") + 4;
+        await caller.receive(() => caller.receivedBytes >= headBytes + LargeBody.length);
+        return caller.receivedBytes - headBytes;
+    };
+    return { scene, readRest };
+}
+
+// Guards against a caller that reads slowly and gets part of its answer because the gateway drains: Node takes a connection as
+// idle when its response has been ended, although bytes of it still wait in the process.
+suite("a connection whose answer is not sent completely is not closed as idle", async () => {
+    const unsent = await leaveUnsent();
+    await using scene = unsent.scene;
+    scene.server.server.closeIdleConnections();
+    assert.is(await unsent.readRest(), LargeBody.length);
+});
+
+// Guards against the same cut by `server.close()`, which closes idle connections itself.
+suite("an answer is sent completely after the server has stopped listening", async () => {
+    const unsent = await leaveUnsent();
+    await using scene = unsent.scene;
+    scene.server.startClosing();
+    assert.is(await unsent.readRest(), LargeBody.length);
+});
+
+suite("idle connections are closed", async () => {
+    await using scene = await scenes.startServer((request, response) => scenes.answerWith(response, "answer"));
+    const [unused, used] = [await scene.connect(), await scene.connect()];
+    used.send("/a/x", ["Content-Length: 4"], "body");
+    await used.receiveText("answer");
+    scene.server.server.closeIdleConnections();
+    await Promise.all([unused.waitUntilClosed(), used.waitUntilClosed()]);
+    assert.equal([unused.error, used.error], [undefined, undefined]);
+});
+
+suite.run();
