--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -27,13 +27,29 @@
     ) {
         super(options);
         this.on("connection", (socket: net.Socket) => this.addConnection(socket));
+        this.on("timeout", (socket: net.Socket) => this.closeIfIdle([socket]));
         this.on("request", (request, response) => void this.serveUntilSent(request, response));
     }
 
     /** Closes the connections without a request. Node calls this when the server stops listening. */
     override closeIdleConnections(): void {
-        const idle = [...this.openConnections].filter(isIdle);
-        idle.forEach(([socket]) => socket.destroy());
+        this.closeIfIdle([...this.openConnections.keys()]);
+    }
+
+    /**
+     * Closes those of the connections that are idle. Waits for the next but one iteration of the event loop, so that a request
+     * that has arrived, but has not been read yet, is answered instead of reset.
+     */
+    private closeIfIdle(sockets: readonly net.Socket[]): void {
+        const idle = sockets.filter(socket => this.isIdle(socket));
+        setImmediate(() => {
+            setImmediate(() => idle.filter(socket => this.isIdle(socket)).forEach(socket => socket.destroy()));
+        });
+    }
+
+    private isIdle(socket: net.Socket): boolean {
+        const connection = this.openConnections.get(socket);
+        return connection?.inProgress.size === 0 && socket.bytesRead === connection.requestBytes;
     }
 
     private addConnection(socket: net.Socket): void {
@@ -58,10 +74,6 @@
     }
 }
 
-function isIdle([socket, connection]: readonly [net.Socket, CallerConnection]): boolean {
-    return connection.inProgress.size === 0 && socket.bytesRead === connection.requestBytes;
-}
-
 /**
  * Resolves when the request has been read and its answer handed to the operating system, or when the connection has closed.
  * A response that waits behind another one on its connection has no `close` event of its own when the connection closes.
--- a/packages/gateway/test/callerConnections.test.ts
+++ b/packages/gateway/test/callerConnections.test.ts
@@ -62,4 +62,38 @@
     assert.equal([unused.error, used.error], [undefined, undefined]);
 });
 
+// Guards against a reset of a request that has arrived, but that the event loop has not read yet.
+suite("a connection with a request that has arrived is not closed as idle", async () => {
+    await using scene = await scenes.startServer((request, response) => scenes.answerWith(response, "answer"));
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await caller.receiveText("answer");
+    caller.clear();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    scene.server.server.closeIdleConnections();
+    assert.match(await caller.receiveText("answer"), "answer");
+});
+
+// Guards against the same reset by the idle timer, which runs before arrived data is read where the process was held up.
+suite("a connection with a request that has arrived is not closed by its idle timer", async () => {
+    await using scene = await scenes.startServer((request, response) => scenes.answerWith(response, "answer"));
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await caller.receiveText("answer");
+    caller.clear();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    scene.sockets[0]?.emit("timeout");
+    assert.match(await caller.receiveText("answer"), "answer");
+});
+
+suite("an idle connection is closed by its idle timer", async () => {
+    await using scene = await scenes.startServer((request, response) => scenes.answerWith(response, "answer"));
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await caller.receiveText("answer");
+    scene.sockets[0]?.emit("timeout");
+    await caller.waitUntilClosed();
+    assert.is(caller.error, undefined);
+});
+
 suite.run();
