--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -20,6 +20,7 @@
  */
 export class CallerHttpServer extends http.Server {
     private readonly openConnections = new Map<net.Socket, CallerConnection>();
+    private inProgress = 0;
 
     constructor(
         options: http.ServerOptions,
@@ -31,6 +32,11 @@
         this.on("request", (request, response) => void this.serveUntilSent(request, response));
     }
 
+    /** Number of requests that are being served or whose answers are not sent completely. */
+    getInProgressCount(): number {
+        return this.inProgress;
+    }
+
     /** Closes the connections without a request. Node calls this when the server stops listening. */
     override closeIdleConnections(): void {
         this.closeIfIdle([...this.openConnections.keys()]);
@@ -69,7 +75,9 @@
         const connection = this.openConnections.get(request.socket);
         const sent = connection === undefined ? undefined : waitUntilSent(connection, request, response);
         connection?.inProgress.add(response);
+        this.inProgress++;
         await Promise.all([this.serveRequest(request, response), sent]);
+        this.inProgress--;
         connection?.inProgress.delete(response);
     }
 }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -54,7 +54,6 @@
     readonly server: callerConnections.CallerHttpServer;
     private appliedVersion = -1;
     private bufferedBytes = 0;
-    private inProgress = 0;
     private isClosing = false;
 
     constructor(private readonly parts: CallerServerParts) {
@@ -73,7 +72,7 @@
     }
 
     getInProgressCount(): number {
-        return this.inProgress;
+        return this.server.getInProgressCount();
     }
 
     /**
@@ -118,7 +117,6 @@
 
     /** Serves a request and never rejects. */
     private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        this.inProgress++;
         if (this.isClosing) {
             response.shouldKeepAlive = false;
         }
@@ -129,9 +127,6 @@
             this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) });
             refusals.breakOff(response);
         }
-        finally {
-            this.inProgress--;
-        }
     }
 
     private async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/packages/gateway/test/callerServerScenes.ts
+++ b/packages/gateway/test/callerServerScenes.ts
@@ -146,3 +146,17 @@
     response.writeHead(200, { "Content-Length": Buffer.byteLength(body) });
     response.end(body);
 }
+
+/** Polls until `check` succeeds. The time limit of the test file bounds the wait. */
+export async function waitUntil(check: () => boolean): Promise<void> {
+    while (!check()) {
+        await runEventLoop();
+    }
+}
+
+/** Lets the event loop read what has arrived, and run what follows from it. */
+export async function runEventLoop(): Promise<void> {
+    for (let iteration = 0; iteration < 10; iteration++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
