--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -68,6 +68,7 @@
         socket.once("close", () => {
             this.openConnections.delete(socket);
             connection.closeListeners.forEach(listener => listener());
+            process.nextTick(() => connection.inProgress.forEach(closeUnassigned));
         });
     }
 
@@ -83,9 +84,17 @@
 }
 
 /**
- * Resolves when the request has been read and its answer handed to the operating system, or when the connection has closed.
- * A response that waits behind another one on its connection has no `close` event of its own when the connection closes.
+ * Closes a response that waits behind another one on a connection that has closed. Node does so only for the response that
+ * was being sent; the request of any other would be forwarded to the end although its caller has left.
  */
+function closeUnassigned(response: http.ServerResponse): void {
+    if (!response.closed) {
+        response.destroy();
+        response.emit("close");
+    }
+}
+
+/** Resolves when the request has been read and its answer handed to the operating system, or when the connection has closed. */
 async function waitUntilSent(
     connection: CallerConnection,
     request: http.IncomingMessage,
--- a/packages/gateway/test/callerConnections.test.ts
+++ b/packages/gateway/test/callerConnections.test.ts
@@ -63,6 +63,24 @@
     await scenes.waitUntil(() => scene.server.getInProgressCount() === 0);
 });
 
+// Guards against requests that are forwarded until their deadline although their caller has left: a response that waits behind
+// another one on its connection gets no event from Node.
+suite("pipelined requests whose caller leaves end", async () => {
+    const closed: string[] = [];
+    await using scene = await scenes.startServer(async (request, response) => {
+        await new Promise<void>(resolve => response.once("close", resolve));
+        closed.push(request.raw.target);
+    });
+    const caller = await scene.connect();
+    const targets = ["/a/1", "/a/2", "/a/3"];
+    targets.forEach(target => caller.send(target, ["Content-Length: 0"]));
+    await scenes.waitUntil(() => scene.forwarded.length === targets.length);
+    assert.is(scene.server.getInProgressCount(), targets.length);
+    caller.socket.destroy();
+    await scenes.waitUntil(() => scene.server.getInProgressCount() === 0);
+    assert.equal(closed, targets);
+});
+
 // Guards against the same cut by `server.close()`, which closes idle connections itself.
 suite("an answer is sent completely after the server has stopped listening", async () => {
     const unsent = await leaveUnsent();
