--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -37,6 +37,15 @@
         return this.inProgress;
     }
 
+    /**
+     * Sets the time after which idle connections are closed. Connections that are idle now stay open at least that long too:
+     * callers go by the new limit. None closes sooner than was announced to its caller.
+     */
+    setIdleTimeout(milliseconds: number): void {
+        this.keepAliveTimeout = milliseconds;
+        [...this.openConnections.keys()].forEach(socket => extendIdleTimer(socket, milliseconds));
+    }
+
     /** Closes the connections without a request. Node calls this when the server stops listening. */
     override closeIdleConnections(): void {
         this.closeIfIdle([...this.openConnections.keys()]);
@@ -73,8 +82,13 @@
     }
 
     private async serveUntilSent(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const connection = this.openConnections.get(request.socket);
+        // Node takes the socket from a request that ends early.
+        const { socket } = request;
+        const connection = this.openConnections.get(socket);
         const sent = connection === undefined ? undefined : waitUntilSent(connection, request, response);
+        const announcedMilliseconds = this.keepAliveTimeout;
+        // Node announces the limit as it is when a request arrives, and starts the timer with the limit at this event.
+        response.once("finish", () => extendIdleTimer(socket, announcedMilliseconds));
         connection?.inProgress.add(response);
         this.inProgress++;
         await Promise.all([this.serveRequest(request, response), sent]);
@@ -83,6 +97,14 @@
     }
 }
 
+/** Restarts the connection's idle timer with a longer time, if it is running with a shorter one. */
+function extendIdleTimer(socket: net.Socket, milliseconds: number): void {
+    const { timeout = 0 } = socket;
+    if (timeout > 0 && timeout < milliseconds) {
+        socket.setTimeout(milliseconds);
+    }
+}
+
 /**
  * Closes a response that waits behind another one on a connection that has closed. Node does so only for the response that
  * was being sent; the request of any other would be forwarded to the end although its caller has left.
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -108,7 +108,7 @@
         }
         this.appliedVersion = configuration.version;
         this.server.headersTimeout = configuration.limits.headerTimeoutMilliseconds;
-        this.server.keepAliveTimeout = configuration.limits.idleTimeoutMilliseconds;
+        this.server.setIdleTimeout(configuration.limits.idleTimeoutMilliseconds);
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.ConfigurationTaken, {
             version: configuration.version,
             routes: configuration.routes.length,
--- a/packages/gateway/test/callerServerScenes.ts
+++ b/packages/gateway/test/callerServerScenes.ts
@@ -147,6 +147,17 @@
     response.end(body);
 }
 
+export interface Gate {
+    readonly opened: Promise<void>;
+    readonly open: () => void;
+}
+
+export function createGate(): Gate {
+    let open: () => void = () => undefined;
+    const opened = new Promise<void>(resolve => (open = resolve));
+    return { opened, open };
+}
+
 /** Polls until `check` succeeds. The time limit of the test file bounds the wait. */
 export async function waitUntil(check: () => boolean): Promise<void> {
     while (!check()) {
