--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -42,6 +42,7 @@
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
 export * from "./streamOrigins.js";
+export * from "./requestBodies.js";
 export * from "./refusals.js";
 export * from "./requestForwarder.js";
 export * from "./submissionRecords.js";
--- /dev/null
+++ b/packages/gateway/test/callerRefusals.test.ts
@@ -0,0 +1,88 @@
+import * as gateway from "@boragedale/gateway";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as scenes from "./callerServerScenes.js";
+
+const suite = uvu.suite("callerRefusals");
+
+/** The scenes' limit on a body. */
+const BodyLimit = 1_000_000;
+/** More than the operating system buffers for a connection, so that the caller still sends when it is refused. */
+const ExcessBytes = 14_680_064;
+const ChunkBytes = 65_536;
+
+function countAnswers(received: string): number {
+    return received.split("HTTP/1.1 ").length - 1;
+}
+
+function getBody(received: string): string {
+    return received.slice(received.indexOf("\r\n\r\n") + 4);
+}
+
+async function startServer(): Promise<scenes.ServerScene> {
+    return scenes.startServer((request, response) => scenes.answerWith(response, `answer to ${request.body.length}`));
+}
+
+/** Sends a chunked body of this length without reading the answer meanwhile. */
+async function sendChunks(caller: scenes.RawCaller, bytes: number): Promise<void> {
+    caller.socket.pause();
+    caller.socket.write("POST /a/x HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const chunk = `${ChunkBytes.toString(16)}\r\n${"x".repeat(ChunkBytes)}\r\n`;
+    for (let sent = 0; sent < bytes; sent += ChunkBytes) {
+        await new Promise<void>(resolve => caller.socket.write(chunk, () => resolve()));
+    }
+    await new Promise<void>(resolve => caller.socket.write("0\r\n\r\n", () => resolve()));
+    caller.socket.resume();
+}
+
+// Guards against a connection that is reset, with the refusal on it, while the caller still sends its body.
+suite("a caller that sends a body over the limit in chunks receives the refusal", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    await sendChunks(caller, BodyLimit + ExcessBytes);
+    await caller.waitUntilClosed();
+    assert.is(getBody(caller.getReceived()), gateway.RefusalReason.BodyTooLarge);
+    assert.is(caller.error, undefined);
+});
+
+suite("a caller that announces a body over the limit receives the refusal", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.socket.pause();
+    caller.send("/a/x", [`Content-Length: ${ExcessBytes}`]);
+    await new Promise<void>(resolve => caller.socket.write("x".repeat(ExcessBytes), () => resolve()));
+    caller.socket.resume();
+    await caller.waitUntilClosed();
+    assert.is(getBody(caller.getReceived()), gateway.RefusalReason.BodyTooLarge);
+    assert.is(caller.error, undefined);
+});
+
+suite("a caller that announces a body over the limit receives the refusal before it sends the body", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.send("/a/x", [`Content-Length: ${ExcessBytes}`]);
+    const received = await caller.receiveText(gateway.RefusalReason.BodyTooLarge);
+    assert.match(received, "Connection: close");
+});
+
+// Guards against the same reset when the bodies that are being read fill the buffers.
+suite("a caller whose body does not fit the buffers receives the refusal", async () => {
+    await using scene = await startServer();
+    scene.configure({ bodyBytes: 1_000_000_000 });
+    const caller = await scene.connect();
+    await sendChunks(caller, 67_108_864 + ExcessBytes);
+    await caller.waitUntilClosed();
+    assert.is(getBody(caller.getReceived()), gateway.RefusalReason.Overloaded);
+    assert.is(caller.error, undefined);
+});
+
+suite("a refusal of a request without a body keeps the connection", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.send("/none/x", [], "", "GET");
+    caller.send("/a/x", [], "", "GET");
+    await caller.receiveText("answer to 0");
+    assert.is(countAnswers(caller.getReceived()), 2);
+});
+
+suite.run();
