--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -47,6 +47,12 @@
 /** Timeout of submissions whose caller gives none. Forwarded requests use their route's timeout instead. */
 const DefaultSubmissionTimeoutMilliseconds = 4_000;
 
+/** Refusals of bodies that are not worth reading to the end: they are too long already, or there is no room for them. */
+const UnreadableReasons: ReadonlySet<types.RefusalReason> = new Set([
+    types.RefusalReason.BodyTooLarge,
+    types.RefusalReason.Overloaded,
+]);
+
 /**
  * The HTTP server for callers. It uses Node's HTTP server directly, since requests are forwarded with exactly the method, target
  * and headers received, and the router and parsers of a web framework would decode them first.
@@ -354,7 +360,10 @@
         response: http.ServerResponse,
         refusal: types.GatewayRefusal,
     ): Promise<void> {
-        const unread = { request, response, refusal, keepsConnection: false };
+        const limit = this.parts.view.getConfiguration()?.limits.bodyBytes ?? requestBodies.MaximumDiscardedBytes;
+        const isWithinLimit = requestBodies.getAnnouncedBytes(request) <= limit;
+        const keepsConnection = isWithinLimit && !UnreadableReasons.has(refusal.reason);
+        const unread = { request, response, refusal, keepsConnection };
         await refusals.sendUnreadRefusal(this.parts.wire, unread, this.parts.clock);
     }
 
--- a/packages/gateway/src/requestBodies.ts
+++ b/packages/gateway/src/requestBodies.ts
@@ -19,7 +19,7 @@
  * Bounds on what is read of a refused body. A connection that is closed while the caller still sends is reset, and the refusal
  * may be lost with it; but a caller that never ends must not keep the connection.
  */
-const MaximumDiscardedBytes = 16_777_216;
+export const MaximumDiscardedBytes = 16_777_216;
 const MaximumDiscardMilliseconds = 3_000;
 
 /** Reads bodies up to a limit on the total size of those that are being read. */
--- a/packages/gateway/test/callerRefusals.test.ts
+++ b/packages/gateway/test/callerRefusals.test.ts
@@ -76,6 +76,34 @@
     assert.is(caller.error, undefined);
 });
 
+for (const { framing, headers, body } of [
+    { framing: "a length", headers: ["Content-Length: 4"], body: "body" },
+    { framing: "chunks", headers: ["Transfer-Encoding: chunked"], body: "4\r\nbody\r\n0\r\n\r\n" },
+]) {
+    // Guards against a refusal that closes the caller's kept connection: a request's body has never arrived when its headers are read.
+    suite(`a refusal of a request with ${framing} keeps the connection`, async () => {
+        await using scene = await startServer();
+        const caller = await scene.connect();
+        caller.send("/none/x", headers, body);
+        caller.send("/a/x", headers, body);
+        const received = await caller.receiveText("answer to 4");
+        assert.is(countAnswers(received), 2);
+        assert.not.match(received, "Connection: close");
+        assert.is(caller.isClosed, false);
+    });
+
+    suite(`a request with ${framing} is refused before its body has arrived`, async () => {
+        await using scene = await startServer();
+        const caller = await scene.connect();
+        caller.send("/none/x", headers);
+        await caller.receiveText(gateway.RefusalReason.NoRoute);
+        caller.socket.write(body);
+        caller.send("/a/x", headers, body);
+        await caller.receiveText("answer to 4");
+        assert.is(countAnswers(caller.getReceived()), 2);
+    });
+}
+
 suite("a refusal of a request without a body keeps the connection", async () => {
     await using scene = await startServer();
     const caller = await scene.connect();
@@ -85,4 +113,16 @@
     assert.is(countAnswers(caller.getReceived()), 2);
 });
 
+// Guards against callers that keep a connection by never sending the rest of their body.
+suite("a connection whose refused body does not arrive in time is closed", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.send("/none/x", ["Content-Length: 4"]);
+    await caller.receiveText(gateway.RefusalReason.NoRoute);
+    await scene.clock.advance(3_000);
+    await caller.waitUntilClosed();
+    assert.is(caller.error, undefined);
+    await scenes.waitUntil(() => scene.server.getInProgressCount() === 0);
+});
+
 suite.run();
