--- a/packages/daemon/test/endToEnd.test.ts
+++ b/packages/daemon/test/endToEnd.test.ts
@@ -148,6 +148,15 @@
     assert.is((await fixtures.get(first!, `${platform.names.SubmissionPathPrefix}none`)).status, 404);
 });
 
+// Guards against a path that can't be decoded, which ended the connection without an answer.
+suite("a submission's id that can't be decoded is unknown", async () => {
+    await using testPlatform = await fixtures.startPlatform(1);
+    const { caller } = testPlatform.gateways[0]!.addresses;
+    for (const path of [`${platform.names.SubmissionPathPrefix}%zz`, `${platform.names.ItemPathPrefix}%zz?Id=i`]) {
+        assert.is((await fixtures.get(caller, path)).status, 404);
+    }
+});
+
 // The load balancer keeps sending for two seconds after a planned stop has begun. None of these requests may be cut off.
 suite("a stopping gateway serves requests until the load balancer has noticed", async () => {
     await using testPlatform = await fixtures.startPlatform(2);
