--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import type * as customers from "@boragedale/customers";
 import * as callerConnections from "./callerConnections.js";
 import * as callerIdentity from "./callerIdentity.js";
@@ -129,9 +129,23 @@
         }
         try {
             await this.handleRequest(request, response);
+            core.Debug.assert(response.writableEnded || response.destroyed, "a request ended without an answer");
         }
         catch (error) {
             this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) });
+            await this.answerDefect(request, response);
+        }
+    }
+
+    /** Answers a request that failed by a defect. It may have run, so the refusal doesn't promise that it has not. */
+    private async answerDefect(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (response.writableEnded) {
+            return;
+        }
+        try {
+            await this.refuse(request, response, { reason: types.RefusalReason.UpstreamFailed });
+        }
+        catch {
             refusals.breakOff(response);
         }
     }
--- a/packages/gateway/test/callerRefusals.test.ts
+++ b/packages/gateway/test/callerRefusals.test.ts
@@ -19,6 +19,10 @@
     return received.slice(received.indexOf("\r\n\r\n") + 4);
 }
 
+function getDefects({ log }: scenes.ServerScene): unknown[] {
+    return log.events.filter(({ event }) => event === gateway.GatewayEvent.Defect).map(({ fields }) => fields["text"]);
+}
+
 async function startServer(): Promise<scenes.ServerScene> {
     return scenes.startServer((request, response) => scenes.answerWith(response, `answer to ${request.body.length}`));
 }
@@ -125,4 +129,52 @@
     await scenes.waitUntil(() => scene.server.getInProgressCount() === 0);
 });
 
+// Guards against a caller that gets no answer because of a defect of the gateway. The request may have run before it failed.
+suite("a request that fails by a defect is answered as a failed upstream", async () => {
+    await using scene = await scenes.startServer(() => {
+        throw new Error("a defect");
+    });
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 4"], "body");
+    assert.match(await caller.receiveText(gateway.RefusalReason.UpstreamFailed), "UpstreamFailed");
+    caller.clear();
+    caller.send("/none/x", ["Content-Length: 4"], "body");
+    assert.match(await caller.receiveText(gateway.RefusalReason.NoRoute), "NoRoute");
+    assert.equal(getDefects(scene), ["Error: a defect"]);
+});
+
+// Guards against a part of an answer that looks complete.
+suite("an answer that is cut off by a defect is not complete", async () => {
+    await using scene = await scenes.startServer((request, response) => {
+        response.writeHead(200, { "Content-Length": 100 });
+        response.write("part");
+        throw new Error("a defect");
+    });
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await caller.waitUntilClosed();
+    assert.ok(countAnswers(caller.getReceived()) <= 1 && getBody(caller.getReceived()).length < 100);
+});
+
+suite("an answer that is ended before a defect is sent completely", async () => {
+    const body = "x".repeat(10_000_000);
+    await using scene = await scenes.startServer((request, response) => {
+        scenes.answerWith(response, body);
+        throw new Error("a defect");
+    });
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await caller.receive(() => caller.receivedBytes > body.length);
+    assert.ok(caller.receivedBytes > body.length);
+});
+
+// Guards against a caller that waits for ever because a path of the gateway ends without an answer.
+suite("a request that ends without an answer is answered as a failed upstream", async () => {
+    await using scene = await scenes.startServer(() => undefined);
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    assert.match(await caller.receiveText(gateway.RefusalReason.UpstreamFailed), "UpstreamFailed");
+    assert.equal(getDefects(scene), ["Error: assertion failed: a request ended without an answer"]);
+});
+
 suite.run();
