--- a/packages/gateway/test/searchUpstreams.ts
+++ b/packages/gateway/test/searchUpstreams.ts
@@ -196,6 +196,11 @@
         const headers = ["attempt", this.attempt, "stamp", "x", "Transfer-Encoding", "chunked"];
         this.call(() => this.handler.onHeaders(200, headers, ""));
         if (!EngineServices.includes(this.upstream.service)) {
+            if (this.breaksAt < Infinity) {
+                this.send(createPlainAnswer(this.prompt).slice(0, 5));
+                this.breakOff();
+                return;
+            }
             this.send(createPlainAnswer(this.prompt));
             this.complete();
             return;
