--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -41,6 +41,11 @@
 const StreamSilenceMilliseconds = 1_500;
 /** Interval at which another upstream is looked for while a silent one can't be left. */
 const SuccessorCheckMilliseconds = 200;
+/**
+ * Unreachable upstreams after which the search for another one pauses. Each may take 300 ms, and the caller of a stream
+ * abandons it half a second after the search began or later.
+ */
+const MaximumUnreachableSuccessors = 2;
 const GatewayTimeoutStatus = 504;
 /** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
 const FirstEventOverdueFactor = 2;
@@ -301,11 +306,11 @@
             return;
         }
         const silentSince = attempt.getLastDataAt();
-        const successor = await this.tryFindSuccessor(progress, upstream);
-        const isOver = relay.isSettled() || attempt.getLastDataAt() !== silentSince;
-        if (isOver || successor === undefined) {
+        const isSilent = (): boolean => !relay.isSettled() && attempt.getLastDataAt() === silentSince;
+        const successor = await this.tryFindSuccessor(progress, upstream, isSilent);
+        if (!isSilent() || successor === undefined) {
             this.chooser.returnSlot(successor);
-            if (!isOver) {
+            if (isSilent()) {
                 silenceTimer.restart(SuccessorCheckMilliseconds);
             }
             return;
@@ -315,26 +320,35 @@
         relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${silentMilliseconds} ms`);
     }
 
-    /** Finds an upstream that can take over from a silent one at once. */
+    /** Finds an upstream that can take over from a silent one at once. Looks no further when the attempt is no longer silent. */
     private async tryFindSuccessor(
         progress: requestProgress.Progress,
         silent: types.UpstreamEntry,
+        isSilent: () => boolean,
     ): Promise<requestProgress.Placement | undefined> {
-        if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
-            return undefined;
-        }
-        const outcome = await this.chooser.find(progress, { mustStartSoon: true });
-        if (outcome.kind !== upstreamChooser.PlacementOutcomeKind.Found) {
-            return undefined;
-        }
-        const { upstream } = outcome.placement;
-        // The other connections to the silent upstream may be as dead as the one in use.
-        const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
-        if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
-            return outcome.placement;
+        const unreachable = new Set<core.UpstreamId>();
+        while (isSilent() && this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
+            const outcome = await this.chooser.find(progress, { mustStartSoon: true, isWanted: isSilent });
+            if (outcome.kind !== upstreamChooser.PlacementOutcomeKind.Found) {
+                return undefined;
+            }
+            const { placement } = outcome;
+            const { upstream } = placement;
+            // The other connections to the silent upstream may be as dead as the one in use.
+            const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
+            if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
+                const current = this.chooser.tryGetCurrent(progress, upstream);
+                if (current !== undefined) {
+                    return { ...placement, upstream: current };
+                }
+            }
+            this.chooser.returnSlot(placement);
+            this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+            if (unreachable.has(upstream.id) || unreachable.size >= MaximumUnreachableSuccessors) {
+                return undefined;
+            }
+            unreachable.add(upstream.id);
         }
-        this.chooser.returnSlot(outcome.placement);
-        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
         return undefined;
     }
 
--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -46,6 +46,12 @@
 export interface FindOptions {
     /** Whether an upstream is only wanted if the request would start there within its latency target or shortly after. */
     readonly mustStartSoon?: boolean;
+    /** Whether the request still needs an upstream. Asked while it waits for a slot. */
+    readonly isWanted?: () => boolean;
+}
+
+interface ChooseOptions extends FindOptions {
+    readonly isRefusable: boolean;
 }
 
 /** Estimated time that a request occupies a slot, until durations have been recorded. */
@@ -133,7 +139,7 @@
             const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
             return refuseNoUpstream(`service: ${service ?? "none"}${version}`);
         }
-        const outcome = await this.choose(progress, service, candidates, isRefusable);
+        const outcome = await this.choose(progress, service, candidates, { ...options, isRefusable });
         if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
             if (progress.isCallerDisconnected || progress.isTimedOut) {
                 return { kind: PlacementOutcomeKind.Unwanted };
@@ -236,7 +242,7 @@
         progress: requestProgress.Progress,
         service: string,
         candidates: readonly decisions.SlotCandidate[],
-        isRefusable: boolean,
+        { isRefusable, isWanted = () => true }: ChooseOptions,
     ): Promise<onlinePlacement.OnlineOutcome> {
         const { slots, clock } = this.parts;
         if (!slots.ordersOnline(service)) {
@@ -265,7 +271,7 @@
             remainingMilliseconds,
             waitMilliseconds,
             isRefusable,
-            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
+            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut && isWanted(),
         });
         progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
         return outcome;
