--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -228,10 +228,13 @@
         const startedAt = clock.now();
         const runsBefore = progress.runs;
         let lastDataAt = startedAt;
-        const silenceTimer = new silenceTimers.SilenceTimer(
-            clock,
-            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt: () => lastDataAt }),
-        );
+        const silenceTimer = new silenceTimers.SilenceTimer(clock, () => {
+            const silent = { upstream, relay, silenceTimer, getLastDataAt: () => lastDataAt };
+            // Nothing waits for the search, so an exception would end the process.
+            this.handleSilence(progress, silent).catch((error: unknown) =>
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) }),
+            );
+        });
         const noteData = (): void => {
             lastDataAt = clock.now();
             const limit = this.getSilenceLimit(progress, runsBefore);
--- a/packages/gateway/test/continuedAnswers.test.ts
+++ b/packages/gateway/test/continuedAnswers.test.ts
@@ -175,4 +175,19 @@
     ["a", "b", "c"].forEach(id => assert.is(scene.slotTable.getOwn(id).online, 0));
 });
 
+// Guards against a gateway that ends with all its streams because the search for another upstream meets a defect.
+suite("a defect in the search for another upstream is logged", async () => {
+    const scene = await scenes.createScene({ isResumable: true });
+    const attempt = beginStream(scene);
+    scene.channels.hasIdleConnection = (): boolean => {
+        throw new Error("defect");
+    };
+    await scene.clock.advance(SilenceMilliseconds + 100);
+    assert.ok(scene.log.events.some(({ event }) => event === gateway.GatewayEvent.Defect));
+    scenes.sendEvents(attempt, 4, 6);
+    attempt.handler.onComplete();
+    await scene.done;
+    assert.is(scene.response.body, scenes.formatEvents(0, 6));
+});
+
 suite.run();
