--- a/packages/gateway/test/upstreamExchange.test.ts
+++ b/packages/gateway/test/upstreamExchange.test.ts
@@ -146,4 +146,50 @@
     server.close();
 });
 
+// Guards against answers that are lost when a silent exchange makes the channel replace its connections.
+suite("exchanges in progress and those that wait for a connection end well when connections are replaced", async () => {
+    const sockets: net.Socket[] = [];
+    const { address, server } = await createServer(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+        sockets.push(socket);
+    });
+    const channel = new gateway.UpstreamChannel({ address, connectTimeoutMilliseconds: 1_000, maximumConnections: 2 });
+    const exchanges = [0, 1, 2, 3].map(() => start(channel));
+    await waitForBody(exchanges[0]!);
+    await waitForBody(exchanges[1]!);
+    channel.replaceConnections();
+    const later = start(channel);
+    await waitForBody(later);
+    assert.is(sockets.length, 3);
+    for (let ended = 0; ended < 5; ended++) {
+        while (sockets.length === ended) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        sockets[ended]!.write("cd");
+    }
+    assert.equal(await Promise.all([...exchanges, later].map(({ end }) => end)), new Array(5).fill("complete"));
+    await channel[Symbol.asyncDispose]();
+    server.close();
+});
+
+// Guards against requests that wait for ever for connections of a dead upstream, whose exchanges have been stopped.
+suite("a request that waits for a connection is sent after silent exchanges were stopped", async () => {
+    let connections = 0;
+    const { address, server } = await createServer(socket => {
+        socket.write(connections++ < 2 ? "" : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd");
+    });
+    const channel = new gateway.UpstreamChannel({ address, connectTimeoutMilliseconds: 1_000, maximumConnections: 2 });
+    const silent = [0, 1].map(() => start(channel));
+    const waiting = start(channel);
+    while (connections < 2) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    channel.replaceConnections();
+    silent.forEach(({ exchange }) => exchange.abort());
+    assert.is(await waiting.end, "complete");
+    assert.is(waiting.body, "abcd");
+    await channel[Symbol.asyncDispose]();
+    server.close();
+});
+
 suite.run();
