--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -26,6 +26,11 @@
 
 /** Number of attempts of one request, including the first. Each uses another upstream if there is one. */
 const MaximumAttempts = 4;
+/**
+ * Attempts of an answer that has begun which no engine ran, in addition to the others. Such an answer can't be refused any
+ * more, only broken off, and at a peak several engines in a row have no free slot.
+ */
+const MaximumRefusalsOfBegunAnswer = 4;
 /** How long an admitted request waits for a slot if another request took the free one first. */
 const SlotWaitMilliseconds = 500;
 const SlotRetryMilliseconds = 25;
@@ -36,6 +41,8 @@
 interface Progress {
     readonly excluded: Set<core.UpstreamId>;
     attempts: number;
+    /** Attempts that no engine ran. */
+    refusals: number;
     text: string;
     tokens: number;
     /** Whether an engine may have run the request. */
@@ -93,7 +100,7 @@
             base,
             limit,
             signal,
-            progress: { excluded: new Set(), attempts: 0, text: "", tokens: 0, mayHaveRun: false },
+            progress: { excluded: new Set(), attempts: 0, refusals: 0, text: "", tokens: 0, mayHaveRun: false },
         };
         const admitted = await this.admit(run, fleet);
         if (!admitted.ok) {
@@ -264,6 +271,7 @@
                         event: createFinish(event.reason, event.usage, resumeAfter?.tokens ?? 0),
                     };
                 case upstreams.EngineEventKind.Failed:
+                    progress.refusals += mayHaveRunAfter(event.failure.kind) ? 0 : 1;
                     progress.mayHaveRun ||= mayHaveRunAfter(event.failure.kind);
                     await attempt.onFailed(event.failure);
                     return {
@@ -294,7 +302,9 @@
         if (failure.kind === upstreams.EngineFailureKind.Rejected && failure.status !== 404) {
             return refusals.createBodyInvalid(failure.text, certainty);
         }
-        if (progress.attempts >= MaximumAttempts || !this.mayRetry(failure, progress)) {
+        const isBegun = progress.tokens > 0 && run.request.requestClass === core.RequestClass.Online;
+        const uncounted = isBegun ? Math.min(progress.refusals, MaximumRefusalsOfBegunAnswer) : 0;
+        if (progress.attempts - uncounted >= MaximumAttempts || !this.mayRetry(failure, progress)) {
             return refusals.createUpstreamFailed(failure.text, certainty);
         }
         return undefined;
