--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -41,6 +41,11 @@
 const StreamSilenceMilliseconds = 1_500;
 /** Interval at which another upstream is looked for while a silent one can't be left. */
 const SuccessorCheckMilliseconds = 200;
+/**
+ * Unreachable upstreams after which the search for another one pauses. Each may take 300 ms, and the caller of a stream
+ * abandons it half a second after the search began or later.
+ */
+const MaximumUnreachableSuccessors = 2;
 const GatewayTimeoutStatus = 504;
 /** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
 const FirstEventOverdueFactor = 2;
@@ -243,10 +248,13 @@
             }
         };
         const getLastDataAt = (): core.MonotonicMilliseconds => lastDataAt;
-        const silenceTimer = new silenceTimers.SilenceTimer(
-            clock,
-            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt, logKept }),
-        );
+        const silenceTimer = new silenceTimers.SilenceTimer(clock, () => {
+            const silent = { upstream, relay, silenceTimer, getLastDataAt, logKept };
+            // Nothing waits for the search, so an exception would end the process.
+            this.handleSilence(progress, silent).catch((error: unknown) =>
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) }),
+            );
+        });
         const noteData = (): void => {
             lastDataAt = clock.now();
             const limit = isRival ? undefined : this.getSilenceLimit(progress, runsBefore);
@@ -322,9 +330,10 @@
             return;
         }
         const silentSince = attempt.getLastDataAt();
-        const found = await this.findSuccessor(progress, upstream);
+        const isSilent = (): boolean => !relay.isSettled() && attempt.getLastDataAt() === silentSince;
+        const found = await this.findSuccessor(progress, upstream, isSilent);
         const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
-        if (relay.isSettled() || attempt.getLastDataAt() !== silentSince) {
+        if (!isSilent()) {
             this.chooser.returnSlot(found.successor);
             return;
         }
@@ -367,30 +376,41 @@
         return false;
     }
 
-    /** Finds an upstream that can take over from a silent one at once. */
+    /** Finds an upstream that can take over from a silent one at once. Looks no further when the attempt is no longer silent. */
     private async findSuccessor(
         progress: requestProgress.Progress,
         silent: types.UpstreamEntry,
+        isSilent: () => boolean,
     ): Promise<SuccessorSearch> {
-        if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
-            return { successor: undefined, reason: "may not be sent again" };
-        }
-        const outcome = await this.chooser.find(progress, { mustStartSoon: true });
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-            return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
-        }
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
-            return { successor: undefined, reason: "the caller left" };
-        }
-        const { upstream } = outcome.placement;
-        // The other connections to the silent upstream may be as dead as the one in use.
-        const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
-        if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
-            return { successor: outcome.placement };
+        const unreachable = new Set<core.UpstreamId>();
+        for (;;) {
+            if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
+                return { successor: undefined, reason: "may not be sent again" };
+            }
+            const outcome = await this.chooser.find(progress, { mustStartSoon: true, isWanted: isSilent });
+            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+                return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
+            }
+            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
+                return { successor: undefined, reason: "the request has ended" };
+            }
+            const { placement } = outcome;
+            const { upstream } = placement;
+            // The other connections to the silent upstream may be as dead as the one in use.
+            const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
+            if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
+                const current = this.chooser.tryGetCurrent(progress, upstream);
+                if (current !== undefined) {
+                    return { successor: { ...placement, upstream: current } };
+                }
+            }
+            this.chooser.returnSlot(placement);
+            this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+            if (!isSilent() || unreachable.has(upstream.id) || unreachable.size >= MaximumUnreachableSuccessors) {
+                return { successor: undefined, reason: `${upstream.id} accepts no connection` };
+            }
+            unreachable.add(upstream.id);
         }
-        this.chooser.returnSlot(outcome.placement);
-        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
-        return { successor: undefined, reason: `${upstream.id} accepts no connection` };
     }
 
     private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
