--- a/packages/daemon/src/gatewayProcess.ts
+++ b/packages/daemon/src/gatewayProcess.ts
@@ -3,15 +3,10 @@
 import * as core from "@boragedale/core";
 import * as telemetry from "@boragedale/telemetry";
 import * as composition from "./composition.js";
+import * as draining from "./draining.js";
 import type * as eventLog from "./eventLog.js";
 import * as settingsReader from "./settings.js";
 
-/** Minimum time that the process keeps serving after the load balancer has stopped sending, for requests in transit. */
-const InTransitRequestMilliseconds = 1_000;
-/** Time before the kill at which the process exits, ending the requests that are still in progress. */
-const StopMarginMilliseconds = 400;
-const StopPollMilliseconds = 50;
-
 /** Addresses that a running gateway listens on, with the actual ports where the system chose them. */
 export interface GatewayAddresses {
     readonly caller: string;
@@ -113,30 +108,13 @@
     Object.entries(gauges).forEach(([name, read]) => log.metrics.observeGauge(name, {}, read));
 }
 
-/** Serves requests while the load balancer still sends them, then until the last one has ended or the grace period is over. */
 async function stopGracefully(components: composition.Components): Promise<void> {
-    const { clock, log, server, scheduler, network, submissions } = components;
-    const settings = components.getSettings();
-    const startedAt = clock.now();
-    const latestExitAt = startedAt + settings.graceMilliseconds - StopMarginMilliseconds;
+    const { log, server, scheduler, network, submissions } = components;
     components.lifecycle.isStopping = true;
     log.record(telemetry.events.InstanceDraining, { inProgress: server.getInProgressCount() });
     scheduler.stop();
     network.announceLeaving();
     void submissions.handOver();
-    await clock.sleep(settings.balancerMilliseconds);
-    server.startClosing();
-    const shortestMilliseconds =
-        settings.balancerMilliseconds + Math.min(InTransitRequestMilliseconds, settings.balancerMilliseconds);
-    while (
-        clock.now() < latestExitAt &&
-        !(server.getInProgressCount() === 0 && clock.now() - startedAt > shortestMilliseconds)
-    ) {
-        server.server.closeIdleConnections();
-        await clock.sleep(StopPollMilliseconds);
-    }
-    while (clock.now() < latestExitAt && submissions.getActiveCount() > 0) {
-        await clock.sleep(StopPollMilliseconds);
-    }
+    await draining.drain(components, components.getSettings());
     log.record(telemetry.events.InstanceStopped, { inProgress: server.getInProgressCount() });
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./eventLog.js";
 export * from "./peers.js";
 export * from "./composition.js";
+export * from "./draining.js";
 export * from "./gatewayProcess.js";
 export * from "./storageProcess.js";
 export * from "./customerLabels.js";
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -51,6 +51,10 @@
         this.closeIfIdle([...this.openConnections.keys()]);
     }
 
+    hasIdleConnections(): boolean {
+        return [...this.openConnections.keys()].some(socket => this.isIdle(socket));
+    }
+
     /**
      * Closes those of the connections that are idle. Waits for the next but one iteration of the event loop, so that a request
      * that has arrived, but has not been read yet, is answered instead of reset.
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -92,6 +92,15 @@
         this.server.close();
     }
 
+    /** Closes the connections without a request. */
+    closeIdleConnections(): void {
+        this.server.closeIdleConnections();
+    }
+
+    hasIdleConnections(): boolean {
+        return this.server.hasIdleConnections();
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.once("close", resolve));
         if (!this.isClosing) {
