--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -9,6 +9,7 @@
 import * as refusals from "./refusals.js";
 import * as requestBodies from "./requestBodies.js";
 import type * as requestForwarder from "./requestForwarder.js";
+import * as submissionCalls from "./submissionCalls.js";
 import type * as submissionService from "./submissionService.js";
 import * as types from "./types.js";
 import type * as wire from "./wire.js";
@@ -26,15 +27,6 @@
     readonly isReady: () => boolean;
 }
 
-/** A completely read request that submits batch items. */
-interface ReceivedSubmission {
-    readonly raw: types.RawRequest;
-    readonly head: types.RequestHead;
-    readonly body: Buffer;
-    readonly arrivedAt: core.MonotonicMilliseconds;
-    readonly customer: string | undefined;
-}
-
 /** Larger than any configured limit. That limit changes with the configuration and is checked for each request. */
 const MaximumHeaderBytes = 131_072;
 /** Maximum size of all bodies that are being read at the same time: a quarter of a small instance's memory. */
@@ -42,10 +34,6 @@
 /** Retry delay given to callers when the buffer limit is reached. */
 const BuffersFullRetryMilliseconds = 500;
 const NoConfigurationRetryMilliseconds = 500;
-/** Maximum time for which a read of results may wait. */
-const MaximumReadWaitMilliseconds = 1_000;
-/** Timeout of submissions whose caller gives none. Forwarded requests use their route's timeout instead. */
-const DefaultSubmissionTimeoutMilliseconds = 4_000;
 
 /** Refusals of bodies that are not worth reading to the end: they are too long already, or there is no room for them. */
 const UnreadableReasons: ReadonlySet<types.RefusalReason> = new Set([
@@ -61,6 +49,7 @@
     readonly server: callerConnections.CallerHttpServer;
     private appliedVersion = -1;
     private readonly bodies = new requestBodies.BodyReader(MaximumBufferedBytes);
+    private readonly calls: submissionCalls.SubmissionCalls;
     private isClosing = false;
 
     constructor(private readonly parts: CallerServerParts) {
@@ -68,6 +57,7 @@
             { maxHeaderSize: MaximumHeaderBytes, requestTimeout: 0, noDelay: true, connectionsCheckingInterval: 500 },
             (request, response) => this.serve(request, response),
         );
+        this.calls = new submissionCalls.SubmissionCalls(parts);
         parts.view.onChange(() => this.applyConfiguration());
     }
 
@@ -207,7 +197,7 @@
         if (route.kind === types.RouteKind.Batch) {
             const body = await this.readBody(request, response, configuration.limits.bodyBytes);
             if (body !== undefined) {
-                await this.acceptSubmission({ raw, head, body, arrivedAt, customer: customer?.name }, response);
+                await this.calls.accept({ raw, head, body, arrivedAt, customer: customer?.name }, response);
             }
             return;
         }
@@ -266,85 +256,22 @@
         response: http.ServerResponse,
     ): Promise<void> {
         if (call.kind === types.CallKind.Readiness) {
-            sendEmpty(response, this.parts.isReady() ? 200 : 503);
+            submissionCalls.sendEmpty(response, this.parts.isReady() ? 200 : 503);
             return;
         }
         if (this.parts.view.getConfiguration() === undefined) {
-            this.refuseCall(response, types.RefusalReason.NoConfiguration);
+            this.calls.refuse(response, types.RefusalReason.NoConfiguration);
             return;
         }
         const isPublic = this.parts.view.getRoutes()?.hasPublicBatchRoute(raw.host) ?? false;
         const identity = await this.parts.identity.identify(raw.rawHeaders, isPublic);
         if (!callerIdentity.isAccepted(identity)) {
             this.logUnauthorized(call.submission, identity);
-            this.refuseCall(response, types.RefusalReason.Unauthorized);
+            this.calls.refuse(response, types.RefusalReason.Unauthorized);
             return;
         }
         const name = { id: call.submission, customer: callerIdentity.tryGetCustomer(identity)?.name };
-        await this.serveSubmissionCall(call, name, response);
-    }
-
-    private async serveSubmissionCall(
-        call: types.SubmissionCall,
-        name: submissionService.SubmissionName,
-        response: http.ServerResponse,
-    ): Promise<void> {
-        switch (call.kind) {
-            case types.CallKind.ReadResults: {
-                const wait = Math.min(MaximumReadWaitMilliseconds, call.waitMilliseconds);
-                const page = await this.parts.submissions.read(name, call.position, wait);
-                if (!page.ok) {
-                    this.refuseCall(response, page.reason);
-                    return;
-                }
-                sendBody(response, Buffer.from(this.parts.wire.encodeResultPage(page.value)), "application/json");
-                return;
-            }
-            case types.CallKind.ReadItemBody: {
-                const body = await this.parts.submissions.readBody(name, call.item);
-                if (!body.ok) {
-                    this.refuseCall(response, body.reason);
-                    return;
-                }
-                sendBody(response, body.value, "application/octet-stream");
-                return;
-            }
-            case types.CallKind.EndSubmission: {
-                const ended = await this.parts.submissions.end(name);
-                if (!ended.ok) {
-                    this.refuseCall(response, ended.reason);
-                    return;
-                }
-                sendEmpty(response, 200);
-                return;
-            }
-        }
-    }
-
-    private async acceptSubmission(received: ReceivedSubmission, response: http.ServerResponse): Promise<void> {
-        const { raw, head, body, arrivedAt, customer } = received;
-        const decoded = this.parts.wire.decodeSubmission(body);
-        if (!decoded.ok || head.attemptId === "") {
-            this.parts.log.recordEvent(gatewayLog.GatewayEvent.SubmissionRefused, {
-                submission: head.attemptId,
-                text: decoded.ok ? "no id" : decoded.text,
-            });
-            this.refuseCall(response, types.RefusalReason.BodyInvalid);
-            return;
-        }
-        const outcome = await this.parts.submissions.accept({
-            id: head.attemptId,
-            host: raw.host,
-            target: raw.target,
-            items: decoded.items,
-            customer,
-            deadline: arrivedAt + (head.timeoutMilliseconds ?? DefaultSubmissionTimeoutMilliseconds) - 200,
-        });
-        if (outcome.ok) {
-            sendEmpty(response, 202);
-            return;
-        }
-        refusals.sendRefusal(this.parts.wire, response, outcome.refusal);
+        await this.calls.serve(call, name, response);
     }
 
     /** Reads the complete body. Returns undefined if the request was refused or the caller disconnected. */
@@ -389,23 +316,6 @@
         const unread = { request, response, refusal, keepsConnection };
         await refusals.sendUnreadRefusal(this.parts.wire, unread, this.parts.clock);
     }
-
-    private refuseCall(response: http.ServerResponse, reason: types.RefusalReason): void {
-        refusals.sendRefusal(this.parts.wire, response, {
-            reason,
-            retryAfterMilliseconds: NoConfigurationRetryMilliseconds,
-        });
-    }
-}
-
-function sendEmpty(response: http.ServerResponse, status: number): void {
-    response.writeHead(status, { "Content-Length": 0 });
-    response.end();
-}
-
-function sendBody(response: http.ServerResponse, body: Uint8Array, contentType: string): void {
-    response.writeHead(200, { "Content-Type": contentType, "Content-Length": body.length });
-    response.end(body);
 }
 
 function countBytes(parts: readonly string[]): number {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -55,5 +55,6 @@
 export * from "./submissionRegistry.js";
 export * from "./submissionService.js";
 export * from "./submissionTakeover.js";
+export * from "./submissionCalls.js";
 export * from "./callerConnections.js";
 export * from "./callerServer.js";
