--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -41,6 +41,11 @@
 const StreamSilenceMilliseconds = 1_500;
 /** Interval at which another upstream is looked for while a silent one can't be left. */
 const SuccessorCheckMilliseconds = 200;
+/**
+ * Unreachable upstreams after which the search for another one pauses. Each may take 300 ms, and the caller of a stream
+ * abandons it half a second after the search began or later.
+ */
+const MaximumUnreachableSuccessors = 2;
 const GatewayTimeoutStatus = 504;
 /** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
 const FirstEventOverdueFactor = 2;
@@ -48,6 +53,15 @@
 const FullPenaltyMilliseconds = 60;
 /** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
 const UnreachablePenaltyMilliseconds = 1_000;
+/**
+ * How long an answer that has begun waits for an upstream if there is none. An entry that is replaced, or an upstream that
+ * restarts, is back within that time; callers abandon a stream after two seconds without data or more.
+ */
+const UpstreamWaitMilliseconds = 1_000;
+/** Interval at which an upstream is looked for during that wait. */
+const UpstreamCheckMilliseconds = 100;
+/** Attempts in a row of an answer that has begun that may fail to run before the next one is delayed. */
+const ImmediateRefusals = 2;
 /** Reasons that promise the caller that no upstream has run the request. */
 const NotRunReasons: ReadonlySet<types.RefusalReason> = new Set([
     types.RefusalReason.Overloaded,
@@ -131,6 +145,7 @@
         if (!(await this.resolveStreamVersion(progress))) {
             return;
         }
+        let refusals = 0;
         for (;;) {
             const placement = progress.successor ?? (await this.tryChoosePlacement(progress));
             progress.successor = undefined;
@@ -145,6 +160,11 @@
                 this.chooser.returnSlot(progress.successor);
                 return;
             }
+            refusals = isNotRun(outcome) ? refusals + 1 : 0;
+            if (progress.delivery.isStarted && refusals >= ImmediateRefusals) {
+                // If few upstreams can continue the answer, its attempts would be used up in milliseconds.
+                await this.parts.clock.sleep(FullPenaltyMilliseconds);
+            }
         }
     }
 
@@ -182,16 +202,21 @@
     private async tryChoosePlacement(
         progress: requestProgress.Progress,
     ): Promise<requestProgress.Placement | undefined> {
-        const outcome = await this.chooser.find(progress);
-        const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
-            return undefined;
+        const waitsUntil = this.parts.clock.now() + UpstreamWaitMilliseconds;
+        let outcome = await this.chooser.find(progress);
+        while (isWithoutUpstream(progress, outcome) && this.parts.clock.now() < waitsUntil) {
+            await this.parts.clock.sleep(UpstreamCheckMilliseconds);
+            outcome = await this.chooser.find(progress);
         }
+        const placement = outcome.kind === upstreamChooser.PlacementOutcomeKind.Found ? outcome.placement : undefined;
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             this.abandon(progress, placement);
             return undefined;
         }
+        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+            this.refuse(progress, outcome.reason, outcome.retryAfterMilliseconds, outcome.detail);
+            return undefined;
+        }
         // The part may have been proved guilty while the request waited for its slot.
         const quarantine = this.chooser.tryGetQuarantine(progress);
         if (quarantine !== undefined) {
@@ -223,10 +248,13 @@
             }
         };
         const getLastDataAt = (): core.MonotonicMilliseconds => lastDataAt;
-        const silenceTimer = new silenceTimers.SilenceTimer(
-            clock,
-            () => void this.handleSilence(progress, { upstream, relay, silenceTimer, getLastDataAt, logKept }),
-        );
+        const silenceTimer = new silenceTimers.SilenceTimer(clock, () => {
+            const silent = { upstream, relay, silenceTimer, getLastDataAt, logKept };
+            // Nothing waits for the search, so an exception would end the process.
+            this.handleSilence(progress, silent).catch((error: unknown) =>
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) }),
+            );
+        });
         const noteData = (): void => {
             lastDataAt = clock.now();
             const limit = isRival ? undefined : this.getSilenceLimit(progress, runsBefore);
@@ -302,9 +330,10 @@
             return;
         }
         const silentSince = attempt.getLastDataAt();
-        const found = await this.findSuccessor(progress, upstream);
+        const isSilent = (): boolean => !relay.isSettled() && attempt.getLastDataAt() === silentSince;
+        const found = await this.findSuccessor(progress, upstream, isSilent);
         const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
-        if (relay.isSettled() || attempt.getLastDataAt() !== silentSince) {
+        if (!isSilent()) {
             this.chooser.returnSlot(found.successor);
             return;
         }
@@ -347,30 +376,41 @@
         return false;
     }
 
-    /** Finds an upstream that can take over from a silent one at once. */
+    /** Finds an upstream that can take over from a silent one at once. Looks no further when the attempt is no longer silent. */
     private async findSuccessor(
         progress: requestProgress.Progress,
         silent: types.UpstreamEntry,
+        isSilent: () => boolean,
     ): Promise<SuccessorSearch> {
-        if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
-            return { successor: undefined, reason: "may not be sent again" };
-        }
-        const outcome = await this.chooser.find(progress, { mustStartSoon: true });
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-            return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
-        }
-        if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
-            return { successor: undefined, reason: "the caller left" };
-        }
-        const { upstream } = outcome.placement;
-        // The other connections to the silent upstream may be as dead as the one in use.
-        const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
-        if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
-            return { successor: outcome.placement };
+        const unreachable = new Set<core.UpstreamId>();
+        for (;;) {
+            if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
+                return { successor: undefined, reason: "may not be sent again" };
+            }
+            const outcome = await this.chooser.find(progress, { mustStartSoon: true, isWanted: isSilent });
+            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
+                return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
+            }
+            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
+                return { successor: undefined, reason: "the request has ended" };
+            }
+            const { placement } = outcome;
+            const { upstream } = placement;
+            // The other connections to the silent upstream may be as dead as the one in use.
+            const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
+            if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
+                const current = this.chooser.tryGetCurrent(progress, upstream);
+                if (current !== undefined) {
+                    return { successor: { ...placement, upstream: current } };
+                }
+            }
+            this.chooser.returnSlot(placement);
+            this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+            if (!isSilent() || unreachable.has(upstream.id) || unreachable.size >= MaximumUnreachableSuccessors) {
+                return { successor: undefined, reason: `${upstream.id} accepts no connection` };
+            }
+            unreachable.add(upstream.id);
         }
-        this.chooser.returnSlot(outcome.placement);
-        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
-        return { successor: undefined, reason: `${upstream.id} accepts no connection` };
     }
 
     private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
@@ -492,8 +532,7 @@
             return true;
         }
         this.noteFailure(progress, upstream, outcome);
-        const isNotRun = outcome.kind === kinds.NotRun || outcome.kind === kinds.NotSent;
-        const end = isNotRun ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
+        const end = isNotRun(outcome) ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
         const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
         const text = getText(outcome);
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
@@ -603,6 +642,20 @@
     return outcome.kind === answerRelay.AttemptOutcomeKind.Failed ? `status ${outcome.answer.status}` : outcome.text;
 }
 
+function isNotRun({ kind }: answerRelay.AttemptOutcome): boolean {
+    return kind === answerRelay.AttemptOutcomeKind.NotRun || kind === answerRelay.AttemptOutcomeKind.NotSent;
+}
+
+/** Whether an answer that has begun, and that somebody still waits for, has no upstream at present. */
+function isWithoutUpstream(
+    { delivery, isCallerDisconnected, isTimedOut }: requestProgress.Progress,
+    outcome: upstreamChooser.PlacementOutcome,
+): boolean {
+    const isWanted = delivery.isStarted && !isCallerDisconnected && !isTimedOut;
+    const kinds = upstreamChooser.PlacementOutcomeKind;
+    return isWanted && outcome.kind === kinds.Refused && outcome.reason === types.RefusalReason.NoUpstream;
+}
+
 function getTimeoutReason(progress: requestProgress.Progress): types.RefusalReason {
     return progress.runs > 0 ? types.RefusalReason.DeadlinePassed : types.RefusalReason.DeadlinePassedNotRun;
 }
--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -46,6 +46,12 @@
 export interface FindOptions {
     /** Whether an upstream is only wanted if the request would start there within its latency target or shortly after. */
     readonly mustStartSoon?: boolean;
+    /** Whether the request still needs an upstream. Asked while it waits for a slot. */
+    readonly isWanted?: () => boolean;
+}
+
+interface ChooseOptions extends FindOptions {
+    readonly isRefusable: boolean;
 }
 
 /** Estimated time that a request occupies a slot, until durations have been recorded. */
@@ -56,6 +62,8 @@
 const MeanWeight = 0.1;
 /** Retry delay given to callers if no upstream is known or reachable. */
 const NoUpstreamRetryMilliseconds = 500;
+/** Choices made for one attempt, if the chosen upstreams change while their slots are requested. */
+const MaximumChoices = 3;
 
 /** Chooses the upstream for the next attempt of an online request, and requests a slot there. */
 export class UpstreamChooser {
@@ -87,6 +95,36 @@
 
     /** Chooses an upstream, if possible one that has not been tried, and requests a slot there. */
     async find(progress: requestProgress.Progress, options: FindOptions = {}): Promise<PlacementOutcome> {
+        for (let choices = 0; choices < MaximumChoices; choices++) {
+            const outcome = await this.choosePlacement(progress, options);
+            if (outcome.kind !== PlacementOutcomeKind.Found) {
+                return outcome;
+            }
+            const upstream = this.tryGetCurrent(progress, outcome.placement.upstream);
+            if (upstream !== undefined) {
+                return { kind: outcome.kind, placement: { ...outcome.placement, upstream } };
+            }
+            this.returnSlot(outcome.placement);
+        }
+        return refuseNoUpstream("the chosen upstreams changed while their slots were requested");
+    }
+
+    /**
+     * The present entry of an upstream that was chosen a while ago; undefined if it may no longer serve the request. It may
+     * have begun to drain, or have restarted under its id with another software version.
+     */
+    tryGetCurrent(
+        progress: requestProgress.Progress,
+        { id, service }: types.UpstreamEntry,
+    ): types.UpstreamEntry | undefined {
+        const { streamVersion } = progress;
+        const entry = this.parts.view.tryGetUsable(id, this.parts.clock.now());
+        const isSuitable =
+            entry?.service === service && (streamVersion ?? entry.softwareVersion) === entry.softwareVersion;
+        return isSuitable ? entry : undefined;
+    }
+
+    private async choosePlacement(progress: requestProgress.Progress, options: FindOptions): Promise<PlacementOutcome> {
         const { request } = progress;
         const isRefusable = options.mustStartSoon === true || requestProgress.isRefusable(progress);
         const now = this.parts.clock.now();
@@ -101,7 +139,7 @@
             const version = progress.streamVersion === undefined ? "" : `, version: ${progress.streamVersion}`;
             return refuseNoUpstream(`service: ${service ?? "none"}${version}`);
         }
-        const outcome = await this.choose(progress, service, candidates, isRefusable);
+        const outcome = await this.choose(progress, service, candidates, { ...options, isRefusable });
         if (outcome.kind === onlinePlacement.OnlineOutcomeKind.Refused) {
             if (progress.isCallerDisconnected || progress.isTimedOut) {
                 return { kind: PlacementOutcomeKind.Unwanted };
@@ -204,7 +242,7 @@
         progress: requestProgress.Progress,
         service: string,
         candidates: readonly decisions.SlotCandidate[],
-        isRefusable: boolean,
+        { isRefusable, isWanted = () => true }: ChooseOptions,
     ): Promise<onlinePlacement.OnlineOutcome> {
         const { slots, clock } = this.parts;
         if (!slots.ordersOnline(service)) {
@@ -233,7 +271,7 @@
             remainingMilliseconds,
             waitMilliseconds,
             isRefusable,
-            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut,
+            isWanted: () => !progress.isCallerDisconnected && !progress.isTimedOut && isWanted(),
         });
         progress.waitMilliseconds = (progress.waitMilliseconds ?? 0) + clock.now() - startedAt;
         return outcome;
