--- a/packages/decisions/src/crashingParts.ts
+++ b/packages/decisions/src/crashingParts.ts
@@ -14,10 +14,40 @@
     readonly remainingMilliseconds: number;
 }
 
+/** A part that has been proved guilty, and why. */
+export interface GuiltyPart extends QuarantinedPart {
+    /** Crashes at which the part was in progress since it was last answered. */
+    readonly crashes: number;
+    /** Independent pieces of evidence among them. */
+    readonly moments: number;
+    /** Different requests that had the part. */
+    readonly requests: number;
+    /** Share of the upstreams that had the part in progress at these crashes. */
+    readonly share: number;
+}
+
+/** A part at one crash. */
+interface PartAtCrash {
+    readonly position: number;
+    /** The requests in progress that had the part. */
+    readonly fingerprints: Set<string>;
+    /** When the last of these requests was sent. */
+    sentAt: core.MonotonicMilliseconds;
+    share: number;
+}
+
 interface KnownCrash {
+    readonly upstream: string;
     readonly at: core.MonotonicMilliseconds;
-    /** By part: its position, and the requests in progress that had it. */
-    readonly parts: Map<string, { readonly position: number; readonly fingerprints: Set<string> }>;
+    readonly parts: Map<string, PartAtCrash>;
+}
+
+/** Crashes that count as one piece of evidence. */
+interface Moment {
+    readonly startAt: core.MonotonicMilliseconds;
+    endAt: core.MonotonicMilliseconds;
+    crashes: number;
+    share: number;
 }
 
 interface Quarantine {
@@ -27,23 +57,39 @@
 }
 
 /** The crashes that a part was in progress at since it was last answered. */
-interface Evidence {
-    readonly part: string;
+interface Evidence extends Omit<GuiltyPart, "remainingMilliseconds"> {
     readonly position: number;
-    readonly crashes: number;
 }
 
-/** Crashes that prove a part guilty: the requests beside a guilty one share some of them by coincidence. */
-const MinimumCrashes = 3;
+/**
+ * Moments that prove a part guilty if few upstreams have it in progress: the requests beside a guilty one share some of its
+ * crashes by coincidence.
+ */
+const MinimumMoments = 3;
+/**
+ * Limits of the chance that a crash with another cause finds a part in progress. A part that half of the upstreams have in
+ * progress needs ten moments, one that few have needs three. The upper limit lets a part be found that all requests have.
+ */
+const MinimumChance = 0.1;
+const MaximumChance = 0.5;
 /** Different requests among them: a single request that crashes upstreams says nothing about the parts that it shares. */
 const MinimumRequests = 2;
-/** Share of all crashes since its first one that a part must be in progress at: upstreams also crash for other reasons. */
+/** Share of all moments of crashes since its first one that a part must be in progress at: upstreams also crash for other reasons. */
 const MinimumShare = 1 / 3;
 /**
  * Crashes of a part that was answered before count once in this time. When all upstreams crash at the same moment, parts of
  * many requests are in progress at several of them.
  */
 const SimultaneousMilliseconds = 300;
+/**
+ * Time within which members report upstreams that crash together; their reports pass loaded event loops. Crashes of a part that
+ * was never answered count once in this time, unless a request with it was sent after the crash before.
+ */
+const ReportSpreadMilliseconds = 100;
+/** Time within which members report the same crash. An upstream takes longer to restart and to crash again. */
+const SameCrashMilliseconds = 500;
+/** Upstreams that crash together for a reason of their own: a part takes down one upstream for each request. */
+const UpstreamsOfCommonCause = 3;
 /** How long crashes and answers are remembered. */
 const MemoryMilliseconds = 10 * 60_000;
 const MaximumCrashes = 500;
@@ -59,10 +105,16 @@
  * second take down a whole service. What tells the guilty part from the others is that it is in progress at crash after crash and
  * never answered in between: a sound part that is used often is answered somewhere within milliseconds, and one that is used
  * rarely isn't at three crashes of different requests. Of several such parts, the one in progress at most crashes is
- * chosen, and of these the one with the highest position, which the fewest requests share. Pure: time is passed in.
+ * chosen, and of these the one with the highest position, which the fewest requests share.
+ *
+ * Upstreams also crash together and again and again for reasons of their own. Then parts of many requests are in progress at
+ * several crashes and none is answered for seconds. So a moment at which an upstream without the part crashed too, or several upstreams
+ * at once, is no evidence; and a part that many upstreams have in progress needs more moments, because it is in progress at
+ * most crashes by chance. Pure: time is passed in.
  */
 export class CrashingPartDetector {
-    private readonly crashes = new Map<string, KnownCrash>();
+    /** In the order of their times. */
+    private readonly crashes: KnownCrash[] = [];
     private readonly answeredAt = new Map<string, core.MonotonicMilliseconds>();
     /** Parts in progress at a remembered crash that have not been answered since. */
     private readonly suspected = new Set<string>();
@@ -94,7 +146,7 @@
     }
 
     /** Records a crash, here or at another instance. Returns the part that it proves guilty, if any. */
-    recordCrash(crash: UpstreamCrash, now: core.MonotonicMilliseconds): QuarantinedPart | undefined {
+    recordCrash(crash: UpstreamCrash, now: core.MonotonicMilliseconds): GuiltyPart | undefined {
         this.forget(now);
         const known = this.addCrash(crash, now);
         if ([...known.parts.keys()].some(part => this.isQuarantined(part, now))) {
@@ -107,7 +159,8 @@
             return undefined;
         }
         this.quarantine(guilty.part, PartQuarantineMilliseconds, now);
-        return { part: guilty.part, remainingMilliseconds: PartQuarantineMilliseconds };
+        const { part, crashes, moments, requests, share } = guilty;
+        return { part, remainingMilliseconds: PartQuarantineMilliseconds, crashes, moments, requests, share };
     }
 
     /**
@@ -147,11 +200,12 @@
     }
 
     private addCrash({ upstream, parts }: UpstreamCrash, now: core.MonotonicMilliseconds): KnownCrash {
-        const known = this.crashes.get(upstream) ?? { at: now, parts: new Map<string, never>() };
-        this.crashes.set(upstream, known);
-        for (const { part, position, fingerprint } of parts) {
-            const entry = known.parts.get(part) ?? { position, fingerprints: new Set<string>() };
+        const known = this.getCrash(upstream, now);
+        for (const { part, position, fingerprint, ageMilliseconds = 0, share = 0 } of parts) {
+            const entry = known.parts.get(part) ?? { position, fingerprints: new Set(), sentAt: -Infinity, share: 0 };
             entry.fingerprints.add(fingerprint);
+            entry.sentAt = Math.max(entry.sentAt, now - ageMilliseconds);
+            entry.share = Math.max(entry.share, share);
             known.parts.set(part, entry);
             if ((this.answeredAt.get(part) ?? -Infinity) <= known.at) {
                 this.suspected.add(part);
@@ -160,30 +214,53 @@
         return known;
     }
 
+    /** The crash that several instances report, or a later one of an upstream that restarts without a new identity. */
+    private getCrash(upstream: string, now: core.MonotonicMilliseconds): KnownCrash {
+        const recent = this.crashes.find(
+            crash => crash.upstream === upstream && now - crash.at < SameCrashMilliseconds,
+        );
+        if (recent !== undefined) {
+            return recent;
+        }
+        const known: KnownCrash = { upstream, at: now, parts: new Map<string, PartAtCrash>() };
+        this.crashes.push(known);
+        return known;
+    }
+
     private tryProve(part: string, now: core.MonotonicMilliseconds): Evidence | undefined {
         const answeredAt = this.answeredAt.get(part) ?? -Infinity;
-        const concerned = [...this.crashes.values()].filter(crash => crash.at > answeredAt && crash.parts.has(part));
-        const firstAt = Math.min(...concerned.map(crash => crash.at));
+        const since = this.crashes.filter(crash => crash.at > answeredAt);
+        const concerned = since.filter(crash => crash.parts.has(part));
+        const first = concerned[0];
+        if (first === undefined) {
+            return undefined;
+        }
+        const others = since.filter(crash => crash.at >= first.at && !crash.parts.has(part));
+        const all = findMoments(part, concerned, answeredAt !== -Infinity);
+        const moments = all.filter(moment => mayBeCausedByPart(moment, others));
         const entries = concerned.flatMap(crash => crash.parts.get(part) ?? []);
-        const requests = new Set(entries.flatMap(({ fingerprints }) => [...fingerprints]));
-        const total = [...this.crashes.values()].filter(crash => crash.at >= firstAt).length;
-        const isKnownOffender = (this.quarantines.get(part)?.forgottenAt ?? -Infinity) > now;
-        const counted = answeredAt === -Infinity ? concerned.length : countMoments(concerned);
+        const requests = new Set(entries.flatMap(({ fingerprints }) => [...fingerprints])).size;
+        const chance = moments.reduce((product, { share }) => product * limitChance(share), 1);
         const isProved =
-            counted >= MinimumCrashes && requests.size >= MinimumRequests && concerned.length >= total * MinimumShare;
-        return concerned.length > 0 && (isProved || isKnownOffender)
-            ? { part, position: entries[0]?.position ?? 0, crashes: concerned.length }
-            : undefined;
+            moments.length >= MinimumMoments &&
+            isAtMost(chance, MinimumChance ** MinimumMoments) &&
+            requests >= MinimumRequests &&
+            all.length >= (all.length + countMoments(others)) * MinimumShare;
+        const isKnownOffender = (this.quarantines.get(part)?.forgottenAt ?? -Infinity) > now;
+        if (!isProved && !isKnownOffender) {
+            return undefined;
+        }
+        const share = Math.max(...entries.map(entry => entry.share));
+        const position = entries[0]?.position ?? 0;
+        return { part, position, crashes: concerned.length, moments: moments.length, requests, share };
     }
 
     private forget(now: core.MonotonicMilliseconds): void {
-        for (const [upstream, { at }] of this.crashes) {
-            if (now - at < MemoryMilliseconds && this.crashes.size <= MaximumCrashes) {
-                break;
-            }
-            this.crashes.delete(upstream);
+        const kept = this.crashes.slice(-MaximumCrashes).filter(({ at }) => now - at < MemoryMilliseconds);
+        if (kept.length < this.crashes.length) {
+            this.crashes.splice(0, this.crashes.length - kept.length);
         }
-        if (this.crashes.size === 0) {
+        if (this.crashes.length === 0) {
             this.suspected.clear();
         }
         for (const [part, at] of this.answeredAt) {
@@ -200,15 +277,49 @@
     }
 }
 
+/** The moments of the crashes, which are in the order of their times. A part that was answered before is told apart by time only. */
+function findMoments(part: string, crashes: readonly KnownCrash[], wasAnswered: boolean): readonly Moment[] {
+    const moments: Moment[] = [];
+    const spread = wasAnswered ? SimultaneousMilliseconds : ReportSpreadMilliseconds;
+    for (const { at, parts } of crashes) {
+        const { sentAt, share } = parts.get(part) ?? { sentAt: -Infinity, share: 0 };
+        const last = moments.at(-1);
+        const isSentAfter = last !== undefined && !wasAnswered && sentAt >= last.endAt;
+        if (last === undefined || isSentAfter || at - last.startAt >= spread) {
+            moments.push({ startAt: at, endAt: at, crashes: 1, share });
+            continue;
+        }
+        last.endAt = at;
+        last.crashes++;
+        last.share = Math.max(last.share, share);
+    }
+    return moments;
+}
+
+/** Whether only upstreams that had the part in progress crashed at the moment, and not many of them at once. */
+function mayBeCausedByPart({ startAt, endAt, crashes }: Moment, others: readonly KnownCrash[]): boolean {
+    const isCommonCause = crashes >= UpstreamsOfCommonCause && endAt - startAt <= ReportSpreadMilliseconds;
+    const isBeside = ({ at }: KnownCrash): boolean =>
+        at >= startAt - ReportSpreadMilliseconds && at <= endAt + ReportSpreadMilliseconds;
+    return !isCommonCause && !others.some(isBeside);
+}
+
 /** The number of moments at which the crashes, in the order of their times, occurred. */
 function countMoments(crashes: readonly KnownCrash[]): number {
     let moments = 0;
-    let momentAt = -Infinity;
+    let lastAt = -Infinity;
     for (const { at } of crashes) {
-        if (at - momentAt >= SimultaneousMilliseconds) {
-            moments++;
-            momentAt = at;
-        }
+        moments += at - lastAt > ReportSpreadMilliseconds ? 1 : 0;
+        lastAt = at;
     }
     return moments;
 }
+
+function limitChance(share: number): number {
+    return Math.min(MaximumChance, Math.max(MinimumChance, share));
+}
+
+/** Compares products of the same factors, which may differ in the last digits. */
+function isAtMost(value: number, limit: number): boolean {
+    return value <= limit * (1 + 1e-9);
+}
--- a/packages/decisions/src/partsInProgress.ts
+++ b/packages/decisions/src/partsInProgress.ts
@@ -1,3 +1,5 @@
+import type * as core from "@boragedale/core";
+
 /** A part of the prompt of a request that was in progress on an upstream. */
 export interface PartInProgress {
     readonly part: string;
@@ -5,6 +7,13 @@
     readonly position: number;
     /** Identifies the request across its attempts. */
     readonly fingerprint: string;
+    /** Time since the request was sent to the upstream. Absent if unknown. */
+    readonly ageMilliseconds?: number | undefined;
+    /**
+     * Share of the other upstreams with requests in progress that had the part in progress too: the chance that a crash with
+     * another cause finds the part in progress. Absent if unknown.
+     */
+    readonly share?: number | undefined;
 }
 
 /** A request with a prompt, as sent to an upstream. */
@@ -16,14 +25,19 @@
     readonly parts: readonly string[];
 }
 
+interface SentRequest {
+    readonly request: PromptRequest;
+    readonly sentAt: core.MonotonicMilliseconds;
+}
+
 /**
  * The requests in progress on each upstream whose answers are still at their beginning. If an upstream crashes on a part of
  * a prompt, it does so as it begins to answer; a request that has got further can't be the cause.
  */
 export class PartsInProgress {
-    private readonly requests = new Map<string, Map<string, PromptRequest>>();
+    private readonly requests = new Map<string, Map<string, SentRequest>>();
 
-    onSent(upstream: string, request: PromptRequest): void {
+    onSent(upstream: string, request: PromptRequest, now: core.MonotonicMilliseconds): void {
         if (request.parts.length === 0) {
             return;
         }
@@ -32,7 +46,7 @@
             requests = new Map();
             this.requests.set(upstream, requests);
         }
-        requests.set(request.id, request);
+        requests.set(request.id, { request, sentAt: now });
     }
 
     /** Call when the answer is past its beginning, or has ended. Returns false if it was called before for the request. */
@@ -46,10 +60,24 @@
     }
 
     /** The parts in progress on an upstream that has crashed. */
-    list(upstream: string): readonly PartInProgress[] {
+    list(upstream: string, now: core.MonotonicMilliseconds): readonly PartInProgress[] {
         const requests = [...(this.requests.get(upstream)?.values() ?? [])];
-        return requests.flatMap(({ fingerprint, parts }) =>
-            parts.map((part, position) => ({ part, position, fingerprint })),
+        const others = [...this.requests].filter(([id]) => id !== upstream).map(([, other]) => getParts(other));
+        const getShare = (part: string): number =>
+            // One upstream more in the divisor, since a few upstreams say little.
+            others.filter(parts => parts.has(part)).length / (others.length + 1);
+        return requests.flatMap(({ request: { fingerprint, parts }, sentAt }) =>
+            parts.map((part, position) => ({
+                part,
+                position,
+                fingerprint,
+                ageMilliseconds: now - sentAt,
+                share: getShare(part),
+            })),
         );
     }
 }
+
+function getParts(requests: ReadonlyMap<string, SentRequest>): ReadonlySet<string> {
+    return new Set([...requests.values()].flatMap(({ request }) => request.parts));
+}
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -65,8 +65,11 @@
             this.recordIfQuarantined(message.fingerprint);
             return undefined;
         });
-        network.handle(protocol.MessageKind.PromptPartCrash, async ({ upstream, parts: rows }) => {
-            const inProgress = rows.map(([part, position, fingerprint]) => ({ part, position, fingerprint }));
+        network.handle(protocol.MessageKind.PromptPartCrash, async ({ upstream, parts: rows, details }) => {
+            const inProgress = rows.map(([part, position, fingerprint], index) => {
+                const [ageMilliseconds, share] = details?.[index] ?? [];
+                return { part, position, fingerprint, ageMilliseconds, share };
+            });
             this.recordCrash({ upstream, parts: inProgress });
             return undefined;
         });
@@ -121,7 +124,7 @@
 
     /** Call when a request with a prompt is sent. */
     onSent(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
-        this.partsInProgress.onSent(getIncarnation(upstream), request);
+        this.partsInProgress.onSent(getIncarnation(upstream), request, this.parts.clock.now());
     }
 
     /** Call when an answer has `BeginningEvents` events or is complete, which proves the request's parts innocent. */
@@ -163,7 +166,7 @@
         const reports = this.suspects.onUpstreamDied(upstream.id, clock.now());
         const crash = {
             upstream: getIncarnation(upstream),
-            parts: this.partsInProgress.list(getIncarnation(upstream)).slice(0, MaximumReportedParts),
+            parts: this.partsInProgress.list(getIncarnation(upstream), clock.now()).slice(0, MaximumReportedParts),
         };
         log.recordEvent(gatewayLog.GatewayEvent.UpstreamDied, {
             upstream: upstream.id,
@@ -182,6 +185,9 @@
             kind: protocol.MessageKind.PromptPartCrash,
             upstream: crash.upstream,
             parts: crash.parts.map(({ part, position, fingerprint }) => [part, position, fingerprint] as const),
+            details: crash.parts.map(
+                ({ ageMilliseconds = 0, share = 0 }) => [Math.round(ageMilliseconds), share] as const,
+            ),
         });
         this.recordCrash(crash);
     }
@@ -193,10 +199,18 @@
         if (guilty === undefined) {
             return;
         }
-        log.recordEvent(gatewayLog.GatewayEvent.PartQuarantined, { part: guilty.part, upstream: crash.upstream });
-        network.notifyAll({ kind: protocol.MessageKind.PromptPartQuarantined, ...guilty }, protocol.Lane.Control);
-        const { Part } = quarantineRecords.QuarantineKind;
-        void records.write(Part, guilty.part, guilty.remainingMilliseconds);
+        const { part, remainingMilliseconds, crashes, moments, requests, share } = guilty;
+        log.recordEvent(gatewayLog.GatewayEvent.PartQuarantined, {
+            part,
+            upstream: crash.upstream,
+            crashes,
+            moments,
+            requests,
+            share: Math.round(share * 100) / 100,
+        });
+        const kind = protocol.MessageKind.PromptPartQuarantined;
+        network.notifyAll({ kind, part, remainingMilliseconds }, protocol.Lane.Control);
+        void records.write(quarantineRecords.QuarantineKind.Part, part, remainingMilliseconds);
     }
 
     /** Tells members that start, and in a large fleet those that hear of no crash, of a request that is quarantined here. */
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -221,6 +221,7 @@
         kind: zod.literal(types.MessageKind.PromptPartCrash),
         upstream: name,
         parts: zod.array(zod.tuple([name, count, name])),
+        details: zod.array(zod.tuple([count, zod.number().min(0).max(1)])).optional(),
     }),
     zod.object({ kind: zod.literal(types.MessageKind.PromptPartsAnswered), parts: zod.array(name) }),
     zod.object({
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -445,6 +445,11 @@
     /** Identifies the run of the upstream; several senders may report the same crash. */
     readonly upstream: string;
     readonly parts: readonly (readonly [part: string, position: number, fingerprint: string])[];
+    /**
+     * For each of the parts, the time since its request was sent, and the share of the sender's other upstreams with requests in
+     * progress that had the part in progress too. Members of older versions don't send it.
+     */
+    readonly details?: readonly (readonly [ageMilliseconds: number, share: number])[];
 }
 
 /** Reports parts that were in progress at a crash and have been answered since. */
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -391,7 +391,7 @@
     739,
     "PartQuarantined",
     EventLevel.Warn,
-    "Requests with a part of the prompt crash upstreams and are refused; the fields give the part and the upstream whose crash proved it.",
+    "Requests with a part of the prompt crash upstreams and are refused; the fields give the part, the upstream whose crash proved it, the crashes, the independent moments and the requests among them, and the share of the other upstreams that had the part in progress.",
 );
 export const ItemCompleted = defineEvent(
     738,
