--- a/packages/decisions/src/crashingParts.ts
+++ b/packages/decisions/src/crashingParts.ts
@@ -88,6 +88,8 @@
 const ReportSpreadMilliseconds = 100;
 /** Time within which members report the same crash. An upstream takes longer to restart and to crash again. */
 const SameCrashMilliseconds = 500;
+/** Time within which all members have noticed a crash. A request that was sent later reached the restarted upstream. */
+const NoticeMilliseconds = 50;
 /** Upstreams that crash together for a reason of their own: a part takes down one upstream for each request. */
 const UpstreamsOfCommonCause = 3;
 /** How long crashes and answers are remembered. */
@@ -187,7 +189,7 @@
         this.quarantines.set(part, { until, forgottenAt: until + PartQuarantineMilliseconds });
     }
 
-    /** Ends a quarantine early. The next crash renews it. */
+    /** Ends a quarantine whose time has passed. The next crash renews it. */
     endQuarantine(part: string, now: core.MonotonicMilliseconds): void {
         const quarantine = this.quarantines.get(part);
         if (quarantine !== undefined) {
@@ -200,7 +202,8 @@
     }
 
     private addCrash({ upstream, parts }: UpstreamCrash, now: core.MonotonicMilliseconds): KnownCrash {
-        const known = this.getCrash(upstream, now);
+        const ages = parts.map(({ ageMilliseconds = Infinity }) => ageMilliseconds);
+        const known = this.getCrash(upstream, now - Math.min(...ages), now);
         for (const { part, position, fingerprint, ageMilliseconds = 0, share = 0 } of parts) {
             const entry = known.parts.get(part) ?? { position, fingerprints: new Set(), sentAt: -Infinity, share: 0 };
             entry.fingerprints.add(fingerprint);
@@ -215,9 +218,14 @@
     }
 
     /** The crash that several instances report, or a later one of an upstream that restarts without a new identity. */
-    private getCrash(upstream: string, now: core.MonotonicMilliseconds): KnownCrash {
+    private getCrash(
+        upstream: string,
+        lastSentAt: core.MonotonicMilliseconds,
+        now: core.MonotonicMilliseconds,
+    ): KnownCrash {
         const recent = this.crashes.find(
-            crash => crash.upstream === upstream && now - crash.at < SameCrashMilliseconds,
+            ({ upstream: known, at }) =>
+                known === upstream && now - at < SameCrashMilliseconds && lastSentAt <= at + NoticeMilliseconds,
         );
         if (recent !== undefined) {
             return recent;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./suspects.js";
 export * from "./partsInProgress.js";
 export * from "./crashingParts.js";
+export * from "./quarantineTrials.js";
 export * from "./versionHistory.js";
 export * from "./upstreamHealth.js";
 export * from "./slotEnds.js";
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -152,6 +152,16 @@
         );
     }
 
+    /** The upstreams that crashed while the request was in flight. */
+    listUpstreams(fingerprint: string): readonly core.UpstreamId[] {
+        return [...(this.suspects.get(fingerprint)?.deaths.keys() ?? [])];
+    }
+
+    /** The request has turned out not to crash upstreams. */
+    clear(fingerprint: string): void {
+        this.suspects.delete(fingerprint);
+    }
+
     /** Merges a report of a peer. */
     merge(report: SuspectReport, now: core.MonotonicMilliseconds): void {
         const suspect = this.getSuspect(report.fingerprint, now);
--- a/packages/decisions/test/crashStorms.test.ts
+++ b/packages/decisions/test/crashStorms.test.ts
@@ -1,3 +1,4 @@
+import * as decisions from "@boragedale/decisions";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as crashStorms from "./crashStorms.js";
@@ -32,8 +33,46 @@
             const text = `${JSON.stringify({ ...options, crashes })}: ${JSON.stringify(outcome)}`;
             assert.ok(outcome.isGuiltyRefused, text);
             assert.ok(outcome.lateGuiltyCrashes <= 3, text);
+            assert.ok(outcome.refusedSound <= outcome.sent * 0.03, text);
         }
     }
 });
 
+// Guards against a false verdict that lasts for minutes, because it stops each request that could refute it.
+suite("a false verdict on a frequent part ends within seconds, also while upstreams crash", () => {
+    const plays = crashStorms
+        .createStorms()
+        .map(options => crashStorms.playStorm({ ...options, guiltyPerSecond: 0, falseVerdictAt: 5_000 }));
+    const durations = plays.map(({ longestRefusalMilliseconds }) => longestRefusalMilliseconds);
+    const text = `${durations.filter(duration => duration > 3_000).length} of ${plays.length} last for more than 3 s`;
+    assert.ok(Math.max(...durations) <= 3_000, `${text}, the longest for ${Math.max(...durations)} ms`);
+});
+
+// Guards against trials at several members at once, and against ever more of them for a part that is guilty.
+suite("trials of a quarantine are granted one at a time, and less often after each failure", () => {
+    const trials = new decisions.QuarantineTrials([1_000, 2_000, 60_000]);
+    trials.begin("part", 0, 0);
+    assert.is(trials.decide("part", 999).isGranted, false);
+    assert.is(trials.decide("part", 1_000).isGranted, true);
+    assert.is(trials.decide("part", 1_001).isGranted, false);
+    trials.recordFailure("part", 1, 1_100);
+    trials.recordFailure("part", 1, 2_000);
+    assert.equal(trials.decide("part", 3_099), { isGranted: false, failures: 1, waitMilliseconds: 1 });
+    assert.is(trials.decide("part", 3_100).isGranted, true);
+    trials.recordFailure("part", 2, 3_200);
+    assert.is(trials.decide("part", 63_199).isGranted, false);
+    assert.is(trials.decide("part", 63_200).isGranted, true);
+    assert.is(trials.decide("part", 63_200 + decisions.TrialMilliseconds).isGranted, true);
+});
+
+// Guards against frequent trials of a guilty part after a restart, when a member knows only the entry of the store.
+suite("a member that learns of a quarantine has its delay ahead, with the failures so far", () => {
+    const trials = new decisions.QuarantineTrials([1_000, 2_000, 60_000]);
+    trials.begin("part", 2, 10_000);
+    assert.is(trials.tryGetWait("part", 10_000), 60_000);
+    assert.is(trials.decide("unknown", 10_000).isGranted, false);
+    trials.end("part");
+    assert.is(trials.tryGetWait("part", 10_000), undefined);
+});
+
 suite.run();
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -5,8 +5,9 @@
 import * as gatewayLog from "./gatewayLog.js";
 import * as coordinatorDirectory from "./homeDirectory.js";
 import type * as memberDirectory from "./memberDirectory.js";
-import * as quarantineRecords from "./quarantineRecords.js";
+import type * as quarantineRecords from "./quarantineRecords.js";
 import type * as stateOwners from "./stateOwners.js";
+import * as trialRunner from "./trialRunner.js";
 import type * as types from "./types.js";
 
 /** Checks whether an upstream accepts connections. Tests replace it. */
@@ -28,6 +29,8 @@
 const RecordedCrashes = "recorded";
 /** Time in which a link to a recorder is opened if there is none. */
 const RecorderTimeoutMilliseconds = 1_000;
+/** Minimum delay given to callers of quarantined requests, which are then tried again one by one. */
+const MinimumRetryMilliseconds = 1_000;
 /** Hash key by which all members choose the same recorders. */
 const RecorderKey = "crashes";
 /** Parts in one report, which must fit into a frame of the control lane. */
@@ -55,10 +58,12 @@
     private readonly detector = new decisions.CrashingPartDetector();
     /** Fingerprints of the quarantined requests of which the store has a record, or which is being written. */
     private readonly recordedRequests = new Set<string>();
+    private readonly trials: trialRunner.TrialRunner;
     private readonly probes = new Map<core.UpstreamId, Promise<void>>();
 
     constructor(private readonly parts: CrashWatchParts) {
         const { network, clock } = parts;
+        this.trials = new trialRunner.TrialRunner(parts);
         network.handle(protocol.MessageKind.SuspectReport, async message => {
             const report = { fingerprint: message.fingerprint, deathsByUpstream: message.deathsByUpstream ?? {} };
             this.suspects.merge(report, clock.now());
@@ -75,10 +80,16 @@
         });
         network.handle(protocol.MessageKind.PromptPartsAnswered, async message => {
             this.detector.recordAnswered(message.parts, clock.now());
+            message.parts.forEach(name => this.trials.end({ quarantine: protocol.QuarantineKind.Part, name }));
             return undefined;
         });
         network.handle(protocol.MessageKind.PromptPartQuarantined, async ({ part, remainingMilliseconds }) => {
             this.detector.quarantine(part, remainingMilliseconds, clock.now());
+            this.trials.begin({ quarantine: protocol.QuarantineKind.Part, name: part }, 0);
+            return undefined;
+        });
+        network.handle(protocol.MessageKind.QuarantineEnded, async ended => {
+            this.applyEnd(ended);
             return undefined;
         });
     }
@@ -91,9 +102,19 @@
         if (!this.detector.hasQuarantines() && !this.suspects.hasSuspects()) {
             return false;
         }
-        const { fingerprint, parts } = getRequest();
-        const { verdict } = this.suspects.getDecision(fingerprint, this.parts.clock.now());
-        return verdict === decisions.SuspectVerdict.Quarantined || this.tryGetQuarantined(parts) !== undefined;
+        const request = getRequest();
+        return this.listQuarantines(request).length > 0 && !this.trials.isTrial(request.id);
+    }
+
+    /** Asks whether a quarantined request may be sent as a trial, which finds out whether it crashes upstreams. */
+    async tryBeginTrial(request: decisions.PromptRequest): Promise<boolean> {
+        return this.trials.tryBegin(request.id, this.listQuarantines(request));
+    }
+
+    /** Time until a quarantined request may be sent again, alone or as a trial. */
+    getRetryAfter(request: decisions.PromptRequest, remainingMilliseconds: number): number {
+        const waits = this.listQuarantines(request).map(quarantine => this.trials.getWait(quarantine));
+        return Math.min(remainingMilliseconds, Math.max(MinimumRetryMilliseconds, ...waits));
     }
 
     /** The first of the prompt parts that crashes upstreams. A request that has it must not be sent. */
@@ -104,20 +125,20 @@
     /** Applies changed entries of the fleet. */
     applyEntries(entries: readonly types.StoreEntry[]): void {
         const now = this.parts.clock.now();
-        for (const { kind, name, remainingMilliseconds } of this.parts.records.readChanges(entries)) {
-            const isQuarantined = remainingMilliseconds > 0;
-            if (kind === quarantineRecords.QuarantineKind.Request) {
-                if (isQuarantined) {
-                    this.recordedRequests.add(name);
-                    const deathsByUpstream = { [RecordedCrashes]: CrashesToQuarantine };
-                    this.suspects.merge({ fingerprint: name, deathsByUpstream }, now);
-                }
+        for (const change of this.parts.records.readChanges(entries)) {
+            const { quarantine, name, remainingMilliseconds, failures } = change;
+            if (remainingMilliseconds <= 0) {
+                this.applyRemoval(change);
+                continue;
             }
-            else if (isQuarantined) {
-                this.detector.quarantine(name, remainingMilliseconds, now);
+            this.trials.begin(change, failures);
+            if (quarantine === protocol.QuarantineKind.Request) {
+                this.recordedRequests.add(name);
+                const deathsByUpstream = { [RecordedCrashes]: CrashesToQuarantine };
+                this.suspects.merge({ fingerprint: name, deathsByUpstream }, now);
             }
             else {
-                this.detector.endQuarantine(name, now);
+                this.detector.quarantine(name, remainingMilliseconds, now);
             }
         }
     }
@@ -125,6 +146,7 @@
     /** Call when a request with a prompt is sent. */
     onSent(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
         this.partsInProgress.onSent(getIncarnation(upstream), request, this.parts.clock.now());
+        this.trials.onSent(request.id, upstream.id);
     }
 
     /** Call when an answer has `BeginningEvents` events or is complete, which proves the request's parts innocent. */
@@ -132,16 +154,33 @@
         if (!this.partsInProgress.remove(getIncarnation(upstream), request.id)) {
             return;
         }
-        const cleared = this.detector.recordAnswered(request.parts, this.parts.clock.now());
+        this.trials.onPastBeginning(request.id);
+        const now = this.parts.clock.now();
+        const quarantined = request.parts.filter(part => this.detector.tryGetQuarantined([part], now) !== undefined);
+        const cleared = this.detector.recordAnswered(request.parts, now);
         if (cleared.length > 0) {
             this.send({ kind: protocol.MessageKind.PromptPartsAnswered, parts: cleared });
-            cleared.forEach(part => void this.parts.records.removeIfListed(part));
+        }
+        const quarantine = protocol.QuarantineKind.Part;
+        quarantined.forEach(name => this.announceEnd({ quarantine, name }, request, upstream));
+    }
+
+    /** Call when a request is complete, or far enough to prove it innocent. */
+    onFinished(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
+        const { fingerprint } = request;
+        const isQuarantined = this.isRequestQuarantined(fingerprint);
+        this.suspects.onFinished(request.id, upstream.id);
+        if (isQuarantined && !this.isRequestQuarantined(fingerprint)) {
+            this.trials.onOutcome(request.id, trialRunner.TrialOutcome.Answered);
+            const quarantine = protocol.QuarantineKind.Request;
+            this.announceEnd({ quarantine, name: fingerprint }, request, upstream);
         }
     }
 
     /** Call when the attempt has ended, after `onBroken` if its connection broke. */
     onEnded(upstream: types.UpstreamEntry, request: decisions.PromptRequest): void {
         this.partsInProgress.remove(getIncarnation(upstream), request.id);
+        this.trials.onOutcome(request.id, trialRunner.TrialOutcome.Inconclusive);
     }
 
     /**
@@ -149,7 +188,11 @@
      * connection alone doesn't prove a crash, since connections are also reset by the network. If no new connection can
      * be established, the upstream has crashed, and all requests that it ran become suspect. Resolves when the check is complete.
      */
-    async onBroken(upstream: types.UpstreamEntry): Promise<void> {
+    async onBroken(upstream: types.UpstreamEntry, request: decisions.PromptRequest): Promise<void> {
+        // Also if the upstream is well: it may have crashed and restarted within milliseconds.
+        for (const confirmed of this.trials.onOutcome(request.id, trialRunner.TrialOutcome.Broken)) {
+            this.renewRecord(confirmed);
+        }
         let running = this.probes.get(upstream.id);
         if (running === undefined) {
             running = this.runProbe(upstream).finally(() => this.probes.delete(upstream.id));
@@ -210,16 +253,95 @@
         });
         const kind = protocol.MessageKind.PromptPartQuarantined;
         network.notifyAll({ kind, part, remainingMilliseconds }, protocol.Lane.Control);
-        void records.write(quarantineRecords.QuarantineKind.Part, part, remainingMilliseconds);
+        const quarantine = { quarantine: protocol.QuarantineKind.Part, name: part };
+        this.trials.begin(quarantine, 0);
+        const isCurrent = (): boolean => this.isCurrent(quarantine);
+        void records.write({ ...quarantine, remainingMilliseconds, failures: 0 }, isCurrent);
     }
 
     /** Tells members that start, and in a large fleet those that hear of no crash, of a request that is quarantined here. */
     private recordIfQuarantined(fingerprint: string): void {
         const { verdict, retryAfterMilliseconds } = this.suspects.getDecision(fingerprint, this.parts.clock.now());
-        if (verdict === decisions.SuspectVerdict.Quarantined && !this.recordedRequests.has(fingerprint)) {
-            this.recordedRequests.add(fingerprint);
-            const { Request } = quarantineRecords.QuarantineKind;
-            void this.parts.records.write(Request, fingerprint, retryAfterMilliseconds);
+        if (verdict !== decisions.SuspectVerdict.Quarantined || this.recordedRequests.has(fingerprint)) {
+            return;
+        }
+        this.recordedRequests.add(fingerprint);
+        const quarantine = { quarantine: protocol.QuarantineKind.Request, name: fingerprint };
+        this.trials.begin(quarantine, 0);
+        const upstreams = this.suspects.listUpstreams(fingerprint).join(",");
+        this.parts.log.recordEvent(gatewayLog.GatewayEvent.RequestQuarantined, { fingerprint, upstreams });
+        const change = { ...quarantine, remainingMilliseconds: retryAfterMilliseconds, failures: 0 };
+        void this.parts.records.write(change, () => this.isCurrent(quarantine));
+    }
+
+    /** Keeps the number of failed trials for members that start. */
+    private renewRecord(confirmed: trialRunner.QuarantineName & { readonly failures: number }): void {
+        const remainingMilliseconds = decisions.PartQuarantineMilliseconds;
+        void this.parts.records.write({ ...confirmed, remainingMilliseconds }, () => this.isCurrent(confirmed));
+    }
+
+    private isCurrent({ quarantine, name }: trialRunner.QuarantineName): boolean {
+        return quarantine === protocol.QuarantineKind.Part
+            ? this.tryGetQuarantined([name]) !== undefined
+            : this.isRequestQuarantined(name);
+    }
+
+    private isRequestQuarantined(fingerprint: string): boolean {
+        const { verdict } = this.suspects.getDecision(fingerprint, this.parts.clock.now());
+        return verdict === decisions.SuspectVerdict.Quarantined;
+    }
+
+    /** The quarantines that stop a request. */
+    private listQuarantines({ fingerprint, parts }: decisions.PromptRequest): readonly trialRunner.QuarantineName[] {
+        const { Part, Request } = protocol.QuarantineKind;
+        return [
+            ...(this.isRequestQuarantined(fingerprint) ? [{ quarantine: Request, name: fingerprint }] : []),
+            ...parts
+                .filter(name => this.tryGetQuarantined([name]) !== undefined)
+                .map(name => ({ quarantine: Part, name })),
+        ];
+    }
+
+    /** Ends a quarantine in the whole fleet, because a request that has it was answered. */
+    private announceEnd(
+        ended: trialRunner.QuarantineName,
+        { id }: decisions.PromptRequest,
+        upstream: types.UpstreamEntry,
+    ): void {
+        const { quarantine, name } = ended;
+        const fields = { quarantine, name, reason: "answered", request: id, upstream: upstream.id };
+        this.parts.log.recordEvent(gatewayLog.GatewayEvent.QuarantineEnded, fields);
+        this.trials.notify({ kind: protocol.MessageKind.QuarantineEnded, quarantine, name });
+        const removal = this.parts.records.removeIfListed(ended);
+        this.applyEnd(ended);
+        void removal;
+    }
+
+    private applyEnd(ended: trialRunner.QuarantineName): void {
+        const { quarantine, name } = ended;
+        this.parts.records.refute(ended);
+        this.trials.end(ended);
+        if (quarantine === protocol.QuarantineKind.Request) {
+            this.recordedRequests.delete(name);
+            this.suspects.clear(name);
+        }
+        else {
+            this.detector.recordAnswered([name], this.parts.clock.now());
+        }
+    }
+
+    /** Applies the removal of a record. Without it, a quarantined request is still known here until its own time has passed. */
+    private applyRemoval(removed: quarantineRecords.QuarantineChange): void {
+        const { quarantine, name, isEndedEarly } = removed;
+        if (isEndedEarly === true) {
+            if (this.isCurrent(removed)) {
+                const fields = { quarantine, name, reason: "its record was removed" };
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.QuarantineEnded, fields);
+            }
+            this.applyEnd(removed);
+        }
+        else if (quarantine === protocol.QuarantineKind.Part) {
+            this.detector.endQuarantine(name, this.parts.clock.now());
         }
     }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,6 +38,7 @@
 export * from "./upstreamExchange.js";
 export * from "./channelDirectory.js";
 export * from "./quarantineRecords.js";
+export * from "./trialRunner.js";
 export * from "./crashWatch.js";
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -31,8 +31,8 @@
 const SilenceTimeoutMilliseconds = 1_500;
 /** Pause before an item whose run was lost is run again. */
 const RetryPauseMilliseconds = 100;
-/** Interval at which an item that crashes upstreams is checked for the end of its quarantine. */
-const QuarantineCheckMilliseconds = 2_000;
+/** Interval at which a quarantined item is checked for the end of its quarantine, and for a trial that it may be. */
+const QuarantineCheckMilliseconds = 500;
 /** Time for which an upstream that rejected an item as full is avoided. */
 const FullPenaltyMilliseconds = 80;
 /** Time for which an unreachable upstream is avoided. */
@@ -90,6 +90,8 @@
     private readonly deniedUntil = new Map<core.UpstreamId, core.MonotonicMilliseconds>();
     /** How crashes recognise the items, computed on first use. */
     private readonly prompts = new WeakMap<types.BatchItem, decisions.PromptRequest>();
+    /** Items that wait or have waited because they were quarantined. */
+    private readonly held = new WeakSet<ownedSubmission.OwnedItem>();
     private readonly estimates: itemEstimates.ItemEstimates;
     private isStopped = false;
 
@@ -321,11 +323,27 @@
 
     /** If the item crashes upstreams, keeps it waiting until it is checked again. Returns whether it does. */
     private holdIfQuarantined(owned: ownedSubmission.OwnedItem, now: core.MonotonicMilliseconds): boolean {
-        const isQuarantined = this.parts.crashWatch.isQuarantined(() => this.getPrompt(owned.item));
-        if (isQuarantined) {
-            owned.notBefore = now + QuarantineCheckMilliseconds;
+        const { crashWatch: watch, log } = this.parts;
+        if (!watch.isQuarantined(() => this.getPrompt(owned.item))) {
+            return false;
+        }
+        if (!this.held.has(owned)) {
+            this.held.add(owned);
+            const fields = { submission: owned.submission.getId(), item: owned.item.id };
+            log.recordEvent(gatewayLog.GatewayEvent.ItemHeld, fields);
+        }
+        owned.notBefore = now + QuarantineCheckMilliseconds;
+        void this.tryBeginTrial(owned);
+        return true;
+    }
+
+    /** Starts a held item as a trial of its quarantine, if one may be sent now. */
+    private async tryBeginTrial(owned: ownedSubmission.OwnedItem): Promise<void> {
+        const isGranted = await this.parts.crashWatch.tryBeginTrial(this.getPrompt(owned.item));
+        if (isGranted && owned.state === ownedSubmission.ItemState.Waiting) {
+            owned.notBefore = this.parts.clock.now();
+            this.dispatch();
         }
-        return isQuarantined;
     }
 
     private tryStart(item: ItemWithOutlook, now: core.MonotonicMilliseconds): boolean {
@@ -481,7 +499,7 @@
             if (events >= crashWatch.BeginningEvents && events - newEvents < crashWatch.BeginningEvents) {
                 this.parts.crashWatch.onAnswered(upstream, prompt);
                 // An item that is past its beginning runs for seconds, in which its engine may crash for other reasons.
-                suspects.onFinished(prompt.id, upstream.id);
+                this.parts.crashWatch.onFinished(upstream, prompt);
             }
         });
         this.running.set(owned, { upstream: upstream.id, run });
@@ -529,15 +547,15 @@
         const { crashWatch: watch } = this.parts;
         switch (outcome.kind) {
             case itemRun.ItemOutcomeKind.Lost:
-                await watch.onBroken(upstream);
+                await watch.onBroken(upstream, prompt);
                 break;
             case itemRun.ItemOutcomeKind.Completed:
                 watch.onAnswered(upstream, prompt);
-                watch.suspects.onFinished(prompt.id, upstream.id);
+                watch.onFinished(upstream, prompt);
                 break;
             case itemRun.ItemOutcomeKind.Failed:
             case itemRun.ItemOutcomeKind.Impossible:
-                watch.suspects.onFinished(prompt.id, upstream.id);
+                watch.onFinished(upstream, prompt);
                 break;
             case itemRun.ItemOutcomeKind.NotRun:
             case itemRun.ItemOutcomeKind.NotSent:
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -186,7 +186,7 @@
                 return;
             }
             // The part may have been proved guilty while the request waited for its slot.
-            if (this.refuseIfQuarantined(progress)) {
+            if (this.isQuarantined(progress) && (await this.refuseUnlessTrial(progress))) {
                 this.returnSlot(placement);
                 return;
             }
@@ -233,26 +233,35 @@
         }
     }
 
-    /** Refuses a request that crashes upstreams, by itself or by a part of its prompt. Returns whether it does. */
-    private refuseIfQuarantined(progress: Progress): boolean {
+    /** Whether the request crashes upstreams, by itself or by a part of its prompt. */
+    private isQuarantined(progress: Progress): boolean {
+        return this.parts.crashWatch.isQuarantined(() => progress.prompt);
+    }
+
+    /** Refuses a quarantined request, unless it may be sent as a trial. Returns whether it has been refused. */
+    private async refuseUnlessTrial(progress: Progress): Promise<boolean> {
         const { crashWatch, clock } = this.parts;
+        const { prompt } = progress;
+        if (await crashWatch.tryBeginTrial(prompt)) {
+            return false;
+        }
         const suspicion = crashWatch.suspects.getDecision(progress.fingerprint, clock.now());
         if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
             const { retryAfterMilliseconds, deaths } = suspicion;
             this.refuse(
                 progress,
                 types.RefusalReason.Quarantined,
-                retryAfterMilliseconds,
+                crashWatch.getRetryAfter(prompt, retryAfterMilliseconds),
                 `${deaths} upstreams crashed`,
             );
             return true;
         }
-        const guilty = crashWatch.tryGetQuarantined(progress.prompt.parts);
+        const guilty = crashWatch.tryGetQuarantined(prompt.parts);
         if (guilty === undefined) {
             return false;
         }
-        const { part, remainingMilliseconds } = guilty;
-        this.refuse(progress, types.RefusalReason.Quarantined, remainingMilliseconds, `prompt part ${part}`);
+        const retryAfterMilliseconds = crashWatch.getRetryAfter(prompt, guilty.remainingMilliseconds);
+        this.refuse(progress, types.RefusalReason.Quarantined, retryAfterMilliseconds, `prompt part ${guilty.part}`);
         return true;
     }
 
@@ -260,7 +269,7 @@
     private async tryChoosePlacement(progress: Progress): Promise<Placement | undefined> {
         const { request } = progress;
         const now = this.parts.clock.now();
-        if (this.refuseIfQuarantined(progress)) {
+        if (this.isQuarantined(progress) && (await this.refuseUnlessTrial(progress))) {
             return undefined;
         }
         const service = chooseService(request);
@@ -528,7 +537,7 @@
         const kinds = answerRelay.AttemptOutcomeKind;
         const id = progress.request.head.attemptId;
         if (outcome.kind === kinds.Delivered || outcome.kind === kinds.Failed) {
-            suspects.onFinished(id, upstream.id);
+            this.parts.crashWatch.onFinished(upstream, progress.prompt);
             if (outcome.kind === kinds.Delivered) {
                 this.parts.crashWatch.onAnswered(upstream, progress.prompt);
             }
@@ -536,7 +545,7 @@
             return;
         }
         if (outcome.kind === kinds.Lost) {
-            await this.parts.crashWatch.onBroken(upstream);
+            await this.parts.crashWatch.onBroken(upstream, progress.prompt);
         }
         suspects.onAbandoned(id, upstream.id);
         this.parts.crashWatch.onEnded(upstream, progress.prompt);
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -53,6 +53,7 @@
 const payload = zod.instanceof(Uint8Array);
 const shard = zod.int().min(0);
 const count = zod.number().min(0);
+const quarantine = zod.enum(types.QuarantineKind);
 const gap = zod.number().min(0);
 const engineSpeedRow = zod.tuple([name, gap, gap, count]);
 
@@ -229,6 +230,15 @@
         part: name,
         remainingMilliseconds: count,
     }),
+    zod.object({ kind: zod.literal(types.MessageKind.QuarantineTrialRequest), quarantine, name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.QuarantineTrialReply),
+        isGranted: zod.boolean(),
+        failures: count,
+        waitMilliseconds: count,
+    }),
+    zod.object({ kind: zod.literal(types.MessageKind.QuarantineTrialFailed), quarantine, name, failures: count }),
+    zod.object({ kind: zod.literal(types.MessageKind.QuarantineEnded), quarantine, name }),
     zod.object({ kind: zod.literal(types.MessageKind.Refused), text: zod.string().max(2_000) }),
 ]);
 
--- a/packages/protocol/src/packedForm.ts
+++ b/packages/protocol/src/packedForm.ts
@@ -55,6 +55,10 @@
     [types.MessageKind.PromptPartCrash]: 44,
     [types.MessageKind.PromptPartsAnswered]: 45,
     [types.MessageKind.PromptPartQuarantined]: 46,
+    [types.MessageKind.QuarantineTrialRequest]: 47,
+    [types.MessageKind.QuarantineTrialReply]: 48,
+    [types.MessageKind.QuarantineTrialFailed]: 49,
+    [types.MessageKind.QuarantineEnded]: 50,
 };
 
 const KindsByNumber = new Map(Object.entries(KindNumbers).map(([kind, number]) => [number, kind]));
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -61,6 +61,10 @@
     PromptPartCrash = "PromptPartCrash",
     PromptPartsAnswered = "PromptPartsAnswered",
     PromptPartQuarantined = "PromptPartQuarantined",
+    QuarantineTrialRequest = "QuarantineTrialRequest",
+    QuarantineTrialReply = "QuarantineTrialReply",
+    QuarantineTrialFailed = "QuarantineTrialFailed",
+    QuarantineEnded = "QuarantineEnded",
 }
 
 /** First frame sent by the accepting side. The other side's proof must cover the challenge, which prevents replays. */
@@ -465,6 +469,44 @@
     readonly remainingMilliseconds: number;
 }
 
+/** What a quarantine stops: each request with a prompt part, or a single request by its fingerprint. */
+export enum QuarantineKind {
+    Part = "part",
+    Request = "request",
+}
+
+/** Asks the member that decides on the trials of a quarantine whether a request may be sent as one. */
+export interface QuarantineTrialRequest {
+    readonly kind: MessageKind.QuarantineTrialRequest;
+    readonly quarantine: QuarantineKind;
+    readonly name: string;
+}
+
+export interface QuarantineTrialReply {
+    readonly kind: MessageKind.QuarantineTrialReply;
+    readonly isGranted: boolean;
+    /** Trials that have failed so far. */
+    readonly failures: number;
+    /** Time until the next trial may be granted. */
+    readonly waitMilliseconds: number;
+}
+
+/** Reports that a trial has failed: the upstream crashed or broke off before the answer was past its beginning. */
+export interface QuarantineTrialFailed {
+    readonly kind: MessageKind.QuarantineTrialFailed;
+    readonly quarantine: QuarantineKind;
+    readonly name: string;
+    /** Trials that have failed so far, including this one. */
+    readonly failures: number;
+}
+
+/** Reports that a quarantine has turned out to be false. */
+export interface QuarantineEnded {
+    readonly kind: MessageKind.QuarantineEnded;
+    readonly quarantine: QuarantineKind;
+    readonly name: string;
+}
+
 /** Reply of a peer that could not serve a request; `text` gives the reason. */
 export interface Refused {
     readonly kind: MessageKind.Refused;
@@ -518,6 +560,10 @@
     | PromptPartCrash
     | PromptPartsAnswered
     | PromptPartQuarantined
+    | QuarantineTrialRequest
+    | QuarantineTrialReply
+    | QuarantineTrialFailed
+    | QuarantineEnded
     | Refused;
 
 export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -393,6 +393,36 @@
     EventLevel.Warn,
     "Requests with a part of the prompt crash upstreams and are refused; the fields give the part, the upstream whose crash proved it, the crashes, the independent moments and the requests among them, and the share of the other upstreams that had the part in progress.",
 );
+export const GatewayRequestQuarantined = defineEvent(
+    740,
+    "GatewayRequestQuarantined",
+    EventLevel.Warn,
+    "A request that was in progress at several crashes is refused; the fields give its fingerprint and the crashes by upstream.",
+);
+export const QuarantineTrialStarted = defineEvent(
+    741,
+    "QuarantineTrialStarted",
+    EventLevel.Info,
+    "A quarantined request or item was sent to find out whether it crashes upstreams.",
+);
+export const QuarantineTrialEnded = defineEvent(
+    742,
+    "QuarantineTrialEnded",
+    EventLevel.Info,
+    "The trial of a quarantine has ended; after Broken the next one follows later, after Answered the quarantine ends.",
+);
+export const QuarantineEnded = defineEvent(
+    743,
+    "QuarantineEnded",
+    EventLevel.Warn,
+    "A quarantine has ended early; the fields give the reason.",
+);
+export const ItemHeld = defineEvent(
+    744,
+    "ItemHeld",
+    EventLevel.Info,
+    "An item waits because it, or a part of its prompt, is quarantined.",
+);
 export const ItemCompleted = defineEvent(
     738,
     "ItemCompleted",
