--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -1,4 +1,3 @@
-import * as net from "node:net";
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
@@ -9,9 +8,7 @@
 import type * as stateOwners from "./stateOwners.js";
 import * as trialRunner from "./trialRunner.js";
 import type * as types from "./types.js";
-
-/** Checks whether an upstream accepts connections. Tests replace it. */
-export type Probe = (address: string) => Promise<boolean>;
+import * as upstreamProbe from "./upstreamProbe.js";
 
 /** Crashed upstreams after which a request is quarantined: the platform allows one request to crash three. */
 const CrashesToQuarantine = 3;
@@ -20,9 +17,6 @@
  * allow for events that are sent before the crash.
  */
 export const BeginningEvents = 4;
-/** A running upstream accepts a connection within a few milliseconds; the rest allows for a full connection queue. */
-const ProbeTimeoutMilliseconds = 300;
-
 /** Members of a large fleet to which crashes are reported. Two suffice if one of them is lost. */
 const CrashRecorders = 2;
 /** Stands for the upstreams that a recorded request has crashed. */
@@ -48,7 +42,7 @@
     readonly clock: core.Clock;
     readonly log: gatewayLog.GatewayLog;
     /** Absent: connects to the upstream. */
-    readonly probe?: Probe;
+    readonly probe?: upstreamProbe.Probe;
 }
 
 /** Detects requests that crash upstreams, by the whole request or by a part of its prompt. Members share their findings. */
@@ -185,8 +179,8 @@
 
     /**
      * Call when a connection breaks while a request runs, before reporting the end of the request to `suspects`. A broken
-     * connection alone doesn't prove a crash, since connections are also reset by the network. If no new connection can
-     * be established, the upstream has crashed, and all requests that it ran become suspect. Resolves when the check is complete.
+     * connection alone doesn't prove a crash, since connections are also reset by the network. If new connections are
+     * refused, the upstream has crashed, and all requests that it ran become suspect. Resolves when the check is complete.
      */
     async onBroken(upstream: types.UpstreamEntry, request: decisions.PromptRequest): Promise<void> {
         // Also if the upstream is well: it may have crashed and restarted within milliseconds.
@@ -202,7 +196,7 @@
     }
 
     private async runProbe(upstream: types.UpstreamEntry): Promise<void> {
-        const { probe = canConnect, clock, log, network } = this.parts;
+        const { probe = upstreamProbe.probeUpstream, clock, log, network } = this.parts;
         if (await probe(upstream.address)) {
             return;
         }
@@ -390,17 +384,3 @@
 export function createFingerprint(target: string, body: Uint8Array): string {
     return `${decisions.hashText(target)}-${decisions.hashBytes(body)}-${body.length}`;
 }
-
-function canConnect(address: string): Promise<boolean> {
-    const colon = address.lastIndexOf(":");
-    return new Promise(resolve => {
-        const socket = net.connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
-        const finish = (isAlive: boolean): void => {
-            socket.destroy();
-            resolve(isAlive);
-        };
-        socket.setTimeout(ProbeTimeoutMilliseconds, () => finish(false));
-        socket.once("connect", () => finish(true));
-        socket.once("error", () => finish(false));
-    });
-}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,6 +39,7 @@
 export * from "./channelDirectory.js";
 export * from "./quarantineRecords.js";
 export * from "./trialRunner.js";
+export * from "./upstreamProbe.js";
 export * from "./crashWatch.js";
 export * from "./eventSplitter.js";
 export * from "./answerRelay.js";
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -19,6 +19,8 @@
     NotSent = "NotSent",
     /** The run broke off. The item continues at any upstream. */
     Lost = "Lost",
+    /** The run was stopped because nothing arrived for a while. The item continues at any upstream. */
+    Silent = "Silent",
     /** The gateway stopped the run, for example to free the slot for an online request. */
     Stopped = "Stopped",
 }
@@ -62,7 +64,7 @@
         }
     }
 
-    stop(kind: ItemOutcomeKind.Stopped | ItemOutcomeKind.Lost, text: string): void {
+    stop(kind: ItemOutcomeKind.Stopped | ItemOutcomeKind.Lost | ItemOutcomeKind.Silent, text: string): void {
         this.settle({ kind, text });
         this.exchange?.abort();
     }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -27,7 +27,7 @@
     readonly dataCentre: core.DataCentre;
 }
 
-/** Silence after which a run counts as lost. Engines send an event every 30 ms, but the first one may wait for a whole stream. */
+/** Silence after which a run is stopped. Engines send an event every 30 ms, but the first one may wait for a whole stream. */
 const SilenceTimeoutMilliseconds = 1_500;
 /** Pause before an item whose run was lost is run again. */
 const RetryPauseMilliseconds = 100;
@@ -486,7 +486,7 @@
         });
         owned.state = ownedSubmission.ItemState.Running;
         const silenceTimer = new silenceTimers.SilenceTimer(this.parts.clock, () =>
-            run.stop(itemRun.ItemOutcomeKind.Lost, `silent for ${SilenceTimeoutMilliseconds} ms`),
+            run.stop(itemRun.ItemOutcomeKind.Silent, `silent for ${SilenceTimeoutMilliseconds} ms`),
         );
         const restartSilenceTimer = (): void => silenceTimer.restart(SilenceTimeoutMilliseconds);
         const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
@@ -557,6 +557,7 @@
             case itemRun.ItemOutcomeKind.Impossible:
                 watch.onFinished(upstream, prompt);
                 break;
+            case itemRun.ItemOutcomeKind.Silent:
             case itemRun.ItemOutcomeKind.NotRun:
             case itemRun.ItemOutcomeKind.NotSent:
             case itemRun.ItemOutcomeKind.Stopped:
@@ -608,6 +609,7 @@
                 this.parts.slots.slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
                 break;
             case kinds.Lost:
+            case kinds.Silent:
                 owned.notBefore = now + RetryPauseMilliseconds;
                 break;
             case kinds.Stopped:
--- a/packages/gateway/test/testEngines.ts
+++ b/packages/gateway/test/testEngines.ts
@@ -12,6 +12,10 @@
     readonly cuts: Map<string, number>;
     /** Items that crash the engine as it begins to answer. */
     readonly crashing: Set<string>;
+    /** Items whose runs fall silent before their first event. */
+    readonly silent: Set<string>;
+    /** Whether engines accept no new connection. */
+    isUnreachable: boolean;
     /** Time between two events of a run. */
     eventMilliseconds: number;
 }
@@ -26,6 +30,8 @@
         breaks: new Map(),
         cuts: new Map(),
         crashing: new Set(),
+        silent: new Set(),
+        isUnreachable: false,
         eventMilliseconds: EventMilliseconds,
     };
     /** Runs that reached an engine. `after` is the id of the event after which the run continues. */
@@ -98,6 +104,9 @@
                 });
                 return;
             }
+            if (this.owner.behaviour.silent.has(item)) {
+                return;
+            }
             if (this.owner.behaviour.crashing.has(item)) {
                 this.owner.noteCrash();
                 finish(() => handler.onFailure({ kind: gateway.ExchangeFailureKind.Broken, text: "crashed" }));
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -299,7 +299,7 @@
     717,
     "UpstreamDied",
     EventLevel.Warn,
-    "An upstream closed its connections and can't be reached; the parts are those of prompts whose answers were at their beginning there.",
+    "An upstream closed its connections and refuses new ones; the parts are those of prompts whose answers were at their beginning there.",
 );
 export const RegistryEntryUnusable = defineEvent(
     714,
