--- a/packages/decisions/src/crashingParts.ts
+++ b/packages/decisions/src/crashingParts.ts
@@ -46,6 +46,9 @@
 interface Moment {
     readonly startAt: core.MonotonicMilliseconds;
     endAt: core.MonotonicMilliseconds;
+    /** When the requests with the part were sent. */
+    firstSentAt: core.MonotonicMilliseconds;
+    lastSentAt: core.MonotonicMilliseconds;
     crashes: number;
     share: number;
 }
@@ -67,11 +70,13 @@
  */
 const MinimumMoments = 3;
 /**
- * Limits of the chance that a crash with another cause finds a part in progress. A part that half of the upstreams have in
- * progress needs ten moments, one that few have needs three. The upper limit lets a part be found that all requests have.
+ * Limits of the chance that a crash with another cause finds a part in progress, and of the chance that all its moments are such
+ * coincidences. A part that half of the upstreams have in progress needs nine moments, one that few have needs three. The
+ * upper limit lets a part be found that all requests have.
  */
 const MinimumChance = 0.1;
 const MaximumChance = 0.5;
+const MaximumCoincidence = 0.002;
 /** Different requests among them: a single request that crashes upstreams says nothing about the parts that it shares. */
 const MinimumRequests = 2;
 /** Share of all moments of crashes since its first one that a part must be in progress at: upstreams also crash for other reasons. */
@@ -92,6 +97,8 @@
 const NoticeMilliseconds = 50;
 /** Upstreams that crash together for a reason of their own: a part takes down one upstream for each request. */
 const UpstreamsOfCommonCause = 3;
+/** Spread of the times at which requests are sent together. */
+const SendSpreadMilliseconds = 20;
 /** How long crashes and answers are remembered. */
 const MemoryMilliseconds = 10 * 60_000;
 const MaximumCrashes = 500;
@@ -248,10 +255,10 @@
         const moments = all.filter(moment => mayBeCausedByPart(moment, others));
         const entries = concerned.flatMap(crash => crash.parts.get(part) ?? []);
         const requests = new Set(entries.flatMap(({ fingerprints }) => [...fingerprints])).size;
-        const chance = moments.reduce((product, { share }) => product * limitChance(share), 1);
+        const coincidence = moments.reduce((product, moment) => product * getChance(moment), 1);
         const isProved =
             moments.length >= MinimumMoments &&
-            isAtMost(chance, MinimumChance ** MinimumMoments) &&
+            coincidence <= MaximumCoincidence &&
             requests >= MinimumRequests &&
             all.length >= (all.length + countMoments(others)) * MinimumShare;
         const isKnownOffender = (this.quarantines.get(part)?.forgottenAt ?? -Infinity) > now;
@@ -294,19 +301,26 @@
         const last = moments.at(-1);
         const isSentAfter = last !== undefined && !wasAnswered && sentAt >= last.endAt;
         if (last === undefined || isSentAfter || at - last.startAt >= spread) {
-            moments.push({ startAt: at, endAt: at, crashes: 1, share });
+            moments.push({ startAt: at, endAt: at, firstSentAt: sentAt, lastSentAt: sentAt, crashes: 1, share });
             continue;
         }
         last.endAt = at;
+        last.firstSentAt = Math.min(last.firstSentAt, sentAt);
+        last.lastSentAt = Math.max(last.lastSentAt, sentAt);
         last.crashes++;
         last.share = Math.max(last.share, share);
     }
     return moments;
 }
 
-/** Whether only upstreams that had the part in progress crashed at the moment, and not many of them at once. */
-function mayBeCausedByPart({ startAt, endAt, crashes }: Moment, others: readonly KnownCrash[]): boolean {
-    const isCommonCause = crashes >= UpstreamsOfCommonCause && endAt - startAt <= ReportSpreadMilliseconds;
+/**
+ * Whether only upstreams that had the part in progress crashed at the moment, and not many of them for a common cause. A part
+ * takes down upstreams at once only if its requests were sent at once, such as the items of a submission.
+ */
+function mayBeCausedByPart(moment: Moment, others: readonly KnownCrash[]): boolean {
+    const { startAt, endAt, firstSentAt, lastSentAt, crashes } = moment;
+    const isSpread = lastSentAt - firstSentAt > endAt - startAt + SendSpreadMilliseconds;
+    const isCommonCause = crashes >= UpstreamsOfCommonCause && endAt - startAt <= ReportSpreadMilliseconds && isSpread;
     const isBeside = ({ at }: KnownCrash): boolean =>
         at >= startAt - ReportSpreadMilliseconds && at <= endAt + ReportSpreadMilliseconds;
     return !isCommonCause && !others.some(isBeside);
@@ -323,11 +337,7 @@
     return moments;
 }
 
-function limitChance(share: number): number {
-    return Math.min(MaximumChance, Math.max(MinimumChance, share));
-}
-
-/** Compares products of the same factors, which may differ in the last digits. */
-function isAtMost(value: number, limit: number): boolean {
-    return value <= limit * (1 + 1e-9);
+/** The chance that crashes with another cause find the part in progress at each of the upstreams. */
+function getChance({ share, crashes }: Moment): number {
+    return Math.max(MinimumChance, Math.min(MaximumChance, share) ** crashes);
 }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -31,6 +31,11 @@
 const SilenceTimeoutMilliseconds = 1_500;
 /** Pause before an item whose run was lost is run again. */
 const RetryPauseMilliseconds = 100;
+/**
+ * Maximum added to the pause, differently for each item, if the run had no event. Items of a submission that crash engines would
+ * otherwise take down several at the same moment again and again, like a cause that has nothing to do with them.
+ */
+const RetrySpreadMilliseconds = 300;
 /** Interval at which a quarantined item is checked for the end of its quarantine, and for a trial that it may be. */
 const QuarantineCheckMilliseconds = 500;
 /** Time for which an upstream that rejected an item as full is avoided. */
@@ -610,7 +615,7 @@
                 break;
             case kinds.Lost:
             case kinds.Silent:
-                owned.notBefore = now + RetryPauseMilliseconds;
+                owned.notBefore = now + RetryPauseMilliseconds + getRetrySpread(owned);
                 break;
             case kinds.Stopped:
                 return;
@@ -681,3 +686,7 @@
         });
     }
 }
+
+function getRetrySpread({ item, texts }: ownedSubmission.OwnedItem): number {
+    return texts.length > 0 ? 0 : decisions.hashToUnit(item.id) * RetrySpreadMilliseconds;
+}
--- a/packages/gateway/test/commonCrashes.test.ts
+++ b/packages/gateway/test/commonCrashes.test.ts
@@ -1,8 +1,10 @@
 import * as gateway from "@boragedale/gateway";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import * as fixtures from "./fixtures.js";
 import type * as forwarderScenes from "./forwarderScenes.js";
 import * as scenes from "./gatewayScenes.js";
+import * as testFleet from "./testFleet.js";
 
 const suite = uvu.suite("commonCrashes");
 
@@ -70,4 +72,23 @@
     assert.is(await scene.sendSound(100, true), 0);
 });
 
+// Guards against taking the items of one submission, which crash several engines at once and are all run again at once, for a
+// cause of their own that engines have in common.
+suite("a part that crashes engines is found in items that start together", async () => {
+    const fleet = await testFleet.createFleet(2, 6);
+    const items = fixtures.createItems(12).map(item => ({
+        ...item,
+        headers: [["parts", `shared,crashing,${item.id}`]] as const,
+    }));
+    items.forEach(item => fleet.channels.behaviour.crashing.add(item.id));
+    await testFleet.submit(fleet, fleet.members[0]!, "s", items);
+    await fleet.clock.advance(6_000);
+    const events = fleet.members.flatMap(member => member.log.events.map(({ event }) => event));
+    const { runs } = fleet.channels;
+    const text = `${runs.length} runs`;
+    assert.ok(events.includes(gateway.GatewayEvent.PartQuarantined), text);
+    // Each item runs once before any engine has crashed; two of the later runs are trials.
+    assert.ok(runs.length <= 12 + 12, text);
+});
+
 suite.run();
