--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -29,6 +29,8 @@
 
 /** Silence after which a run is stopped. Engines send an event every 30 ms, but the first one may wait for a whole stream. */
 const SilenceTimeoutMilliseconds = 1_500;
+/** Upper bound of the silence after which a run is stopped. It doubles with each silent run of the item: all engines may be slow. */
+const MaximumSilenceTimeoutMilliseconds = 6_000;
 /** Pause before an item whose run was lost is run again. */
 const RetryPauseMilliseconds = 100;
 /**
@@ -490,10 +492,12 @@
             ...this.parts.slots.slotTable.getTotal(upstream.id),
         });
         owned.state = ownedSubmission.ItemState.Running;
-        const silenceTimer = new silenceTimers.SilenceTimer(this.parts.clock, () =>
-            run.stop(itemRun.ItemOutcomeKind.Silent, `silent for ${SilenceTimeoutMilliseconds} ms`),
-        );
-        const restartSilenceTimer = (): void => silenceTimer.restart(SilenceTimeoutMilliseconds);
+        const silenceLimit = getSilenceLimit(owned);
+        const silenceTimer = new silenceTimers.SilenceTimer(this.parts.clock, () => {
+            owned.silentRuns++;
+            run.stop(itemRun.ItemOutcomeKind.Silent, `silent for ${silenceLimit} ms`);
+        });
+        const restartSilenceTimer = (): void => silenceTimer.restart(silenceLimit);
         const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
         const prompt = this.getPrompt(owned.item);
         const { suspects } = this.parts.crashWatch;
@@ -690,3 +694,7 @@
 function getRetrySpread({ item, texts }: ownedSubmission.OwnedItem): number {
     return texts.length > 0 ? 0 : decisions.hashToUnit(item.id) * RetrySpreadMilliseconds;
 }
+
+function getSilenceLimit({ silentRuns }: ownedSubmission.OwnedItem): number {
+    return Math.min(MaximumSilenceTimeoutMilliseconds, SilenceTimeoutMilliseconds * 2 ** silentRuns);
+}
--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -32,6 +32,8 @@
     waitingSince: core.MonotonicMilliseconds;
     /** Failed attempts, which count towards the route's maximum. */
     failures: number;
+    /** Runs that were stopped because their upstream was silent. */
+    silentRuns: number;
     /** Earliest time of the next run; later than now only if the last run was lost. */
     notBefore: core.MonotonicMilliseconds;
 }
@@ -102,6 +104,7 @@
             origin: undefined,
             waitingSince: -Infinity,
             failures: failures.get(index) ?? 0,
+            silentRuns: 0,
             notBefore: -Infinity,
         }));
         this.scheduleCheckpoint();
