--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -218,7 +218,7 @@
             return undefined;
         }
         // The part may have been proved guilty while the request waited for its slot.
-        const quarantine = this.chooser.tryGetQuarantine(progress);
+        const quarantine = await this.chooser.tryGetQuarantine(progress, true);
         if (quarantine !== undefined) {
             this.chooser.returnSlot(placement);
             this.refuse(progress, quarantine.reason, quarantine.retryAfterMilliseconds, quarantine.detail);
@@ -497,7 +497,7 @@
         const kinds = answerRelay.AttemptOutcomeKind;
         const id = progress.request.head.attemptId;
         if (outcome.kind === kinds.Delivered || outcome.kind === kinds.Failed) {
-            suspects.onFinished(id, upstream.id);
+            this.parts.crashWatch.onFinished(upstream, progress.prompt);
             if (outcome.kind === kinds.Delivered) {
                 this.parts.crashWatch.onAnswered(upstream, progress.prompt);
             }
@@ -505,7 +505,7 @@
             return;
         }
         if (outcome.kind === kinds.Lost) {
-            await this.parts.crashWatch.onBroken(upstream);
+            await this.parts.crashWatch.onBroken(upstream, progress.prompt);
         }
         suspects.onAbandoned(id, upstream.id);
         this.parts.crashWatch.onEnded(upstream, progress.prompt);
--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -73,24 +73,30 @@
 
     constructor(private readonly parts: UpstreamChooserParts) {}
 
-    /** Why the request must not be sent: it crashes upstreams, by itself or by a part of its prompt. */
-    tryGetQuarantine(progress: requestProgress.Progress): PlacementRefusal | undefined {
+    /**
+     * Why the request must not be sent: it crashes upstreams, by itself or by a part of its prompt. With `mayTry`, a trial of
+     * its quarantine is requested, and undefined is returned if it was granted.
+     */
+    async tryGetQuarantine(progress: requestProgress.Progress, mayTry: boolean): Promise<PlacementRefusal | undefined> {
         const { crashWatch, clock } = this.parts;
-        const suspicion = crashWatch.suspects.getDecision(progress.fingerprint, clock.now());
+        const { prompt, fingerprint } = progress;
+        if (!crashWatch.isQuarantined(() => prompt) || (mayTry && (await crashWatch.tryBeginTrial(prompt)))) {
+            return undefined;
+        }
+        const suspicion = crashWatch.suspects.getDecision(fingerprint, clock.now());
         if (suspicion.verdict === decisions.SuspectVerdict.Quarantined) {
             const { retryAfterMilliseconds, deaths } = suspicion;
-            return createRefusal(
-                types.RefusalReason.Quarantined,
-                retryAfterMilliseconds,
+            return refuseQuarantined(
+                crashWatch.getRetryAfter(prompt, retryAfterMilliseconds),
                 `${deaths} upstreams crashed`,
             );
         }
-        const guilty = crashWatch.tryGetQuarantined(progress.prompt.parts);
+        const guilty = crashWatch.tryGetQuarantined(prompt.parts);
         if (guilty === undefined) {
             return undefined;
         }
-        const { part, remainingMilliseconds } = guilty;
-        return createRefusal(types.RefusalReason.Quarantined, remainingMilliseconds, `prompt part ${part}`);
+        const retryAfterMilliseconds = crashWatch.getRetryAfter(prompt, guilty.remainingMilliseconds);
+        return refuseQuarantined(retryAfterMilliseconds, `prompt part ${guilty.part}`);
     }
 
     /** Chooses an upstream, if possible one that has not been tried, and requests a slot there. */
@@ -127,11 +133,11 @@
     private async choosePlacement(progress: requestProgress.Progress, options: FindOptions): Promise<PlacementOutcome> {
         const { request } = progress;
         const isRefusable = options.mustStartSoon === true || requestProgress.isRefusable(progress);
-        const now = this.parts.clock.now();
-        const quarantine = this.tryGetQuarantine(progress);
+        const quarantine = await this.tryGetQuarantine(progress, options.mustStartSoon !== true);
         if (quarantine !== undefined) {
             return quarantine;
         }
+        const now = this.parts.clock.now();
         const service = requestProgress.tryGetService(request);
         const usable = service === undefined ? [] : this.getUsable(progress, service, now);
         const candidates = this.listCandidates(progress, usable, now);
@@ -286,6 +292,10 @@
     return { kind: PlacementOutcomeKind.Refused, reason, retryAfterMilliseconds, detail };
 }
 
+function refuseQuarantined(retryAfterMilliseconds: number, detail: string): PlacementRefusal {
+    return createRefusal(types.RefusalReason.Quarantined, retryAfterMilliseconds, detail);
+}
+
 function refuseNoUpstream(detail: string): PlacementRefusal {
     return createRefusal(types.RefusalReason.NoUpstream, NoUpstreamRetryMilliseconds, detail);
 }
