--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -48,6 +48,8 @@
 export * from "./refusals.js";
 export * from "./requestProgress.js";
 export * from "./upstreamChooser.js";
+export * from "./upstreamOutcomes.js";
+export * from "./successorSearch.js";
 export * from "./requestForwarder.js";
 export * from "./submissionRecords.js";
 export * from "./submissionStore.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -11,8 +11,10 @@
 import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
 import type * as streamOrigins from "./streamOrigins.js";
+import * as successorSearch from "./successorSearch.js";
 import * as types from "./types.js";
 import * as upstreamChooser from "./upstreamChooser.js";
+import * as upstreamOutcomes from "./upstreamOutcomes.js";
 import type * as wire from "./wire.js";
 
 /** Dependencies of `RequestForwarder`. */
@@ -41,18 +43,8 @@
 const StreamSilenceMilliseconds = 1_500;
 /** Interval at which another upstream is looked for while a silent one can't be left. */
 const SuccessorCheckMilliseconds = 200;
-/**
- * Unreachable upstreams after which the search for another one pauses. Each may take 300 ms, and the caller of a stream
- * abandons it half a second after the search began or later.
- */
-const MaximumUnreachableSuccessors = 2;
-const GatewayTimeoutStatus = 504;
-/** A stream that had a free slot and has no event after this multiple of the latency target counts as an upstream failure. */
-const FirstEventOverdueFactor = 2;
 /** Time for which an upstream that rejected a request as full is avoided: about the time until one of its slots is free. */
 const FullPenaltyMilliseconds = 60;
-/** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
-const UnreachablePenaltyMilliseconds = 1_000;
 /**
  * How long an answer that has begun waits for an upstream if there is none. An entry that is replaced, or an upstream that
  * restarts, is back within that time; callers abandon a stream after two seconds without data or more.
@@ -81,18 +73,16 @@
     readonly logKept: (silentMilliseconds: number, reason: string) => void;
 }
 
-/** Where a request can go on that waits for a silent upstream, or why nowhere. */
-type SuccessorSearch =
-    { readonly successor: requestProgress.Placement } | { readonly successor: undefined; readonly reason: string };
-
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly chooser: upstreamChooser.UpstreamChooser;
-    /** By service, since the number of upstreams avoided at the same time is limited to a share of the service's upstreams. */
-    private readonly failureWatches = new Map<string, decisions.FailureWatch>();
+    private readonly successors: successorSearch.SuccessorSearch;
+    private readonly outcomes: upstreamOutcomes.UpstreamOutcomes;
 
     constructor(private readonly parts: ForwarderParts) {
         this.chooser = new upstreamChooser.UpstreamChooser(parts);
+        this.successors = new successorSearch.SuccessorSearch({ ...parts, chooser: this.chooser });
+        this.outcomes = new upstreamOutcomes.UpstreamOutcomes(parts);
     }
 
     /** Resolves when the request has ended, to whether an upstream may have run it. */
@@ -298,7 +288,7 @@
             .start({ method: request.raw.method, target: request.raw.target, headers, body: toBody(request) }, relay);
         relay.attach(exchange);
         noteData();
-        const stopFirstEventTimer = this.watchFirstEvent(progress, placement);
+        const stopFirstEventTimer = this.outcomes.watchFirstEvent(progress, placement);
         if (progress.isCallerDisconnected || progress.isTimedOut) {
             relay.stop(answerRelay.AttemptOutcomeKind.Stopped, "ended before it was sent");
         }
@@ -308,7 +298,7 @@
         progress.relays.delete(relay);
         progress.received = relay.getReceived();
         this.parts.slots.release(upstream.id, false);
-        this.recordOutcome(progress, upstream, outcome);
+        this.outcomes.record(progress, upstream, outcome);
         await this.reportToCrashWatch(progress, upstream, outcome);
         if (outcome.kind === answerRelay.AttemptOutcomeKind.Delivered) {
             this.chooser.recordDuration(upstream.service, clock.now() - startedAt);
@@ -331,7 +321,7 @@
         }
         const silentSince = attempt.getLastDataAt();
         const isSilent = (): boolean => !relay.isSettled() && attempt.getLastDataAt() === silentSince;
-        const found = await this.findSuccessor(progress, upstream, isSilent);
+        const found = await this.successors.find(progress, upstream, isSilent);
         const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
         if (!isSilent()) {
             this.chooser.returnSlot(found.successor);
@@ -376,118 +366,6 @@
         return false;
     }
 
-    /** Finds an upstream that can take over from a silent one at once. Looks no further when the attempt is no longer silent. */
-    private async findSuccessor(
-        progress: requestProgress.Progress,
-        silent: types.UpstreamEntry,
-        isSilent: () => boolean,
-    ): Promise<SuccessorSearch> {
-        const unreachable = new Set<core.UpstreamId>();
-        for (;;) {
-            if (!this.mayRepeat(progress, decisions.AttemptEnd.MayHaveRun)) {
-                return { successor: undefined, reason: "may not be sent again" };
-            }
-            const outcome = await this.chooser.find(progress, { mustStartSoon: true, isWanted: isSilent });
-            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Refused) {
-                return { successor: undefined, reason: `${outcome.reason}: ${outcome.detail}` };
-            }
-            if (outcome.kind === upstreamChooser.PlacementOutcomeKind.Unwanted) {
-                return { successor: undefined, reason: "the request has ended" };
-            }
-            const { placement } = outcome;
-            const { upstream } = placement;
-            // The other connections to the silent upstream may be as dead as the one in use.
-            const isConnected = upstream.id !== silent.id && this.parts.channels.hasIdleConnection(upstream);
-            if (isConnected || (await this.parts.crashWatch.acceptsConnections(upstream))) {
-                const current = this.chooser.tryGetCurrent(progress, upstream);
-                if (current !== undefined) {
-                    return { successor: { ...placement, upstream: current } };
-                }
-            }
-            this.chooser.returnSlot(placement);
-            this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
-            if (!isSilent() || unreachable.has(upstream.id) || unreachable.size >= MaximumUnreachableSuccessors) {
-                return { successor: undefined, reason: `${upstream.id} accepts no connection` };
-            }
-            unreachable.add(upstream.id);
-        }
-    }
-
-    private mayRepeat(progress: requestProgress.Progress, end: decisions.AttemptEnd): boolean {
-        const { request, delivery, runs, sends } = progress;
-        return decisions.mayRetry({
-            end,
-            isRepeatable: requestProgress.isRepeatable(progress),
-            runs,
-            sends,
-            allowedRuns: request.route.attempts,
-            remainingMilliseconds: request.deadline - this.parts.clock.now(),
-            hasBegun: delivery.isStarted,
-        });
-    }
-
-    /** Records an attempt as success or failure of the upstream. Rejections as full and stops by the gateway are neither. */
-    private recordOutcome(
-        progress: requestProgress.Progress,
-        upstream: types.UpstreamEntry,
-        outcome: answerRelay.AttemptOutcome,
-    ): void {
-        switch (outcome.kind) {
-            case answerRelay.AttemptOutcomeKind.Delivered:
-                this.recordResult(progress, upstream, false);
-                break;
-            case answerRelay.AttemptOutcomeKind.Failed:
-                // Upstreams answer 504 when the request's deadline passes. On routes with a short timeout this is no fault of theirs.
-                if (outcome.answer.status !== GatewayTimeoutStatus) {
-                    this.recordResult(progress, upstream, true);
-                }
-                break;
-            case answerRelay.AttemptOutcomeKind.Lost:
-            case answerRelay.AttemptOutcomeKind.Silent:
-                this.recordResult(progress, upstream, true);
-                break;
-            case answerRelay.AttemptOutcomeKind.NotRun:
-            case answerRelay.AttemptOutcomeKind.NotSent:
-            case answerRelay.AttemptOutcomeKind.Stopped:
-                break;
-        }
-    }
-
-    /** Records a success or failure of the upstream, and avoids it for a time after repeated failures. */
-    private recordResult(progress: requestProgress.Progress, upstream: types.UpstreamEntry, isFailure: boolean): void {
-        const now = this.parts.clock.now();
-        const watch = this.failureWatches.get(upstream.service) ?? new decisions.FailureWatch();
-        this.failureWatches.set(upstream.service, watch);
-        const avoidedUntil = watch.recordOutcome(upstream.id, isFailure, progress.knownUpstreams, now);
-        if (avoidedUntil !== undefined) {
-            this.parts.slots.slotTable.penalize(upstream.id, avoidedUntil);
-            this.parts.log.recordEvent(gatewayLog.GatewayEvent.UpstreamAvoided, {
-                upstream: upstream.id,
-                milliseconds: avoidedUntil - now,
-            });
-        }
-    }
-
-    /**
-     * Records a failure of the upstream if a stream that had a free slot gets no event long after the latency target. The request
-     * itself may not be repeatable, but later ones avoid the hanging upstream. Without this check it would be detected only
-     * seconds later, when callers give up.
-     */
-    private watchFirstEvent(progress: requestProgress.Progress, placement: requestProgress.Placement): () => void {
-        const { upstream } = placement;
-        const { online, batch } = progress.estimatedUse;
-        const hadFreeSlot = placement.isCounted || online + batch < upstream.slots;
-        if (progress.request.route.kind !== types.RouteKind.Stream || progress.delivery.isStarted || !hadFreeSlot) {
-            return () => undefined;
-        }
-        const limit = progress.request.route.latencyTargetMilliseconds * FirstEventOverdueFactor;
-        return this.parts.clock.schedule(limit, () => {
-            if (!progress.delivery.isStarted) {
-                this.recordResult(progress, upstream, true);
-            }
-        });
-    }
-
     private async reportToCrashWatch(
         progress: requestProgress.Progress,
         upstream: types.UpstreamEntry,
@@ -533,7 +411,8 @@
         }
         this.noteFailure(progress, upstream, outcome);
         const end = isNotRun(outcome) ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
-        const mayRepeat = progress.successor !== undefined || this.mayRepeat(progress, end);
+        const mayRepeat =
+            progress.successor !== undefined || requestProgress.mayRepeat(progress, end, this.parts.clock.now());
         const text = getText(outcome);
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
         if (mayRepeat) {
@@ -567,7 +446,7 @@
                 slotTable.penalize(upstream.id, now + FullPenaltyMilliseconds);
                 break;
             case kinds.NotSent:
-                slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
+                slotTable.penalize(upstream.id, now + upstreamChooser.UnreachablePenaltyMilliseconds);
                 break;
             case kinds.Silent:
                 this.avoidSilent(upstream);
@@ -583,7 +462,10 @@
     /** Avoids a silent upstream for a while. Its other connections may be as dead as the silent one. */
     private avoidSilent(upstream: types.UpstreamEntry): void {
         this.parts.channels.get(upstream).replaceConnections();
-        this.parts.slots.slotTable.penalize(upstream.id, this.parts.clock.now() + UnreachablePenaltyMilliseconds);
+        this.parts.slots.slotTable.penalize(
+            upstream.id,
+            this.parts.clock.now() + upstreamChooser.UnreachablePenaltyMilliseconds,
+        );
     }
 
     private refuse(
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -1,5 +1,5 @@
 import type * as core from "@boragedale/core";
-import type * as decisions from "@boragedale/decisions";
+import * as decisions from "@boragedale/decisions";
 import type * as answerRelay from "./answerRelay.js";
 import * as routeTable from "./routeTable.js";
 import * as types from "./types.js";
@@ -94,3 +94,17 @@
 export function isRefusable({ runs, isVersionBound }: Progress): boolean {
     return runs === 0 && !isVersionBound;
 }
+
+/** Whether the request may be sent again after an attempt that has ended, or that would be ended now, in the given way. */
+export function mayRepeat(progress: Progress, end: decisions.AttemptEnd, now: core.MonotonicMilliseconds): boolean {
+    const { request, delivery, runs, sends } = progress;
+    return decisions.mayRetry({
+        end,
+        isRepeatable: isRepeatable(progress),
+        runs,
+        sends,
+        allowedRuns: request.route.attempts,
+        remainingMilliseconds: request.deadline - now,
+        hasBegun: delivery.isStarted,
+    });
+}
--- a/packages/gateway/src/upstreamChooser.ts
+++ b/packages/gateway/src/upstreamChooser.ts
@@ -54,6 +54,8 @@
     readonly isRefusable: boolean;
 }
 
+/** Time for which an unreachable upstream is avoided. A crashed upstream restarts within seconds. */
+export const UnreachablePenaltyMilliseconds = 1_000;
 /** Estimated time that a request occupies a slot, until durations have been recorded. */
 const InitialServiceMilliseconds = 800;
 /** Estimated time to the first event. */
