--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -46,6 +46,20 @@
         [...this.openConnections.keys()].forEach(socket => extendIdleTimer(socket, milliseconds));
     }
 
+    /**
+     * Stops accepting connections. Those with requests in progress are closed after their last answer, which says so unless it has
+     * started; the callers would send further requests on them otherwise, which would be reset.
+     */
+    startClosing(): void {
+        this.openConnections.forEach(({ inProgress }) => {
+            const last = [...inProgress].at(-1);
+            if (last?.headersSent === false) {
+                last.shouldKeepAlive = false;
+            }
+        });
+        this.close();
+    }
+
     /** Closes the connections without a request. Node calls this when the server stops listening. */
     override closeIdleConnections(): void {
         this.closeIfIdle([...this.openConnections.keys()]);
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -79,7 +79,7 @@
      */
     startClosing(): void {
         this.isClosing = true;
-        this.server.close();
+        this.server.startClosing();
     }
 
     /** Closes the connections without a request. */
--- a/packages/gateway/test/callerConnections.test.ts
+++ b/packages/gateway/test/callerConnections.test.ts
@@ -93,6 +93,42 @@
     assert.is(await unsent.readRest(), LargeBody.length);
 });
 
+// Guards against a caller that sends its next request on a connection that is closed right after the answer, unannounced.
+suite("an answer that starts after the server has stopped listening announces the end of its connection", async () => {
+    const gate = scenes.createGate();
+    await using scene = await scenes.startServer(async (request, response) => {
+        await gate.opened;
+        scenes.answerWith(response, "answer");
+    });
+    const caller = await scene.connect();
+    caller.send("/a/x", ["Content-Length: 0"]);
+    await scenes.waitUntil(() => scene.forwarded.length === 1);
+    scene.server.startClosing();
+    gate.open();
+    const received = await caller.receiveText("answer");
+    assert.match(received, "Connection: close");
+    assert.match(received, "answer");
+    await caller.waitUntilClosed();
+    assert.is(caller.error, undefined);
+});
+
+// Guards against pipelined requests that are lost because the answer to an earlier one ends the connection.
+suite("pipelined requests are all answered after the server has stopped listening", async () => {
+    const gate = scenes.createGate();
+    await using scene = await scenes.startServer(async (request, response) => {
+        await gate.opened;
+        scenes.answerWith(response, `answer ${request.raw.target}.`);
+    });
+    const caller = await scene.connect();
+    const targets = ["/a/1", "/a/2"];
+    targets.forEach(target => caller.send(target, ["Content-Length: 0"]));
+    await scenes.waitUntil(() => scene.forwarded.length === targets.length);
+    scene.server.startClosing();
+    gate.open();
+    await caller.waitUntilClosed();
+    targets.forEach(target => assert.match(caller.getReceived(), `answer ${target}.`));
+});
+
 suite("idle connections are closed", async () => {
     await using scene = await scenes.startServer((request, response) => scenes.answerWith(response, "answer"));
     const [unused, used] = [await scene.connect(), await scene.connect()];
