--- a/packages/daemon/src/draining.ts
+++ b/packages/daemon/src/draining.ts
@@ -6,13 +6,15 @@
 /** Time before the kill at which the process exits, ending the requests that are still in progress. */
 const StopMarginMilliseconds = 400;
 const StopPollMilliseconds = 50;
+/** Time before the exit at which the deadline of a request passes, for its refusal to reach the caller. */
+const RefusalMilliseconds = 200;
 
 /** What a stop waits for. */
 export interface DrainParts {
     readonly clock: core.Clock;
     readonly server: Pick<
         gateway.CallerServer,
-        "startClosing" | "closeIdleConnections" | "hasIdleConnections" | "getInProgressCount"
+        "limitDeadlines" | "startClosing" | "closeIdleConnections" | "hasIdleConnections" | "getInProgressCount"
     >;
     readonly submissions: Pick<gateway.SubmissionService, "getActiveCount">;
 }
@@ -30,6 +32,7 @@
     const { graceMilliseconds, balancerMilliseconds } = times;
     const startedAt = clock.now();
     const latestExitAt = startedAt + graceMilliseconds - StopMarginMilliseconds;
+    server.limitDeadlines(latestExitAt - RefusalMilliseconds);
     await clock.sleep(balancerMilliseconds);
     server.startClosing();
     const shortestMilliseconds = balancerMilliseconds + Math.min(InTransitRequestMilliseconds, balancerMilliseconds);
--- a/packages/daemon/test/draining.test.ts
+++ b/packages/daemon/test/draining.test.ts
@@ -20,6 +20,7 @@
     const state = { inProgress: 1, activeSubmissions: 0, idleConnections: 0 };
     let isDone = false;
     const server = {
+        limitDeadlines: () => undefined,
         startClosing: () => undefined,
         closeIdleConnections: () => {
             state.idleConnections = 0;
--- a/packages/daemon/test/endToEnd.test.ts
+++ b/packages/daemon/test/endToEnd.test.ts
@@ -187,6 +187,18 @@
     await stopped;
 });
 
+// Guards against a request that is cut off by the exit of the process, because it may take longer than the rest of the grace period.
+suite("a request that arrives at a stopping gateway is answered before the process exits", async () => {
+    const policy = { ...gateway.DefaultLoadPolicy, graceMilliseconds: 1_500 };
+    await using testPlatform = await fixtures.startPlatform(1, 1, policy);
+    testPlatform.service.faults.isSilent = true;
+    const stopped = testPlatform.gateways[0]!.stop();
+    const { caller } = testPlatform.gateways[0]!.addresses;
+    const answer = await fixtures.send(caller, "/once/x", { headers: { [AttemptId]: "r1" } });
+    assert.is(answer.status, 504);
+    await stopped;
+});
+
 // A gateway that starts during an outage of the store would reject every caller for lack of a configuration. It gets the
 // configuration from a seed instead.
 suite("a gateway that starts during a store outage gets the configuration from a seed", async () => {
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -51,6 +51,7 @@
     private readonly bodies = new requestBodies.BodyReader(MaximumBufferedBytes);
     private readonly calls: submissionCalls.SubmissionCalls;
     private isClosing = false;
+    private latestDeadline: core.MonotonicMilliseconds = Infinity;
 
     constructor(private readonly parts: CallerServerParts) {
         this.server = new callerConnections.CallerHttpServer(
@@ -72,6 +73,11 @@
         return this.server.getInProgressCount();
     }
 
+    /** Limits the deadlines of requests that arrive from now on, so that they are answered before the process exits. */
+    limitDeadlines(latest: core.MonotonicMilliseconds): void {
+        this.latestDeadline = latest;
+    }
+
     /**
      * Stops accepting connections and closes each open one after its next answer, so that callers send further requests to other
      * instances. Readiness alone is not enough: a load balancer with too few other instances continues to send requests. A
@@ -213,7 +219,7 @@
             return;
         }
         const timeout = Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity);
-        const deadline = arrivedAt + timeout;
+        const deadline = Math.min(arrivedAt + timeout, this.latestDeadline);
         const weight = customer?.limit?.requestsPerSecond;
         const share = { customer: customer?.name, weight, priority: customer?.priority };
         const read = { raw, head, route, body, arrivedAt, deadline, ...share };
