--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The processes that run on the users' platform, exported so that tests can start them. */
 export * from "./settings.js";
 export * from "./settingsWatcher.js";
+export * from "./defects.js";
 export * from "./eventLog.js";
 export * from "./peers.js";
 export * from "./composition.js";
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,5 @@
 import * as core from "@boragedale/core";
+import * as defects from "./defects.js";
 import * as eventLog from "./eventLog.js";
 import * as gatewayProcess from "./gatewayProcess.js";
 import * as settingsReader from "./settings.js";
@@ -41,6 +42,7 @@
         onRead: (changed, findings) => log.recordReload(changed, findings),
     });
     process.on("SIGHUP", () => watcher.reload());
+    defects.logUnhandledRejections(process, log);
     switch (role) {
         case Role.Gateway:
             await gatewayProcess.runGatewayProcess({ getSettings: () => watcher.get(), clock, log, stop });
