--- a/packages/decisions/src/quarantineTrials.ts
+++ b/packages/decisions/src/quarantineTrials.ts
@@ -18,11 +18,11 @@
 /**
  * Times from a verdict on a prompt part, and from each failed trial, to the next trial. The first ones are short, because a false
  * verdict stops many requests at once. The platform allows three requests with a guilty part to be sent later than three
- * seconds after its third crash.
+ * seconds after its third crash; two trials leave one for a trial whose outcome gets lost with its gateway.
  */
-export const PartTrialDelays: readonly number[] = [1_000, 2_000, 8_000, 10 * 60_000];
+export const PartTrialDelays: readonly number[] = [1_000, 2_000, 10 * 60_000];
 /** The same for a single request, which has already been in progress at three crashes and stops no others. */
-export const RequestTrialDelays: readonly number[] = [8_000, 20_000, 60_000, 15 * 60_000];
+export const RequestTrialDelays: readonly number[] = [8_000, 20_000, 15 * 60_000];
 /** Time for a granted trial to be sent and answered beyond its beginning. Without an outcome, the next trial may follow. */
 export const TrialMilliseconds = 2_000;
 /** Time for which failed trials are remembered, which is longer than any delay. */
