--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -99,7 +99,7 @@
             sends: 0,
             waitMilliseconds: undefined,
             relays: new Set(),
-            rival: undefined,
+            hedge: undefined,
             received: undefined,
             upstreamVersion: undefined,
             successor: undefined,
@@ -143,7 +143,7 @@
                 return;
             }
             const outcome = await this.attempt(progress, placement);
-            if ((await progress.rival) === true) {
+            if ((await progress.hedge) === true) {
                 return;
             }
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
@@ -220,7 +220,7 @@
     private async attempt(
         progress: requestProgress.Progress,
         placement: requestProgress.Placement,
-        isRival = false,
+        isHedge = false,
     ): Promise<answerRelay.AttemptOutcome> {
         const { upstream } = placement;
         const { request, delivery } = progress;
@@ -247,7 +247,7 @@
         });
         const noteData = (): void => {
             lastDataAt = clock.now();
-            const limit = isRival ? undefined : this.getSilenceLimit(progress, runsBefore);
+            const limit = isHedge ? undefined : this.getSilenceLimit(progress, runsBefore);
             if (limit !== undefined) {
                 silenceTimer.restart(limit);
             }
@@ -334,7 +334,7 @@
         }
         if (progress.request.route.kind === types.RouteKind.Safe) {
             this.avoidSilent(upstream);
-            progress.rival = this.runRival(progress, found.successor, attempt);
+            progress.hedge = this.runHedge(progress, found.successor, attempt);
             return;
         }
         progress.successor = found.successor;
@@ -342,10 +342,10 @@
     }
 
     /**
-     * Sends the request to a second upstream while the first one is silent. The first one may still answer, and without
-     * its answer the request would fail if no other upstream takes it. Returns whether the second one answered.
+     * Hedges a safe request: sends it to a second upstream while the first one is silent. The first one may still answer, and
+     * without its answer the request would fail if no other upstream takes it. Returns whether the second one answered.
      */
-    private async runRival(
+    private async runHedge(
         progress: requestProgress.Progress,
         placement: requestProgress.Placement,
         silent: SilentAttempt,
@@ -357,7 +357,7 @@
             silent.relay.stop(answerRelay.AttemptOutcomeKind.Silent, "another upstream answered");
             return true;
         }
-        progress.rival = undefined;
+        progress.hedge = undefined;
         this.noteFailure(progress, upstream, outcome);
         this.parts.log.attemptEnded(progress.request, upstream.id, outcome.kind, getText(outcome), true, progress);
         if (!silent.relay.isSettled()) {
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -37,8 +37,8 @@
     waitMilliseconds: number | undefined;
     /** Relays of the attempts in progress: one, or two while a silent upstream may still answer. */
     readonly relays: Set<answerRelay.AnswerRelay>;
-    /** A second attempt beside one that is silent; resolves to whether it answered the request. */
-    rival: Promise<boolean> | undefined;
+    /** The hedge: a second attempt beside a silent one. Resolves to whether it answered the request. */
+    hedge: Promise<boolean> | undefined;
     /** Where the request goes on after the attempt in progress, which is stopped because its upstream is silent. */
     successor: Placement | undefined;
     /** What the last attempt received of an answer. */
