--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./engineMeter.js";
 export * from "./engineSpeeds.js";
 export * from "./silenceTimer.js";
+export * from "./attemptSilence.js";
 export * from "./onlineWaiting.js";
 export * from "./onlinePlacement.js";
 export * from "./onlineGranting.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -2,13 +2,13 @@
 import type * as core from "@boragedale/core";
 import * as decisions from "@boragedale/decisions";
 import * as answerRelay from "./answerRelay.js";
+import * as attemptSilence from "./attemptSilence.js";
 import type * as channelDirectory from "./channelDirectory.js";
 import * as crashWatch from "./crashWatch.js";
 import type * as fleetView from "./fleetView.js";
 import * as gatewayLog from "./gatewayLog.js";
 import * as refusals from "./refusals.js";
 import * as requestProgress from "./requestProgress.js";
-import * as silenceTimers from "./silenceTimer.js";
 import type * as slotSharing from "./slotSharing.js";
 import type * as streamOrigins from "./streamOrigins.js";
 import * as successorSearch from "./successorSearch.js";
@@ -67,10 +67,7 @@
 interface SilentAttempt {
     readonly upstream: types.UpstreamEntry;
     readonly relay: answerRelay.AnswerRelay;
-    readonly silenceTimer: silenceTimers.SilenceTimer;
-    readonly getLastDataAt: () => core.MonotonicMilliseconds;
-    /** Logs, once for each attempt, that the request stays at the silent upstream. */
-    readonly logKept: (silentMilliseconds: number, reason: string) => void;
+    readonly silence: attemptSilence.AttemptSilence;
 }
 
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
@@ -228,30 +225,13 @@
         const lastEventId = delivery.lastEventId === undefined ? undefined : String(delivery.lastEventId);
         const startedAt = clock.now();
         const runsBefore = progress.runs;
-        let lastDataAt = startedAt;
-        let isKeptLogged = false;
-        const logKept = (milliseconds: number, reason: string): void => {
-            if (!isKeptLogged) {
-                isKeptLogged = true;
-                const fields = { request: request.head.attemptId, upstream: upstream.id, milliseconds, reason };
-                this.parts.log.recordEvent(gatewayLog.GatewayEvent.SilentUpstreamKept, fields);
-            }
-        };
-        const getLastDataAt = (): core.MonotonicMilliseconds => lastDataAt;
-        const silenceTimer = new silenceTimers.SilenceTimer(clock, () => {
-            const silent = { upstream, relay, silenceTimer, getLastDataAt, logKept };
+        const silence = new attemptSilence.AttemptSilence(clock, () =>
             // Nothing waits for the search, so an exception would end the process.
-            this.handleSilence(progress, silent).catch((error: unknown) =>
+            this.handleSilence(progress, { upstream, relay, silence }).catch((error: unknown) =>
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.Defect, { text: String(error) }),
-            );
-        });
-        const noteData = (): void => {
-            lastDataAt = clock.now();
-            const limit = isHedge ? undefined : this.getSilenceLimit(progress, runsBefore);
-            if (limit !== undefined) {
-                silenceTimer.restart(limit);
-            }
-        };
+            ),
+        );
+        const noteData = (): void => silence.noteData(isHedge ? undefined : this.getSilenceLimit(progress, runsBefore));
         const isStream = request.route.kind === types.RouteKind.Stream;
         const relay = new answerRelay.AnswerRelay({
             wire: this.parts.wire,
@@ -293,7 +273,7 @@
             relay.stop(answerRelay.AttemptOutcomeKind.Stopped, "ended before it was sent");
         }
         const outcome = await relay.outcome;
-        silenceTimer.stop();
+        silence.stop();
         stopFirstEventTimer();
         progress.relays.delete(relay);
         progress.received = relay.getReceived();
@@ -314,22 +294,31 @@
      * sound, and without another one the answer would be broken off.
      */
     private async handleSilence(progress: requestProgress.Progress, attempt: SilentAttempt): Promise<void> {
-        const { upstream, relay, silenceTimer } = attempt;
+        const { upstream, relay, silence } = attempt;
         if (relay.isWaitingForCaller()) {
-            // The relay reports progress, which starts the timer again, when the caller has read.
+            // The relay reports progress, which starts the time again, when the caller has read.
             return;
         }
-        const silentSince = attempt.getLastDataAt();
-        const isSilent = (): boolean => !relay.isSettled() && attempt.getLastDataAt() === silentSince;
+        const silentSince = silence.getLastDataAt();
+        const isSilent = (): boolean => !relay.isSettled() && silence.getLastDataAt() === silentSince;
         const found = await this.successors.find(progress, upstream, isSilent);
-        const silentMilliseconds = Math.round(this.parts.clock.now() - silentSince);
         if (!isSilent()) {
             this.chooser.returnSlot(found.successor);
             return;
         }
+        const milliseconds = silence.getSilentMilliseconds();
         if (found.successor === undefined) {
-            attempt.logKept(silentMilliseconds, found.reason);
-            silenceTimer.restart(SuccessorCheckMilliseconds);
+            if (silence.isFirstReport()) {
+                const { reason } = found;
+                const fields = {
+                    request: progress.request.head.attemptId,
+                    upstream: upstream.id,
+                    milliseconds,
+                    reason,
+                };
+                this.parts.log.recordEvent(gatewayLog.GatewayEvent.SilentUpstreamKept, fields);
+            }
+            silence.reportAgain(SuccessorCheckMilliseconds);
             return;
         }
         if (progress.request.route.kind === types.RouteKind.Safe) {
@@ -338,7 +327,7 @@
             return;
         }
         progress.successor = found.successor;
-        relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${silentMilliseconds} ms`);
+        relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${milliseconds} ms`);
     }
 
     /**
@@ -361,7 +350,7 @@
         this.noteFailure(progress, upstream, outcome);
         this.parts.log.attemptEnded(progress.request, upstream.id, outcome.kind, getText(outcome), true, progress);
         if (!silent.relay.isSettled()) {
-            silent.silenceTimer.restart(SuccessorCheckMilliseconds);
+            silent.silence.reportAgain(SuccessorCheckMilliseconds);
         }
         return false;
     }
