--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -50,7 +50,7 @@
 export * from "./requestProgress.js";
 export * from "./upstreamChooser.js";
 export * from "./upstreamOutcomes.js";
-export * from "./successorSearch.js";
+export * from "./fallbackSearch.js";
 export * from "./requestForwarder.js";
 export * from "./submissionRecords.js";
 export * from "./submissionStore.js";
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -11,7 +11,7 @@
 import * as requestProgress from "./requestProgress.js";
 import type * as slotSharing from "./slotSharing.js";
 import type * as streamOrigins from "./streamOrigins.js";
-import * as successorSearch from "./successorSearch.js";
+import * as fallbackSearch from "./fallbackSearch.js";
 import * as types from "./types.js";
 import * as upstreamChooser from "./upstreamChooser.js";
 import * as upstreamOutcomes from "./upstreamOutcomes.js";
@@ -42,7 +42,7 @@
  */
 const StreamSilenceMilliseconds = 1_500;
 /** Interval at which another upstream is looked for while a silent one can't be left. */
-const SuccessorCheckMilliseconds = 200;
+const FallbackCheckMilliseconds = 200;
 /** Time for which an upstream that rejected a request as full is avoided: about the time until one of its slots is free. */
 const FullPenaltyMilliseconds = 60;
 /**
@@ -73,12 +73,12 @@
 /** Forwards requests: chooses an upstream, relays its answer to the caller, and repeats failed attempts where that is allowed. */
 export class RequestForwarder {
     private readonly chooser: upstreamChooser.UpstreamChooser;
-    private readonly successors: successorSearch.SuccessorSearch;
+    private readonly fallbacks: fallbackSearch.FallbackSearch;
     private readonly outcomes: upstreamOutcomes.UpstreamOutcomes;
 
     constructor(private readonly parts: ForwarderParts) {
         this.chooser = new upstreamChooser.UpstreamChooser(parts);
-        this.successors = new successorSearch.SuccessorSearch({ ...parts, chooser: this.chooser });
+        this.fallbacks = new fallbackSearch.FallbackSearch({ ...parts, chooser: this.chooser });
         this.outcomes = new upstreamOutcomes.UpstreamOutcomes(parts);
     }
 
@@ -99,7 +99,7 @@
             hedge: undefined,
             received: undefined,
             upstreamVersion: undefined,
-            successor: undefined,
+            fallback: undefined,
             streamVersion: undefined,
             isVersionBound: false,
             isCallerDisconnected: response.destroyed,
@@ -134,8 +134,8 @@
         }
         let refusals = 0;
         for (;;) {
-            const placement = progress.successor ?? (await this.tryChoosePlacement(progress));
-            progress.successor = undefined;
+            const placement = progress.fallback ?? (await this.tryChoosePlacement(progress));
+            progress.fallback = undefined;
             if (placement === undefined) {
                 return;
             }
@@ -144,7 +144,7 @@
                 return;
             }
             if (this.handleOutcome(progress, placement.upstream, outcome)) {
-                this.chooser.returnSlot(progress.successor);
+                this.chooser.returnSlot(progress.fallback);
                 return;
             }
             refusals = isNotRun(outcome) ? refusals + 1 : 0;
@@ -301,13 +301,13 @@
         }
         const silentSince = silence.getLastDataAt();
         const isSilent = (): boolean => !relay.isSettled() && silence.getLastDataAt() === silentSince;
-        const found = await this.successors.find(progress, upstream, isSilent);
+        const found = await this.fallbacks.find(progress, upstream, isSilent);
         if (!isSilent()) {
-            this.chooser.returnSlot(found.successor);
+            this.chooser.returnSlot(found.fallback);
             return;
         }
         const milliseconds = silence.getSilentMilliseconds();
-        if (found.successor === undefined) {
+        if (found.fallback === undefined) {
             if (silence.isFirstReport()) {
                 const { reason } = found;
                 const fields = {
@@ -318,15 +318,15 @@
                 };
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.SilentUpstreamKept, fields);
             }
-            silence.reportAgain(SuccessorCheckMilliseconds);
+            silence.reportAgain(FallbackCheckMilliseconds);
             return;
         }
         if (progress.request.route.kind === types.RouteKind.Safe) {
             this.avoidSilent(upstream);
-            progress.hedge = this.runHedge(progress, found.successor, attempt);
+            progress.hedge = this.runHedge(progress, found.fallback, attempt);
             return;
         }
-        progress.successor = found.successor;
+        progress.fallback = found.fallback;
         relay.stop(answerRelay.AttemptOutcomeKind.Silent, `silent for ${milliseconds} ms`);
     }
 
@@ -350,7 +350,7 @@
         this.noteFailure(progress, upstream, outcome);
         this.parts.log.attemptEnded(progress.request, upstream.id, outcome.kind, getText(outcome), true, progress);
         if (!silent.relay.isSettled()) {
-            silent.silence.reportAgain(SuccessorCheckMilliseconds);
+            silent.silence.reportAgain(FallbackCheckMilliseconds);
         }
         return false;
     }
@@ -401,7 +401,7 @@
         this.noteFailure(progress, upstream, outcome);
         const end = isNotRun(outcome) ? decisions.AttemptEnd.NotRun : decisions.AttemptEnd.MayHaveRun;
         const mayRepeat =
-            progress.successor !== undefined || requestProgress.mayRepeat(progress, end, this.parts.clock.now());
+            progress.fallback !== undefined || requestProgress.mayRepeat(progress, end, this.parts.clock.now());
         const text = getText(outcome);
         this.parts.log.attemptEnded(request, upstream.id, outcome.kind, text, mayRepeat, progress);
         if (mayRepeat) {
--- a/packages/gateway/src/requestProgress.ts
+++ b/packages/gateway/src/requestProgress.ts
@@ -40,7 +40,7 @@
     /** The hedge: a second attempt beside a silent one. Resolves to whether it answered the request. */
     hedge: Promise<boolean> | undefined;
     /** Where the request goes on after the attempt in progress, which is stopped because its upstream is silent. */
-    successor: Placement | undefined;
+    fallback: Placement | undefined;
     /** What the last attempt received of an answer. */
     received: answerRelay.ReceivedAnswer | undefined;
     /** Software version of the last attempt's upstream; undefined before the first attempt. */
