--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -15,6 +15,8 @@
     Failed = "Failed",
     /** The upstream proved that it did not run the request. */
     NotRun = "NotRun",
+    /** Another upstream answers at the address. It did not run the request. */
+    Misdirected = "Misdirected",
     /** No connection was established. */
     NotSent = "NotSent",
     /** The connection broke or the answer was invalid. The request may have run. */
@@ -86,7 +88,8 @@
     private status = 0;
     private statusText = "";
     private headers: string[] = [];
-    private isNotRun = false;
+    /** Set if the answer proves that the request was not run. */
+    private notRunKind: AttemptOutcomeKind.NotRun | AttemptOutcomeKind.Misdirected | undefined;
     private isUnbuffered = false;
     private buffered: Buffer[] = [];
     private bufferedBytes = 0;
@@ -146,7 +149,8 @@
         this.status = status;
         this.statusText = statusText;
         this.headers = rawHeaders;
-        this.isNotRun = head.isNotRun;
+        const notRunKind = head.isMisdirected ? AttemptOutcomeKind.Misdirected : AttemptOutcomeKind.NotRun;
+        this.notRunKind = head.isNotRun ? notRunKind : undefined;
         const isSuccess = status >= 200 && status < 300;
         const isForOtherAttempt = head.attemptId !== undefined && head.attemptId !== this.options.attemptId;
         const isUnverified = isSuccess && (!head.isStamped || head.attemptId === undefined || head.isEncoded);
@@ -190,8 +194,8 @@
         if (this.hasOutcome) {
             return;
         }
-        if (this.isNotRun) {
-            this.settle({ kind: AttemptOutcomeKind.NotRun, text: `status ${this.status}` });
+        if (this.notRunKind !== undefined) {
+            this.settle({ kind: this.notRunKind, text: `status ${this.status}` });
             return;
         }
         if (this.splitter !== undefined) {
@@ -228,7 +232,7 @@
             case upstreamExchange.ExchangeFailureKind.Broken:
                 // The headers prove that the request did not run, even if the rest of the answer is missing.
                 this.settle({
-                    kind: this.isNotRun ? AttemptOutcomeKind.NotRun : AttemptOutcomeKind.Lost,
+                    kind: this.notRunKind ?? AttemptOutcomeKind.Lost,
                     text: failure.text,
                 });
                 return;
--- a/packages/gateway/src/itemRun.ts
+++ b/packages/gateway/src/itemRun.ts
@@ -15,6 +15,8 @@
     Impossible = "Impossible",
     /** The upstream proved that it did not run the item. */
     NotRun = "NotRun",
+    /** Another upstream answers at the address. It did not run the item. */
+    Misdirected = "Misdirected",
     /** No connection was established. */
     NotSent = "NotSent",
     /** The run broke off. The item continues at any upstream. */
@@ -41,7 +43,8 @@
     private exchange: upstreamExchange.RunningExchange | undefined;
     private isSettled = false;
     private status = 0;
-    private isNotRun = false;
+    /** Set if the answer proves that the item was not run. */
+    private notRunKind: ItemOutcomeKind.NotRun | ItemOutcomeKind.Misdirected | undefined;
     private framing: core.BodyFraming | undefined;
     private readonly splitter = new eventSplitter.EventSplitter();
     private readonly parser: eventSource.EventSourceParser;
@@ -83,7 +86,8 @@
         this.status = status;
         this.framing = rawHeaderList.getBodyFraming(status, rawHeaders);
         const head = this.callerWire.readAnswer(status, rawHeaders);
-        this.isNotRun = head.isNotRun;
+        const notRunKind = head.isMisdirected ? ItemOutcomeKind.Misdirected : ItemOutcomeKind.NotRun;
+        this.notRunKind = head.isNotRun ? notRunKind : undefined;
         const isForOtherAttempt = head.attemptId !== undefined && head.attemptId !== this.owned.item.id;
         const isUnverified = status === 200 && (!head.isStamped || head.isEncoded);
         if (isForOtherAttempt || isUnverified) {
@@ -119,8 +123,8 @@
         if (this.isSettled) {
             return;
         }
-        if (this.isNotRun) {
-            this.settle({ kind: ItemOutcomeKind.NotRun, text: `status ${this.status}` });
+        if (this.notRunKind !== undefined) {
+            this.settle({ kind: this.notRunKind, text: `status ${this.status}` });
             return;
         }
         const kind = toOutcomeKind(this.status);
@@ -142,7 +146,7 @@
             return;
         }
         this.settle({
-            kind: isNotSent ? ItemOutcomeKind.NotSent : this.isNotRun ? ItemOutcomeKind.NotRun : ItemOutcomeKind.Lost,
+            kind: isNotSent ? ItemOutcomeKind.NotSent : (this.notRunKind ?? ItemOutcomeKind.Lost),
             text: failure.text,
         });
     }
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -568,6 +568,7 @@
                 break;
             case itemRun.ItemOutcomeKind.Silent:
             case itemRun.ItemOutcomeKind.NotRun:
+            case itemRun.ItemOutcomeKind.Misdirected:
             case itemRun.ItemOutcomeKind.NotSent:
             case itemRun.ItemOutcomeKind.Stopped:
                 break;
@@ -615,6 +616,7 @@
                 this.parts.slots.slotTable.penalize(upstream.id, now + FullPenaltyMilliseconds);
                 break;
             case kinds.NotSent:
+            case kinds.Misdirected:
                 this.parts.slots.slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
                 break;
             case kinds.Lost:
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -434,6 +434,11 @@
                 progress.runs--;
                 slotTable.penalize(upstream.id, now + FullPenaltyMilliseconds);
                 break;
+            case kinds.Misdirected:
+                progress.runs--;
+                // Its entry names an upstream that has ended, and is replaced within seconds.
+                slotTable.penalize(upstream.id, now + upstreamChooser.UnreachablePenaltyMilliseconds);
+                break;
             case kinds.NotSent:
                 slotTable.penalize(upstream.id, now + upstreamChooser.UnreachablePenaltyMilliseconds);
                 break;
@@ -514,7 +519,8 @@
 }
 
 function isNotRun({ kind }: answerRelay.AttemptOutcome): boolean {
-    return kind === answerRelay.AttemptOutcomeKind.NotRun || kind === answerRelay.AttemptOutcomeKind.NotSent;
+    const { NotRun, Misdirected, NotSent } = answerRelay.AttemptOutcomeKind;
+    return kind === NotRun || kind === Misdirected || kind === NotSent;
 }
 
 /** Whether an answer that has begun, and that somebody still waits for, has no upstream at present. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -154,6 +154,8 @@
     readonly isStamped: boolean;
     /** The answer proves that the upstream did not run the request. */
     readonly isNotRun: boolean;
+    /** Another upstream than the one that was addressed answers at the address. It did not run the request. */
+    readonly isMisdirected: boolean;
     /** The body has a content encoding. */
     readonly isEncoded: boolean;
     /** The upstream closes the connection after this answer, for example because it shuts down. */
--- a/packages/gateway/src/upstreamOutcomes.ts
+++ b/packages/gateway/src/upstreamOutcomes.ts
@@ -45,6 +45,7 @@
                 this.recordResult(progress, upstream, true);
                 break;
             case answerRelay.AttemptOutcomeKind.NotRun:
+            case answerRelay.AttemptOutcomeKind.Misdirected:
             case answerRelay.AttemptOutcomeKind.NotSent:
             case answerRelay.AttemptOutcomeKind.Stopped:
                 break;
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -37,6 +37,7 @@
             attemptId: findHeader(rawHeaders, "attempt"),
             isStamped: findHeader(rawHeaders, "stamp") !== undefined,
             isNotRun: findHeader(rawHeaders, "not-run") !== undefined || status === 421,
+            isMisdirected: status === 421,
             isEncoded: false,
             closesConnection: false,
         };
--- a/packages/gateway/test/requestForwarder.test.ts
+++ b/packages/gateway/test/requestForwarder.test.ts
@@ -159,6 +159,20 @@
     assert.is(scene.response.body, "done");
 });
 
+// Guards against requests that use up their attempts at upstreams that have ended and whose addresses others use now.
+suite("an upstream whose address another one uses is avoided like an unreachable one", async () => {
+    const scene = await scenes.createScene({ kind: gateway.RouteKind.Unsafe, attempts: 1 });
+    const [first] = scene.channels.attempts;
+    first!.handler.onSent();
+    first!.handler.onHeaders(421, ["attempt", "r"], "");
+    first!.handler.onComplete();
+    await scene.clock.advance(500);
+    assert.is(scene.slotTable.isPenalized(first!.upstream, scene.clock.now()), true);
+    assert.is.not(scene.channels.attempts[1]?.upstream, first!.upstream);
+    scene.response.destroy();
+    await scene.done;
+});
+
 // An upstream sends a late answer to an earlier request instead of the expected one. The caller must not receive it.
 suite("an answer to another request is not relayed", async () => {
     const scene = await scenes.createScene({ kind: gateway.RouteKind.Safe });
