--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -11,7 +11,7 @@
 const GarbledShare = 0.03;
 /** The longest time of one such `garble`. It comes more than once. */
 const SpanMilliseconds = 5_000;
-const Spans = 3;
+const Spans = 4;
 const PauseMilliseconds = 4_000;
 const RequestsBetweenPeaks = 30;
 /** Time for which all slots are held by other work at a peak. */
@@ -19,8 +19,8 @@
 
 const { record, lines } = createRecord();
 const store = new Store(record);
-await store.listen();
-const deployment = new Deployment(record, store.address);
+const { address } = await store.open();
+const deployment = new Deployment(record, address);
 const service = { service: "app", slots: 6, workMilliseconds: 5, garbledShare: GarbledShare };
 const servers = ["i-1", "i-2"].map(id => new AppServer(record, { id, ...service }));
 let code = 2;
@@ -74,14 +74,15 @@
     };
     for (let span = 0; span < Spans; span++) {
         const until = Date.now() + SpanMilliseconds;
+        const faulty = servers[span % servers.length];
         if (HasTrouble) {
-            servers[0].startGarbling();
+            faulty.startGarbling();
         }
         while (Date.now() < until) {
             await playPeak(gateways, request);
         }
         if (HasTrouble) {
-            servers[0].stopGarbling();
+            faulty.stopGarbling();
         }
         await sleep(PauseMilliseconds);
     }
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -20,12 +20,20 @@
     await new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
+/** Finds a free port below those that the system gives to outgoing connections, which could take it before the gateway starts. */
 async function findFreePort() {
-    const server = net.createServer();
-    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return port;
+    for (;;) {
+        const port = 20_000 + Math.floor(Math.random() * 12_000);
+        const server = net.createServer();
+        const isFree = await new Promise(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        if (isFree) {
+            await new Promise(resolve => server.close(resolve));
+            return port;
+        }
+    }
 }
 
 /** The command of a role in the deploy file, split at spaces. */
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -15,19 +15,32 @@
         this.nextLease = 1;
         this.waiters = new Set();
         this.onWrite = () => undefined;
-        /** Returns whether the store turns away the call of this machine with a 503. */
-        this.isTurnedAway = () => false;
-        this.server = http.createServer((request, response) => void this.serve(request, response));
+        /** Called with the path and query of each call of a machine. */
+        this.onCall = () => undefined;
+        this.doors = [];
     }
 
-    async listen() {
-        await new Promise(resolve => this.server.listen(0, "127.0.0.1", resolve));
-        this.address = `127.0.0.1:${this.server.address().port}`;
+    /** Opens an address of the store. With one for each machine, the store can turn away single machines. */
+    async open() {
+        const door = { isTurnedAway: false };
+        door.server = http.createServer((request, response) => void this.serve(door, request, response));
+        await new Promise(resolve => door.server.listen(0, "127.0.0.1", resolve));
+        door.address = `127.0.0.1:${door.server.address().port}`;
+        this.doors.push(door);
+        return door;
+    }
+
+    /** Rejects all calls at this address with 503 from now on, and cuts the watches that wait there. */
+    turnAway(door) {
+        door.isTurnedAway = true;
+        door.server.closeAllConnections();
     }
 
     close() {
-        this.server.close();
-        this.server.closeAllConnections();
+        for (const { server } of this.doors) {
+            server.close();
+            server.closeAllConnections();
+        }
         this.leases.forEach(lease => clearTimeout(lease.timer));
     }
 
@@ -93,14 +106,14 @@
         return true;
     }
 
-    async serve(request, response) {
+    async serve(door, request, response) {
         const url = new URL(request.url, "http://store");
         const chunks = [];
         for await (const chunk of request) {
             chunks.push(chunk);
         }
-        const machine = this.machineOf?.(request.socket.remotePort, request);
-        if (this.isTurnedAway(machine, request)) {
+        this.onCall(door, request.url);
+        if (door.isTurnedAway) {
             send(response, 503, {});
             return;
         }
