--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,8 +14,8 @@
 const Spans = 4;
 const PauseMilliseconds = 4_000;
 const RequestsBetweenPeaks = 30;
-/** Time for which all slots are held by other work at a peak. */
-const PeakMilliseconds = 11;
+/** Longest time for which all slots are held by other work at a peak. */
+const PeakMilliseconds = 100;
 
 const { record, lines } = createRecord();
 const store = new Store(record);
@@ -102,6 +102,7 @@
     for (const gateway of gateways) {
         servers.forEach(server => server.holdSlots(PeakMilliseconds));
         await request(gateway);
+        servers.forEach(server => server.holdSlots(0));
         await sleep(20);
     }
 }
--- a/review/lib/appServer.mjs
+++ b/review/lib/appServer.mjs
@@ -2,6 +2,8 @@
 
 /** The way of a request to the server and of its answer back, between two zones. */
 const LinkMilliseconds = 3;
+/** From a rejection at a peak until a slot is free. */
+const FreedMilliseconds = 2;
 
 /**
  * A small stand-in of a plain server, as PROTOCOL.md describes it: it works on `slots` requests at once and rejects the others with
@@ -40,7 +42,7 @@
         });
     }
 
-    /** Its slots are held by other work for this time, as at a peak. */
+    /** Its slots are held by other work, as at a peak, until shortly after it has rejected a request, and for this time at most. */
     holdSlots(milliseconds) {
         this.fullUntil = performance.now() + milliseconds;
     }
@@ -95,6 +97,7 @@
 
     reject(socket, response, id) {
         this.record(`${this.id}: rejects ${id} as full, not run`);
+        this.fullUntil = Math.min(this.fullUntil, performance.now() + FreedMilliseconds);
         if (this.garbles && this.garbled + 1 <= this.garbledShare * this.answers) {
             this.garbled++;
             const lines = [
