--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -142,8 +142,8 @@
                         const late = this.transact(body);
                         this.record(`store: the unanswered write is done late: ${late.status} ${describe(body)}`);
                     }, how.lateMilliseconds);
+                    // A channel on which an answer is lost returns nothing further.
                     this.record(`store: loses the answer of a write: ${describe(body)}`);
-                    request.socket.destroy();
                     return;
                 }
                 const outcome = this.transact(body);
