--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -9,8 +9,8 @@
 const HasTrouble = process.env.TROUBLE !== "0";
 /** The largest dose of `garble` on the site: a share of 0.6 of the servers spoil 0.03 of their answers. Here it is 1 of 2 servers. */
 const GarbledShare = 0.03;
-/** The longest time of one such `garble`. It comes more than once. */
-const SpanMilliseconds = 5_000;
+/** Below the longest time of one such `garble`, 5 s. It comes more than once. */
+const SpanMilliseconds = 4_900;
 const Spans = 4;
 const PauseMilliseconds = 4_000;
 const RequestsBetweenPeaks = 30;
@@ -77,13 +77,11 @@
         const faulty = servers[span % servers.length];
         if (HasTrouble) {
             faulty.startGarbling();
+            setTimeout(() => faulty.stopGarbling(), SpanMilliseconds);
         }
         while (Date.now() < until) {
             await playPeak(gateways, request);
         }
-        if (HasTrouble) {
-            faulty.stopGarbling();
-        }
         await sleep(PauseMilliseconds);
     }
     await sleep(1_000);
