--- a/review/2/removal.mjs
+++ b/review/2/removal.mjs
@@ -11,7 +11,7 @@
  */
 
 const HasTrouble = process.env.TROUBLE !== "0";
-const LostMilliseconds = 4_500;
+const LostMilliseconds = 4_300;
 const LateMilliseconds = 2_000;
 /** Bound of the site: `FinishS`. */
 const FinishMilliseconds = 18_000;
@@ -62,13 +62,16 @@
         lost.add(listed);
         return { lateMilliseconds: LateMilliseconds };
     };
+    const isOver = sleep(LostMilliseconds).then(() => {
+        store.onWrite = () => undefined;
+        record(`store: lost the answers of ${lost.size} of ${writes} writes in ${LostMilliseconds} ms`);
+    });
+    record("store: loses answers from now on");
     for (const gateway of [first, second]) {
         deployment.start(gateway);
         await deployment.waitUntilReady(gateway);
     }
-    await sleep(LostMilliseconds);
-    store.onWrite = () => undefined;
-    record(`store: lost the answers of ${lost.size} of ${writes} writes`);
+    await isOver;
     deployment.start(third);
     await deployment.waitUntilReady(third);
     await sleep(4_000);
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -14,14 +14,14 @@
 /** Bounds of the site. */
 const ContactMs = 3_000;
 const SettleMs = 1_000;
-/** The largest dose of `platform_lost` on the site: 0.35 of the writes for 4.5 s; `late`: done 1 to 6 s later. */
+/** Within the largest dose of `platform_lost` on the site: 0.35 of the writes for 4.5 s; `late`: done 1 to 6 s later. */
 const LostShare = 0.35;
-const LostMilliseconds = 4_500;
+const LostMilliseconds = 4_300;
 const LateMilliseconds = 2_000;
 /** The servers differ in speed. */
 const EventCount = 39;
 const SlowEventMilliseconds = 300;
-const FastEventMilliseconds = 60;
+const FastEventMilliseconds = 75;
 const Slots = 24;
 const SubmissionCount = 36;
 const SubmissionPauseMilliseconds = 400;
@@ -69,12 +69,12 @@
     }
     await sleep(3_000);
     loseAnswers();
+    const isOver = sleep(LostMilliseconds).then(stopLosing);
     deployment.start(last);
     if (!(await deployment.waitUntilReady(last))) {
         return 2;
     }
-    await sleep(LostMilliseconds);
-    stopLosing();
+    await isOver;
     record(`members listed in the store: ${listMembers()}`);
     // All machines are in touch from here on: nothing is disturbed any more.
     await sleep(ContactMs + 500);
