--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -3,6 +3,7 @@
 import * as gatewayLog from "./gatewayLog.js";
 import * as memberDirectory from "./memberDirectory.js";
 import * as metadataStore from "./metadataStore.js";
+import type * as types from "./types.js";
 
 /**
  * Lease of this member's entry. When it ends, others take over what this member owns, soon enough for items that are
@@ -19,6 +20,8 @@
 const FirstRetryMilliseconds = 300;
 const LongestRetryMilliseconds = 500;
 const ListingTimeoutMilliseconds = 500;
+/** Writes of the entry in a row. The second one knows the revision that the first one has met. */
+const MaximumWrites = 2;
 
 enum RenewalOutcome {
     Renewed = "Renewed",
@@ -31,6 +34,13 @@
 export class Registration implements AsyncDisposable {
     private readonly stopper = new AbortController();
     private lease: string | undefined;
+    /** Whether the store has acknowledged the entry under `lease`. */
+    private isEntryWritten = false;
+    /**
+     * Revision that the entry had when the store last told it; 0 if it didn't exist. Writes are conditional on it, so that a write
+     * that the store carries out late can't move the entry to a lease that is no longer renewed.
+     */
+    private entryRevision: types.Revision = 0;
     private task: Promise<void> | undefined;
     /** Aborted to end the pause between two renewals. */
     private pauseAbort = new AbortController();
@@ -41,7 +51,13 @@
         private readonly members: memberDirectory.MemberDirectory,
         private readonly clock: core.Clock,
         private readonly log: gatewayLog.GatewayLog,
-    ) {}
+    ) {
+        members.onChange(removed => {
+            if (this.isEntryWritten && removed.includes(members.self.id)) {
+                this.renewEarly();
+            }
+        });
+    }
 
     /** Registers once the previous incarnations of this instance are known, or after a timeout. */
     start(whenListed: Promise<void>): void {
@@ -94,38 +110,80 @@
     private async ensureRegistered(): Promise<boolean> {
         if (this.lease !== undefined) {
             const outcome = await this.renew(this.lease);
-            if (outcome !== RenewalOutcome.Ended) {
-                return outcome === RenewalOutcome.Renewed;
+            if (outcome === RenewalOutcome.Unknown) {
+                return false;
+            }
+            if (outcome === RenewalOutcome.Ended) {
+                // The store answers. Without an entry, other members treat this one as removed, so it registers again
+                // without a pause.
+                this.lease = undefined;
+                this.isEntryWritten = false;
+            }
+            else if (this.isEntryWritten && !this.members.isListed() && !(await this.checkEntry())) {
+                return false;
             }
-            // The store answers. Without an entry, other members treat this one as removed, so it registers again
-            // without a pause.
-            this.lease = undefined;
         }
-        return this.register();
+        return this.isEntryWritten || this.register();
     }
 
-    private async register(): Promise<boolean> {
-        const granted = await this.store.grantLease(LeaseMilliseconds);
-        if (!granted.ok) {
+    /**
+     * Reads the entry if this member's view lacks it: a lease that goes on doesn't prove that the entry does. Returns whether
+     * the store answered.
+     */
+    private async checkEntry(): Promise<boolean> {
+        const found = await this.store.read(this.getEntryKey());
+        if (!found.ok) {
             return false;
         }
-        const put = {
-            key: memberDirectory.MemberPrefix + this.members.self.id,
-            value: memberDirectory.encodeMember(this.members.self),
-            lease: granted.value,
-        };
-        // Otherwise the submissions of a process that was killed and restarted would wait for the lease of its previous
-        // incarnation to expire.
-        const deletes = this.members.getPreviousIncarnations().map(id => memberDirectory.MemberPrefix + id);
-        const written = await this.store.transact({ preconditions: [], puts: [put], deletes });
-        if (!written.ok) {
-            return false;
+        const revision = found.value?.revision ?? 0;
+        if (revision !== this.entryRevision) {
+            this.entryRevision = revision;
+            this.isEntryWritten = false;
         }
-        this.lease = granted.value;
-        this.log.recordEvent(gatewayLog.GatewayEvent.MemberRegistered, { lease: granted.value });
         return true;
     }
 
+    private async register(): Promise<boolean> {
+        if (this.lease === undefined) {
+            const granted = await this.store.grantLease(LeaseMilliseconds);
+            if (!granted.ok) {
+                return false;
+            }
+            // Kept if the write fails. The write may still be carried out, which has no effect once the lease has ended.
+            this.lease = granted.value;
+        }
+        return this.writeEntry(this.lease);
+    }
+
+    private async writeEntry(lease: string): Promise<boolean> {
+        const key = this.getEntryKey();
+        for (let calls = 0; calls < MaximumWrites; calls++) {
+            const written = await this.store.transact({
+                preconditions: [{ key, revision: this.entryRevision }],
+                puts: [{ key, value: memberDirectory.encodeMember(this.members.self), lease }],
+                // Otherwise the submissions of a process that was killed and restarted would wait for the lease of its
+                // previous incarnation to expire.
+                deletes: this.members.getPreviousIncarnations().map(id => memberDirectory.MemberPrefix + id),
+            });
+            if (!written.ok) {
+                return false;
+            }
+            if (written.value.isCommitted) {
+                this.entryRevision = written.value.revision;
+                this.isEntryWritten = true;
+                this.log.recordEvent(gatewayLog.GatewayEvent.MemberRegistered, { lease });
+                return true;
+            }
+            // An earlier write of this member was carried out without an answer, or the entry has been removed.
+            this.entryRevision = written.value.current.find(entry => entry.key === key)?.revision ?? 0;
+        }
+        return false;
+    }
+
+    private getEntryKey(): string {
+        return memberDirectory.MemberPrefix + this.members.self.id;
+    }
+
     private async renew(lease: string): Promise<RenewalOutcome> {
         const renewed = await this.store.renewLease(lease);
         if (renewed.ok) {
