--- a/packages/gateway/src/submissionStore.ts
+++ b/packages/gateway/src/submissionStore.ts
@@ -30,6 +30,8 @@
     readonly expected: types.Revision;
     readonly puts: readonly metadataStore.Put[];
     readonly deletes?: readonly string[];
+    /** Further keys that must be at a revision. */
+    readonly preconditions?: readonly metadataStore.Precondition[];
 }
 
 /** Reads and writes the records of submissions. Every write is fenced by the head's revision. */
@@ -39,7 +41,7 @@
     async write(write: HeadWrite): Promise<WriteOutcome> {
         const key = records.getHeadKey(write.submission);
         const result = await this.store.transact({
-            preconditions: [{ key, revision: write.expected }],
+            preconditions: [{ key, revision: write.expected }, ...(write.preconditions ?? [])],
             puts: [{ key, value: records.encodeHead(write.head) }, ...write.puts],
             deletes: write.deletes ?? [],
         });
--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -2,6 +2,8 @@
 import * as decisions from "@boragedale/decisions";
 import * as protocol from "@boragedale/protocol";
 import * as gatewayLog from "./gatewayLog.js";
+import * as memberDirectory from "./memberDirectory.js";
+import type * as metadataStore from "./metadataStore.js";
 import * as ownedSubmission from "./ownedSubmission.js";
 import type * as records from "./submissionRecords.js";
 import * as submissionRegistry from "./submissionRegistry.js";
@@ -35,6 +37,14 @@
     All = "All",
 }
 
+/** A request to take over a submission. */
+interface Handover {
+    /** The member that sent it; undefined if this member found the submission itself. */
+    readonly from?: core.InstanceId;
+    /** What the items have received, if the owner sent the request. */
+    readonly progress?: readonly records.ItemProgress[];
+}
+
 /** Ensures that each submission has an owner: takes over submissions of removed members, and hands over its own at shutdown. */
 export class SubmissionTakeover implements AsyncDisposable {
     private readonly takeovers = new Map<string, Promise<void>>();
@@ -43,8 +53,8 @@
 
     constructor(private readonly registry: submissionRegistry.SubmissionRegistry) {
         this.parts = registry.parts;
-        this.parts.network.handle(protocol.MessageKind.SubmissionHandover, async message =>
-            this.serveHandover(message),
+        this.parts.network.handle(protocol.MessageKind.SubmissionHandover, async (message, from) =>
+            this.serveHandover(message, from),
         );
         this.parts.members.onChange(removed => this.onMembersRemoved(removed));
     }
@@ -167,18 +177,21 @@
         }
     }
 
-    /** Takes over a submission. Writes of the previous owner fail from then on. */
-    private async takeOver(id: string, progress: readonly records.ItemProgress[] = []): Promise<void> {
+    /**
+     * Takes over a submission, from a removed owner or from the one that hands it over. Writes of the previous owner fail from
+     * then on.
+     */
+    private async takeOver(id: string, handover: Handover = {}): Promise<void> {
         const known = this.takeovers.get(id);
         if (known !== undefined || this.registry.tryGetOwned(id) !== undefined) {
             return known;
         }
-        const task = this.takeOverOnce(id, progress).finally(() => this.takeovers.delete(id));
+        const task = this.takeOverOnce(id, handover).finally(() => this.takeovers.delete(id));
         this.takeovers.set(id, task);
         return task;
     }
 
-    private async takeOverOnce(id: string, progress: readonly records.ItemProgress[]): Promise<void> {
+    private async takeOverOnce(id: string, { from, progress = [] }: Handover): Promise<void> {
         const { submissionStore: submissions, members } = this.parts;
         const found = await submissions.readHead(id);
         if (!found.ok || found.value === undefined || found.value.head.isEnded) {
@@ -195,7 +208,13 @@
             return;
         }
         const newHead = { ...head, owner: members.self.id, nonce: ownedSubmission.createNonce() };
-        const outcome = await submissions.write({ submission: id, head: newHead, expected: revision, puts: [] });
+        const outcome = await submissions.write({
+            submission: id,
+            head: newHead,
+            expected: revision,
+            puts: [],
+            preconditions: head.owner === from || head.owner === members.self.id ? [] : [createRemoved(head.owner)],
+        });
         if (outcome.kind !== submissionStore.WriteOutcomeKind.Written) {
             return;
         }
@@ -252,7 +271,10 @@
         return reply.ok && reply.message.kind === protocol.MessageKind.SubmissionKept;
     }
 
-    private async serveHandover(message: protocol.SubmissionHandover): Promise<protocol.Message> {
+    private async serveHandover(
+        message: protocol.SubmissionHandover,
+        from: core.InstanceId,
+    ): Promise<protocol.Message> {
         if (this.registry.isShuttingDown) {
             return { kind: protocol.MessageKind.Refused, text: "this member leaves too" };
         }
@@ -261,9 +283,17 @@
             const isKnown = service !== undefined && softwareVersion !== undefined;
             return [item, lastEventId, texts, isKnown ? [service, softwareVersion] : undefined];
         });
-        await this.takeOver(message.submission, progress);
+        await this.takeOver(message.submission, { from, progress });
         return this.registry.tryGetOwned(message.submission) !== undefined
             ? { kind: protocol.MessageKind.SubmissionKept }
             : { kind: protocol.MessageKind.Refused, text: "not taken over" };
     }
 }
+
+/**
+ * The owner's entry doesn't exist. This member's view of the members may lack a live owner, which would go on answering for its
+ * submissions.
+ */
+function createRemoved(owner: core.InstanceId): metadataStore.Precondition {
+    return { key: memberDirectory.MemberPrefix + owner, revision: 0 };
+}
