--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -46,6 +46,10 @@
     readonly results: readonly types.BatchResult[];
     readonly store: submissionStore.SubmissionStore;
     readonly clock: core.Clock;
+    /** The listing period of this member in which the store acknowledged it as the owner; undefined if it may not be the owner. */
+    readonly ownedIn: number | undefined;
+    /** Returns this member's present listing period; undefined if it may not be listed. */
+    readonly getListingPeriod: () => number | undefined;
     /** Called when this member no longer owns the submission. */
     readonly onOwnershipLost: (reason: string) => void;
     /** Called when results have been listed, with their total number and the number of calls to the store that this took. */
@@ -87,10 +91,16 @@
     private lastWrite: Promise<void> = Promise.resolve();
     private hasEnded = false;
     private hasLostOwnership = false;
+    private ownedIn: number | undefined;
+    /** Whether a write was sent whose outcome is not known yet. */
+    private isWriteUncertain = false;
+    /** Whether another member was asked to take over, and may still do so: until the next write of this member. */
+    private isHandoverRequested = false;
 
     constructor(private readonly options: OwnedSubmissionOptions) {
         this.stored = options.stored;
         this.hasEnded = options.stored.head.isEnded;
+        this.ownedIn = options.ownedIn;
         this.listed = [...options.results];
         const finished = new Set(options.results.map(result => result.id));
         const failures = new Map(options.stored.head.failures);
@@ -131,6 +141,51 @@
         return this.listed.length === this.items.length;
     }
 
+    /** Whether this member is certain to own the submission. Otherwise others may have taken it over. */
+    isOwnershipCertain(): boolean {
+        const period = this.options.getListingPeriod();
+        return this.isActive() && period !== undefined && this.ownedIn === period && !this.isHandoverRequested;
+    }
+
+    /**
+     * Whether the page from `position` is certain to show what the store holds. Listed results never change, whoever owns the
+     * submission. That there are no further ones is known only to the owner, while no write of its own is uncertain.
+     */
+    isPageCertain(position: number): boolean {
+        const isFinal = this.isComplete() || (this.hasEnded && !this.hasLostOwnership);
+        return position < this.listed.length || isFinal || (this.isOwnershipCertain() && !this.isWriteUncertain);
+    }
+
+    /**
+     * Compares a head that was read from the store with this member's state. `period` is the listing period of this member when the
+     * read began.
+     */
+    noteStoredHead({ head, revision }: submissionStore.StoredHead, owner: core.InstanceId, period?: number): void {
+        // The read may have begun before this member took the submission over.
+        if (revision < this.stored.revision) {
+            return;
+        }
+        if (head.owner !== owner) {
+            this.giveUpOwnership(`${head.owner} owns it`);
+            return;
+        }
+        if (head.isEnded && !this.hasEnded) {
+            this.giveUpOwnership("another member ended it");
+            return;
+        }
+        this.ownedIn = period;
+    }
+
+    /** Call before another member is asked to take over. */
+    noteHandoverRequest(): void {
+        this.isHandoverRequested = true;
+    }
+
+    /** Whether another member was asked to take over and may still do so. */
+    mayBeHandedOver(): boolean {
+        return this.isHandoverRequested;
+    }
+
     /** Returns results from `position`: up to `limitBytes` of text, but at least one result. */
     getPage(position: number, limitBytes: number): types.ResultPage {
         return createPage(this.items.length, this.listed.slice(position), position, limitBytes);
@@ -324,9 +379,16 @@
         const pauses = new backoff.Backoff(InitialRetryMilliseconds, MaximumRetryMilliseconds);
         let mayBeWritten = false;
         for (let calls = 1; !this.hasLostOwnership; calls++) {
+            const period = this.options.getListingPeriod();
+            this.isWriteUncertain = true;
             const outcome = await this.options.store.write(write);
+            this.isWriteUncertain = mayBeWritten || outcome.kind === submissionStore.WriteOutcomeKind.Unknown;
             switch (outcome.kind) {
                 case submissionStore.WriteOutcomeKind.Written:
+                    this.isWriteUncertain = false;
+                    this.ownedIn = period;
+                    // A takeover that was requested before expects an earlier revision.
+                    this.isHandoverRequested = false;
                     if (write.head.listed > this.stored.head.listed) {
                         this.options.onListed(write.head.listed, calls);
                     }
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -41,6 +41,13 @@
      * that the store carries out late can't move the entry to a lease that is no longer renewed.
      */
     private entryRevision: types.Revision = 0;
+    /** Until when the lease certainly goes on. It runs from the arrival of the call that granted or renewed it. */
+    private leaseEndsAt: core.MonotonicMilliseconds = -Infinity;
+    /** Set while this member's view of the members contradicts that its entry exists. */
+    private isEntryDoubtful = false;
+    /** Number of times that the entry has been written, each of which begins another listing period. */
+    private listingPeriod = 0;
+    private readonly listedListeners = new Set<() => void>();
     private task: Promise<void> | undefined;
     /** Aborted to end the pause between two renewals. */
     private pauseAbort = new AbortController();
@@ -54,6 +61,7 @@
     ) {
         members.onChange(removed => {
             if (this.isEntryWritten && removed.includes(members.self.id)) {
+                this.isEntryDoubtful = true;
                 this.renewEarly();
             }
         });
@@ -77,10 +85,25 @@
         return this.lease;
     }
 
+    /**
+     * The period for which this member's entry has been in the store without interruption; undefined if it may be missing. Within one
+     * period, nobody takes over what this member owns.
+     */
+    tryGetListingPeriod(): number | undefined {
+        const isListed = this.isEntryWritten && !this.isEntryDoubtful && this.clock.now() < this.leaseEndsAt;
+        return isListed ? this.listingPeriod : undefined;
+    }
+
+    /** Called when a listing period begins. */
+    onListed(listener: () => void): void {
+        this.listedListeners.add(listener);
+    }
+
     async [Symbol.asyncDispose](): Promise<void> {
         this.stopper.abort();
         this.pauseAbort.abort();
         await this.task;
+        this.isEntryWritten = false;
         if (this.lease !== undefined) {
             await this.store.endLease(this.lease);
         }
@@ -136,6 +159,7 @@
             return false;
         }
         const revision = found.value?.revision ?? 0;
+        this.isEntryDoubtful = false;
         if (revision !== this.entryRevision) {
             this.entryRevision = revision;
             this.isEntryWritten = false;
@@ -145,10 +169,12 @@
 
     private async register(): Promise<boolean> {
         if (this.lease === undefined) {
+            const sentAt = this.clock.now();
             const granted = await this.store.grantLease(LeaseMilliseconds);
             if (!granted.ok) {
                 return false;
             }
+            this.leaseEndsAt = sentAt + LeaseMilliseconds;
             // Kept if the write fails. The write may still be carried out, which has no effect once the lease has ended.
             this.lease = granted.value;
         }
@@ -171,7 +197,10 @@
             if (written.value.isCommitted) {
                 this.entryRevision = written.value.revision;
                 this.isEntryWritten = true;
+                this.isEntryDoubtful = false;
+                this.listingPeriod++;
                 this.log.recordEvent(gatewayLog.GatewayEvent.MemberRegistered, { lease });
+                this.listedListeners.forEach(listener => listener());
                 return true;
             }
             // An earlier write of this member was carried out without an answer, or the entry has been removed.
@@ -185,8 +214,10 @@
     }
 
     private async renew(lease: string): Promise<RenewalOutcome> {
+        const sentAt = this.clock.now();
         const renewed = await this.store.renewLease(lease);
         if (renewed.ok) {
+            this.leaseEndsAt = sentAt + LeaseMilliseconds;
             return RenewalOutcome.Renewed;
         }
         return renewed.failure.kind === metadataStore.StoreFailureKind.LeaseGone
--- a/packages/gateway/src/submissionReader.ts
+++ b/packages/gateway/src/submissionReader.ts
@@ -35,8 +35,7 @@
     async read(submission: string, position: number, waitMilliseconds: number): Promise<CallResult<types.ResultPage>> {
         const own = this.registry.tryGetOwned(submission);
         if (own !== undefined) {
-            await own.waitForPosition(position, waitMilliseconds);
-            return { ok: true, value: own.getPage(position, MaximumPageBytes) };
+            return this.readOwned(own, position, waitMilliseconds);
         }
         const kind = protocol.MessageKind.SubmissionRead;
         const message = { kind, submission, position, waitMilliseconds } as const;
@@ -174,8 +173,20 @@
         return reply.message;
     }
 
+    /** Reads results of a submission that this member owns or has owned, from the store if others may have listed further ones. */
+    private async readOwned(
+        own: ownedSubmission.OwnedSubmission,
+        position: number,
+        waitMilliseconds: number,
+    ): Promise<CallResult<types.ResultPage>> {
+        await own.waitForPosition(position, waitMilliseconds);
+        return own.isPageCertain(position)
+            ? { ok: true, value: own.getPage(position, MaximumPageBytes) }
+            : this.readFromStore(own.getId(), position);
+    }
+
     private async findHead(submission: string): Promise<CallResult<submissionStore.StoredHead>> {
-        const found = await this.parts.submissionStore.readHead(submission);
+        const found = await this.registry.readHead(submission);
         if (!found.ok) {
             return { ok: false, reason: types.RefusalReason.StoreUnavailable };
         }
@@ -206,9 +217,10 @@
         if (own === undefined) {
             return { kind: protocol.MessageKind.Refused, text: "not run here" };
         }
-        await own.waitForPosition(message.position, message.waitMilliseconds);
-        const page = own.getPage(message.position, MaximumPageBytes);
-        return { kind: protocol.MessageKind.SubmissionPage, ...page };
+        const page = await this.readOwned(own, message.position, message.waitMilliseconds);
+        return page.ok
+            ? { kind: protocol.MessageKind.SubmissionPage, ...page.value }
+            : { kind: protocol.MessageKind.Refused, text: page.reason };
     }
 
     private async serveBody(message: protocol.SubmissionItemRead): Promise<protocol.Message> {
--- a/packages/gateway/src/submissionRegistry.ts
+++ b/packages/gateway/src/submissionRegistry.ts
@@ -41,6 +41,11 @@
     constructor(readonly parts: SubmissionServiceParts) {
         parts.network.handle(protocol.MessageKind.SubmissionOwned, async (message, from) => {
             this.owners.set(message.submission, from);
+            const own = this.owned.get(message.submission);
+            // After a handover, the reply tells this member, without a call to the store.
+            if (own !== undefined && !own.mayBeHandedOver()) {
+                await this.readHead(message.submission);
+            }
             return undefined;
         });
         parts.network.handle(protocol.MessageKind.Leaving, async (message, from) => {
@@ -90,6 +95,8 @@
         stored: submissionStore.StoredHead,
         items: readonly types.BatchItem[],
         results: readonly types.BatchResult[],
+        /** This member's listing period when it sent the write that made it the owner. */
+        period: number | undefined,
         progress: readonly records.ItemProgress[] = [],
     ): void {
         const submission = new ownedSubmission.OwnedSubmission({
@@ -99,6 +106,8 @@
             results,
             store: this.parts.submissionStore,
             clock: this.parts.clock,
+            ownedIn: period,
+            getListingPeriod: () => this.parts.registration.tryGetListingPeriod(),
             onOwnershipLost: reason => this.handleOwnershipLost(submission, reason),
             onListed: (count, calls) =>
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.ResultsListed, { submission: id, count, calls }),
@@ -118,6 +127,31 @@
         }
     }
 
+    /** Reads a submission's head, and gives up this member's ownership if another member has taken it over. */
+    async readHead(submission: string): Promise<metadataStore.StoreResult<submissionStore.StoredHead | undefined>> {
+        const { registration, submissionStore: submissions, members } = this.parts;
+        const period = registration.tryGetListingPeriod();
+        const found = await submissions.readHead(submission);
+        if (found.ok && found.value !== undefined) {
+            this.tryGetOwned(submission)?.noteStoredHead(found.value, members.self.id, period);
+        }
+        return found;
+    }
+
+    /**
+     * Gives up the submissions that others have taken over. Call after a time in which this member may not have been listed;
+     * otherwise it would go on running them until its next write.
+     */
+    async checkAllOwnerships(): Promise<void> {
+        for (const own of this.getAllOwned()) {
+            const isListed = this.parts.registration.tryGetListingPeriod() !== undefined;
+            const isUncertain = own.isActive() && !own.isComplete() && !own.isOwnershipCertain();
+            if (isListed && isUncertain && !own.mayBeHandedOver() && !(await this.readHead(own.getId())).ok) {
+                return;
+            }
+        }
+    }
+
     /** Removes a complete submission, which needs no owner any more. */
     remove(submission: ownedSubmission.OwnedSubmission): void {
         this.owned.delete(submission.getId());
--- a/packages/gateway/src/submissionService.ts
+++ b/packages/gateway/src/submissionService.ts
@@ -190,6 +190,7 @@
         const { head, puts } = newRecords;
         let isUncertain = false;
         while (!this.registry.isKnown(submission.id)) {
+            const period = this.parts.registration.tryGetListingPeriod();
             const outcome = await this.parts.submissionStore.write({
                 submission: submission.id,
                 head,
@@ -198,7 +199,7 @@
             });
             switch (outcome.kind) {
                 case submissionStore.WriteOutcomeKind.Written:
-                    this.start(submission, { head, revision: outcome.revision });
+                    this.start(submission, { head, revision: outcome.revision }, period);
                     return StorageOutcome.Stored;
                 case submissionStore.WriteOutcomeKind.Conflict:
                     // This or another member has already accepted it.
@@ -322,13 +323,13 @@
         };
     }
 
-    private start(submission: NewSubmission, stored: submissionStore.StoredHead): void {
+    private start(submission: NewSubmission, stored: submissionStore.StoredHead, period: number | undefined): void {
         this.parts.log.recordEvent(gatewayLog.GatewayEvent.SubmissionAccepted, {
             submission: submission.id,
             items: submission.items.length,
             revision: stored.revision,
         });
-        this.registry.startOwning(submission.id, stored, submission.items, []);
+        this.registry.startOwning(submission.id, stored, submission.items, [], period);
     }
 
     /** Refuses a submission. The reason states that nothing runs only if the submission was certainly not stored. */
--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -57,12 +57,14 @@
             this.serveHandover(message, from),
         );
         this.parts.members.onChange(removed => this.onMembersRemoved(removed));
+        this.parts.registration.onListed(() => void this.registry.checkAllOwnerships());
     }
 
     /** Regularly takes over submissions without an owner, and removes those whose retention period has ended. */
     async run(): Promise<void> {
         while (!this.stopController.signal.aborted) {
             await this.parts.clock.sleep(ScanIntervalMilliseconds, this.stopController.signal);
+            await this.registry.checkAllOwnerships();
             await this.scan(ScanScope.Own);
         }
     }
@@ -208,6 +210,7 @@
             return;
         }
         const newHead = { ...head, owner: members.self.id, nonce: ownedSubmission.createNonce() };
+        const period = this.parts.registration.tryGetListingPeriod();
         const outcome = await submissions.write({
             submission: id,
             head: newHead,
@@ -231,6 +234,7 @@
             { head: newHead, revision: outcome.revision },
             items.value,
             results.value.results,
+            period,
             known,
         );
     }
@@ -246,6 +250,7 @@
         if (successor === undefined || !submission.isActive()) {
             return;
         }
+        submission.noteHandoverRequest();
         if (await this.handOverTo(successor, submission.getId(), submission.getProgress())) {
             submission.giveUpOwnership(`${successor} has taken it over`);
             this.registry.setOwner(submission.getId(), successor);
