--- a/packages/core/src/clientConnection.ts
+++ b/packages/core/src/clientConnection.ts
@@ -33,6 +33,11 @@
         return this.socket.remoteAddress === undefined;
     }
 
+    /** Calls the listener once the connection is closed. */
+    onClose(listener: () => void): void {
+        this.socket.once("close", listener);
+    }
+
     /**
      * Withholds received data from the HTTP client until `resume`. A paused HTTP parser would throw an exception that nobody handles
      * if the connection ended meanwhile; a connection whose data isn't read doesn't end.
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -522,6 +522,7 @@
             lastEventId: owned.lastEventId === undefined ? undefined : String(owned.lastEventId),
         });
         const request = {
+            attemptId: owned.item.id,
             method: "POST",
             target: owned.item.target,
             headers,
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -263,9 +263,16 @@
             customer: request.customer,
             passesCredentials: this.parts.view.forwardsCredentials(request.customer),
         });
-        const exchange = this.parts.channels
-            .get(upstream)
-            .start({ method: request.raw.method, target: request.raw.target, headers, body: toBody(request) }, relay);
+        const exchange = this.parts.channels.get(upstream).start(
+            {
+                attemptId: request.head.attemptId,
+                method: request.raw.method,
+                target: request.raw.target,
+                headers,
+                body: toBody(request),
+            },
+            relay,
+        );
         relay.attach(exchange);
         noteData();
         const stopFirstEventTimer = this.outcomes.watchFirstEvent(progress, placement);
--- a/packages/gateway/src/upstreamExchange.ts
+++ b/packages/gateway/src/upstreamExchange.ts
@@ -1,6 +1,7 @@
 import * as core from "@boragedale/core";
 import * as undici from "undici";
 import * as rawHeaderList from "./rawHeaders.js";
+import * as recentAnswers from "./recentAnswers.js";
 
 /** Why an exchange ended without a complete answer. */
 export enum ExchangeFailureKind {
@@ -32,6 +33,8 @@
 }
 
 export interface ExchangeRequest {
+    /** Id by which the upstream marks its answers. All sendings of a request have the same one. */
+    readonly attemptId: string;
     readonly method: string;
     readonly target: string;
     readonly headers: string[];
@@ -80,6 +83,9 @@
 /** A pool of kept-alive connections to one upstream, without pipelining. */
 export class UpstreamChannel extends Channel implements AsyncDisposable {
     private pool: undici.Pool;
+    private readonly answers = new recentAnswers.RecentAnswers();
+    /** Pools for requests that must not be sent on a kept connection. Each is closed after its answer. */
+    private readonly singleUsePools = new Set<undici.Pool>();
 
     constructor(private readonly options: ChannelOptions) {
         super();
@@ -87,9 +93,12 @@
     }
 
     override start(request: ExchangeRequest, handler: ExchangeHandler): RunningExchange {
-        const exchange = new Exchange(handler);
+        const { attemptId } = request;
+        const isRepeated = this.answers.has(attemptId);
+        const pool = isRepeated ? this.createPool(1) : this.pool;
+        const exchange = new Exchange(handler, connection => this.answers.note(connection, attemptId));
         try {
-            this.pool.dispatch(
+            pool.dispatch(
                 {
                     path: request.target,
                     method: request.method as undici.Dispatcher.HttpMethod,
@@ -105,6 +114,10 @@
             // A header can't be sent, for example because it contains control characters.
             exchange.onError(error as Error);
         }
+        if (isRepeated) {
+            this.singleUsePools.add(pool);
+            void pool.close().then(() => this.singleUsePools.delete(pool));
+        }
         return exchange;
     }
 
@@ -119,13 +132,13 @@
     }
 
     async [Symbol.asyncDispose](): Promise<void> {
-        await this.pool.destroy();
+        await Promise.all([this.pool, ...this.singleUsePools].map(pool => pool.destroy()));
     }
 
-    private createPool(): undici.Pool {
+    private createPool(maximumConnections = this.options.maximumConnections): undici.Pool {
         const connect = undici.buildConnector({ timeout: this.options.connectTimeoutMilliseconds });
         return new undici.Pool(`http://${this.options.address}`, {
-            connections: this.options.maximumConnections,
+            connections: maximumConnections,
             pipelining: 1,
             keepAliveTimeout: DefaultKeepAliveMilliseconds,
             keepAliveMaxTimeout: MaximumKeepAliveMilliseconds,
@@ -144,7 +157,11 @@
     private connection: core.ClientConnection | undefined;
     private framing: core.BodyFraming | undefined;
 
-    constructor(private readonly handler: ExchangeHandler) {}
+    constructor(
+        private readonly handler: ExchangeHandler,
+        /** Called when the answer is complete, with its connection. */
+        private readonly onAnswered: (connection: core.ClientConnection) => void = () => undefined,
+    ) {}
 
     abort(): void {
         if (this.isFinished) {
@@ -208,6 +225,9 @@
             return;
         }
         this.finish();
+        if (this.connection !== undefined) {
+            this.onAnswered(this.connection);
+        }
         try {
             this.handler.onComplete();
         }
