--- a/packages/decisions/src/partsInProgress.ts
+++ b/packages/decisions/src/partsInProgress.ts
@@ -23,6 +23,8 @@
     readonly fingerprint: string;
     /** The parts of the prompt that other requests may share, in order: all but the last one. */
     readonly parts: readonly string[];
+    /** Whether the request was accepted to be run later, and may not be refused. */
+    readonly isOwed?: boolean;
 }
 
 interface SentRequest {
--- a/packages/decisions/src/quarantineTrials.ts
+++ b/packages/decisions/src/quarantineTrials.ts
@@ -12,6 +12,8 @@
 interface Schedule {
     failures: number;
     dueAt: core.MonotonicMilliseconds;
+    /** The same for requests that were accepted to be run later. */
+    owedDueAt: core.MonotonicMilliseconds;
     changedAt: core.MonotonicMilliseconds;
 }
 
@@ -23,6 +25,11 @@
 export const PartTrialDelays: readonly number[] = [1_000, 2_000, 10 * 60_000];
 /** The same for a single request, which has already been in progress at three crashes and stops no others. */
 export const RequestTrialDelays: readonly number[] = [8_000, 20_000, 15 * 60_000];
+/**
+ * Longest time to the next trial for requests that were accepted to be run later. They may not be refused, so a false verdict, whose
+ * trials may have met crashes of another cause, must not stop them for longer once upstreams are well.
+ */
+const LongestOwedDelayMilliseconds = 4_000;
 /** Time for a granted trial to be sent and answered beyond its beginning. Without an outcome, the next trial may follow. */
 export const TrialMilliseconds = 2_000;
 /** Time for which failed trials are remembered, which is longer than any delay. */
@@ -50,9 +57,9 @@
     }
 
     /** Time until a trial is due; undefined if the quarantine isn't known here. */
-    tryGetWait(name: string, now: core.MonotonicMilliseconds): number | undefined {
+    tryGetWait(name: string, now: core.MonotonicMilliseconds, isOwed = false): number | undefined {
         const known = this.schedules.get(name);
-        return known === undefined ? undefined : Math.max(0, known.dueAt - now);
+        return known === undefined ? undefined : getWait(known, now, isOwed);
     }
 
     getFailures(name: string): number {
@@ -60,20 +67,27 @@
     }
 
     /** Grants a trial if one is due and no other is running. A quarantine that isn't known yet has its first delay ahead. */
-    decide(name: string, now: core.MonotonicMilliseconds): TrialDecision {
+    decide(name: string, now: core.MonotonicMilliseconds, isOwed = false): TrialDecision {
         const known = this.schedules.get(name) ?? this.set(name, 0, now);
-        const waitMilliseconds = Math.max(0, known.dueAt - now);
+        const waitMilliseconds = getWait(known, now, isOwed);
         if (waitMilliseconds > 0) {
             return { isGranted: false, failures: known.failures, waitMilliseconds };
         }
-        known.dueAt = now + TrialMilliseconds;
+        known.dueAt = Math.max(known.dueAt, now + TrialMilliseconds);
+        known.owedDueAt = Math.max(known.owedDueAt, now + TrialMilliseconds);
         return { isGranted: true, failures: known.failures, waitMilliseconds: TrialMilliseconds };
     }
 
     /** Call when the deciding member has not granted a trial. */
-    postpone(name: string, milliseconds: number, now: core.MonotonicMilliseconds): void {
+    postpone(name: string, milliseconds: number, now: core.MonotonicMilliseconds, isOwed = false): void {
         const known = this.schedules.get(name);
-        if (known !== undefined) {
+        if (known === undefined) {
+            return;
+        }
+        if (isOwed) {
+            known.owedDueAt = Math.max(known.owedDueAt, now + milliseconds);
+        }
+        else {
             known.dueAt = Math.max(known.dueAt, now + milliseconds);
         }
     }
@@ -97,8 +111,13 @@
             }
         });
         const delay = this.delays[Math.min(failures, this.delays.length - 1)] ?? 0;
-        const schedule = { failures, dueAt: now + delay, changedAt: now };
+        const owedDelay = Math.min(delay, LongestOwedDelayMilliseconds);
+        const schedule = { failures, dueAt: now + delay, owedDueAt: now + owedDelay, changedAt: now };
         this.schedules.set(name, schedule);
         return schedule;
     }
 }
+
+function getWait({ dueAt, owedDueAt }: Schedule, now: core.MonotonicMilliseconds, isOwed: boolean): number {
+    return Math.max(0, (isOwed ? owedDueAt : dueAt) - now);
+}
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -102,7 +102,7 @@
 
     /** Asks whether a quarantined request may be sent as a trial, which finds out whether it crashes upstreams. */
     async tryBeginTrial(request: decisions.PromptRequest): Promise<boolean> {
-        return this.trials.tryBegin(request.id, this.listQuarantines(request));
+        return this.trials.tryBegin(request, this.listQuarantines(request));
     }
 
     /** Time until a quarantined request may be sent again, alone or as a trial. */
@@ -291,11 +291,15 @@
         return verdict === decisions.SuspectVerdict.Quarantined;
     }
 
-    /** The quarantines that stop a request. */
-    private listQuarantines({ fingerprint, parts }: decisions.PromptRequest): readonly trialRunner.QuarantineName[] {
+    /**
+     * The quarantines that stop a request. One that was accepted to be run later is never quarantined as a whole: it doesn't crash
+     * upstreams by itself, and stays owed however many have crashed under it.
+     */
+    private listQuarantines(request: decisions.PromptRequest): readonly trialRunner.QuarantineName[] {
+        const { fingerprint, parts, isOwed = false } = request;
         const { Part, Request } = protocol.QuarantineKind;
         return [
-            ...(this.isRequestQuarantined(fingerprint) ? [{ quarantine: Request, name: fingerprint }] : []),
+            ...(!isOwed && this.isRequestQuarantined(fingerprint) ? [{ quarantine: Request, name: fingerprint }] : []),
             ...parts
                 .filter(name => this.tryGetQuarantined([name]) !== undefined)
                 .map(name => ({ quarantine: Part, name })),
--- a/packages/gateway/src/itemScheduler.ts
+++ b/packages/gateway/src/itemScheduler.ts
@@ -31,8 +31,13 @@
 const SilenceTimeoutMilliseconds = 1_500;
 /** Upper bound of the silence after which a run is stopped. It doubles with each silent run of the item: all engines may be slow. */
 const MaximumSilenceTimeoutMilliseconds = 6_000;
-/** Pause before an item whose run was lost is run again. */
+/** Pause before an item whose run was lost is run again. It doubles with each run in a row that breaks off without an event. */
 const RetryPauseMilliseconds = 100;
+/**
+ * Upper bound of the pause, so that an item that crashes each engine takes down few. The item stays owed, and runs again soon after
+ * crashes of another cause have ended.
+ */
+const MaximumRetryPauseMilliseconds = 2_000;
 /**
  * Maximum added to the pause, differently for each item, if the run had no event. Items of a submission that crash engines would
  * otherwise take down several at the same moment again and again, like a cause that has nothing to do with them.
@@ -330,7 +335,7 @@
         if (prompt === undefined) {
             const head = this.parts.wire.readRequest(item.headers.flat());
             const fingerprint = crashWatch.createFingerprint(item.target, item.body);
-            prompt = { id: item.id, fingerprint, parts: crashWatch.getSharedParts(head) };
+            prompt = { id: item.id, fingerprint, parts: crashWatch.getSharedParts(head), isOwed: true };
             this.prompts.set(item, prompt);
         }
         return prompt;
@@ -500,11 +505,11 @@
         const restartSilenceTimer = (): void => silenceTimer.restart(silenceLimit);
         const meter = this.parts.slots.speeds?.startStream(upstream.id, upstream.service);
         const prompt = this.getPrompt(owned.item);
-        const { suspects } = this.parts.crashWatch;
         let events = 0;
         const run = new itemRun.ItemRun(owned, this.parts.wire, restartSilenceTimer, newEvents => {
             meter?.onEvents(newEvents, this.parts.clock.now());
             events += newEvents;
+            owned.brokenRuns = 0;
             if (events >= crashWatch.BeginningEvents && events - newEvents < crashWatch.BeginningEvents) {
                 this.parts.crashWatch.onAnswered(upstream, prompt);
                 // An item that is past its beginning runs for seconds, in which its engine may crash for other reasons.
@@ -530,7 +535,6 @@
         };
         const startedAt = this.parts.clock.now();
         this.parts.crashWatch.onSent(upstream, prompt);
-        suspects.onSent(prompt.id, prompt.fingerprint, upstream.id, startedAt);
         const eventsBefore = owned.texts.length;
         run.attach(this.parts.channels.get(upstream).start(request, run));
         restartSilenceTimer();
@@ -575,7 +579,6 @@
                 break;
         }
         watch.onEnded(upstream, prompt);
-        watch.suspects.onAbandoned(prompt.id, upstream.id);
     }
 
     private handleOutcome(
@@ -621,6 +624,9 @@
                 this.parts.slots.slotTable.penalize(upstream.id, now + UnreachablePenaltyMilliseconds);
                 break;
             case kinds.Lost:
+                owned.notBefore = now + getRetryPause(owned) + getRetrySpread(owned);
+                owned.brokenRuns++;
+                break;
             case kinds.Silent:
                 owned.notBefore = now + RetryPauseMilliseconds + getRetrySpread(owned);
                 break;
@@ -694,6 +700,10 @@
     }
 }
 
+function getRetryPause({ brokenRuns }: ownedSubmission.OwnedItem): number {
+    return Math.min(MaximumRetryPauseMilliseconds, RetryPauseMilliseconds * 2 ** brokenRuns);
+}
+
 function getRetrySpread({ item, texts }: ownedSubmission.OwnedItem): number {
     return texts.length > 0 ? 0 : decisions.hashToUnit(item.id) * RetrySpreadMilliseconds;
 }
--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -34,6 +34,8 @@
     failures: number;
     /** Runs that were stopped because their upstream was silent. */
     silentRuns: number;
+    /** Runs in a row that broke off without an event. */
+    brokenRuns: number;
     /** Earliest time of the next run; later than now only if the last run was lost. */
     notBefore: core.MonotonicMilliseconds;
 }
@@ -115,6 +117,7 @@
             waitingSince: -Infinity,
             failures: failures.get(index) ?? 0,
             silentRuns: 0,
+            brokenRuns: 0,
             notBefore: -Infinity,
         }));
         this.scheduleCheckpoint();
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -230,7 +230,12 @@
         part: name,
         remainingMilliseconds: count,
     }),
-    zod.object({ kind: zod.literal(types.MessageKind.QuarantineTrialRequest), quarantine, name }),
+    zod.object({
+        kind: zod.literal(types.MessageKind.QuarantineTrialRequest),
+        quarantine,
+        name,
+        isOwed: zod.boolean().optional(),
+    }),
     zod.object({
         kind: zod.literal(types.MessageKind.QuarantineTrialReply),
         isGranted: zod.boolean(),
--- a/packages/protocol/src/types.ts
+++ b/packages/protocol/src/types.ts
@@ -480,6 +480,8 @@
     readonly kind: MessageKind.QuarantineTrialRequest;
     readonly quarantine: QuarantineKind;
     readonly name: string;
+    /** Whether the request was accepted to be run later. Previous versions don't send it. */
+    readonly isOwed?: boolean | undefined;
 }
 
 export interface QuarantineTrialReply {
