--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -81,10 +81,6 @@
         this.pauseAbort.abort();
     }
 
-    tryGetLease(): string | undefined {
-        return this.lease;
-    }
-
     /**
      * The period for which this member's entry has been in the store without interruption; undefined if it may be missing. Within one
      * period, nobody takes over what this member owns.
--- a/packages/gateway/src/submissionReader.ts
+++ b/packages/gateway/src/submissionReader.ts
@@ -14,12 +14,15 @@
 const MaximumPageBytes = 600_000;
 /** Timeout of a request to a peer. A round trip takes some milliseconds; the rest allows for a busy event loop. */
 const PeerTimeoutMilliseconds = 600;
-/** Bounds the memory for ids of ended submissions. */
-const MaximumEndMarkers = 10_000;
+/**
+ * Lease of an end marker. It doesn't end with the member that wrote the marker, so that an owner whose watch was silent for some
+ * seconds still finds it.
+ */
+const EndMarkerMilliseconds = 30_000;
+const MaximumEndRounds = 5;
 
 /** Serves calls about any submission: at its owner if that is reachable, otherwise from the store. */
 export class SubmissionReader {
-    private readonly endMarkers = new Set<string>();
     private readonly parts: submissionRegistry.SubmissionServiceParts;
 
     constructor(private readonly registry: submissionRegistry.SubmissionRegistry) {
@@ -99,9 +102,6 @@
                 continue;
             }
             const id = decodeURIComponent(entry.key.slice(memberDirectory.EndedPrefix.length));
-            if (this.endMarkers.size < MaximumEndMarkers) {
-                this.endMarkers.add(id);
-            }
             this.registry.tryGetOwned(id)?.giveUpOwnership("another member ended it");
         }
     }
@@ -117,7 +117,8 @@
     }
 
     private async endInStore(submission: string): Promise<CallResult<undefined>> {
-        for (let round = 0; round < 5; round++) {
+        let lease: string | undefined;
+        for (let round = 0; round < MaximumEndRounds; round++) {
             const found = await this.parts.submissionStore.readHead(submission);
             if (!found.ok) {
                 return { ok: false, reason: types.RefusalReason.StoreUnavailable };
@@ -128,13 +129,19 @@
             if (found.value.head.isEnded) {
                 return { ok: true, value: undefined };
             }
-            const lease = this.parts.registration.tryGetLease();
+            if (lease === undefined) {
+                const granted = await this.parts.store.grantLease(EndMarkerMilliseconds);
+                if (!granted.ok) {
+                    return { ok: false, reason: types.RefusalReason.StoreUnavailable };
+                }
+                lease = granted.value;
+            }
             const key = memberDirectory.EndedPrefix + encodeURIComponent(submission);
             const outcome = await this.parts.submissionStore.write({
                 submission,
                 head: { ...found.value.head, nonce: ownedSubmission.createNonce(), isEnded: true },
                 expected: found.value.revision,
-                puts: lease === undefined ? [] : [{ key, value: Buffer.from("1"), lease }],
+                puts: [{ key, value: Buffer.from("1"), lease }],
             });
             if (outcome.kind === submissionStore.WriteOutcomeKind.Written) {
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.SubmissionEnded, { submission });
--- a/packages/gateway/src/submissionTakeover.ts
+++ b/packages/gateway/src/submissionTakeover.ts
@@ -164,6 +164,10 @@
             own.giveUpOwnership(`${head.owner} owns it`);
             return;
         }
+        if (own?.isActive() === true && head.isEnded) {
+            own.giveUpOwnership("another member ended it");
+            return;
+        }
         const isExpired =
             clock.wallNow() - head.acceptedAt > this.parts.retentionMilliseconds + RetentionSlackMilliseconds;
         if (isOver && isExpired && (isOwned || (!isOwnerLive && members.chooseSuccessor(id) === members.self.id))) {
--- a/packages/gateway/test/submissionOwnership.test.ts
+++ b/packages/gateway/test/submissionOwnership.test.ts
@@ -105,6 +105,31 @@
     assert.is(fleet.channels.activeRuns, 0);
 });
 
+// Guards against an owner that runs on, because the member that ended its submission was not registered yet, or is killed right after.
+for (const isKilled of [false, true]) {
+    suite(
+        `the owner hears of an end through a member that ${isKilled ? "is killed" : "isn't registered"}`,
+        async () => {
+            const fleet = await testFleet.createFleet(2, 1);
+            const owner = fleet.members[0]!;
+            fleet.channels.behaviour.eventMilliseconds = 900;
+            await testFleet.submit(fleet, owner, "s", fixtures.createItems(60));
+            fleet.hub.offline.add(owner.id);
+            const other = isKilled ? fleet.members[1]! : fleet.addMember();
+            const ended = await testFleet.advanceUntilSettled(fleet.clock, other.submissions.end(Name));
+            assert.is(ended.ok, true);
+            const markers = fleet.metadata.list(gateway.EndedPrefix).entries;
+            assert.is(markers.length, 1);
+            if (isKilled) {
+                other.kill();
+            }
+            await fleet.clock.advance(5_000);
+            assert.equal(fleet.metadata.list(gateway.EndedPrefix).entries, markers, "late watchers find the marker");
+            assert.is(fleet.channels.activeRuns, 0);
+        },
+    );
+}
+
 // Guards against results that vanish while the store is down: they never change, whoever owns the submission.
 suite("a member whose lease may have ended still shows the results that it has", async () => {
     const fleet = await testFleet.createFleet(1);
