--- a/packages/gateway/src/quarantineRecords.ts
+++ b/packages/gateway/src/quarantineRecords.ts
@@ -3,7 +3,7 @@
 import * as msgpackr from "msgpackr";
 import * as zod from "zod";
 import * as memberDirectory from "./memberDirectory.js";
-import type * as metadataStore from "./metadataStore.js";
+import * as metadataStore from "./metadataStore.js";
 import type * as trialRunner from "./trialRunner.js";
 import type * as types from "./types.js";
 
@@ -72,13 +72,14 @@
         const until = clock.wallNow() + lifetime;
         const value = msgpackr.pack({ until, failures: change.failures });
         await clock.sleep(isNew ? random() * WriteSpreadMilliseconds : 0);
+        let lease: string | undefined;
         for (let attempt = 0; attempt < MaximumWriteAttempts && isCurrent(); attempt++) {
             if (isNew && this.listed.has(key)) {
                 return;
             }
-            const lease = await store.grantLease(lifetime);
-            if (lease.ok) {
-                const puts = [{ key, value, lease: lease.value }];
+            lease ??= await this.tryGrantLease(lifetime);
+            if (lease !== undefined) {
+                const puts = [{ key, value, lease }];
                 const preconditions = isNew ? [{ key, revision: 0 }] : [];
                 const written = await store.transact({ preconditions, puts, deletes: [] });
                 if (written.ok) {
@@ -88,6 +89,26 @@
             }
             await clock.sleep(RetryMilliseconds);
         }
+        if (lease !== undefined && !isCurrent()) {
+            await this.endLease(lease);
+        }
+    }
+
+    private async tryGrantLease(lifetime: number): Promise<string | undefined> {
+        const granted = await this.parts.store.grantLease(lifetime);
+        return granted.ok ? granted.value : undefined;
+    }
+
+    /** Ends the lease of writes without an answer, so that they have no effect if the store carries them out later. */
+    private async endLease(lease: string): Promise<void> {
+        const { store, clock } = this.parts;
+        for (let attempt = 0; attempt < MaximumWriteAttempts; attempt++) {
+            const ended = await store.endLease(lease);
+            if (ended.ok || ended.failure.kind === metadataStore.StoreFailureKind.LeaseGone) {
+                return;
+            }
+            await clock.sleep(RetryMilliseconds);
+        }
     }
 
     /** Call when a quarantine has turned out to be false. Its record, if there is one, no longer counts here. */
--- a/packages/gateway/test/quarantineTrials.test.ts
+++ b/packages/gateway/test/quarantineTrials.test.ts
@@ -1,4 +1,4 @@
-import type * as core from "@boragedale/core";
+import * as core from "@boragedale/core";
 import * as gateway from "@boragedale/gateway";
 import * as protocol from "@boragedale/protocol";
 import * as standins from "@boragedale/standins";
@@ -102,6 +102,30 @@
     assert.is(await scene.sendSound(scene.gateways[1]!, "late-1", ["shared", Part, "own"]), false);
 });
 
+// Guards against a verdict that was refuted and returns, because the store carries out the write of its record late.
+for (const lateWrites of [1, 3]) {
+    suite(`a record whose first ${lateWrites} writes are late doesn't outlive its verdict`, async () => {
+        const clock = new core.VirtualClock();
+        const metadata = new standins.MemoryMetadata(clock);
+        const store = metadata.createClient();
+        store.faults.delayedTransactions = lateWrites;
+        store.faults.transactionDelayMilliseconds = 3_000;
+        const records = new gateway.QuarantineRecords({ store, clock, random: () => 0 });
+        const change = {
+            quarantine: protocol.QuarantineKind.Part,
+            name: Part,
+            remainingMilliseconds: TenMinutes,
+            failures: 0,
+        };
+        let isCurrent = true;
+        void records.write(change, () => isCurrent);
+        await clock.advance(500);
+        isCurrent = false;
+        await clock.advance(10_000);
+        assert.equal(metadata.list(gateway.FleetPrefix).entries, []);
+    });
+}
+
 // Guards against an operator who can't end a false verdict without restarting all gateways.
 suite("removing the record ends a quarantine of a part or a request at once", async () => {
     const scene = createScene(2);
