--- a/packages/gateway/src/ownedSubmission.ts
+++ b/packages/gateway/src/ownedSubmission.ts
@@ -2,6 +2,7 @@
 import type * as core from "@boragedale/core";
 import * as backoff from "./backoff.js";
 import type * as metadataStore from "./metadataStore.js";
+import type * as ownershipCertainty from "./ownershipCertainty.js";
 import * as records from "./submissionRecords.js";
 import * as submissionStore from "./submissionStore.js";
 import * as types from "./types.js";
@@ -48,10 +49,7 @@
     readonly results: readonly types.BatchResult[];
     readonly store: submissionStore.SubmissionStore;
     readonly clock: core.Clock;
-    /** The listing period of this member in which the store acknowledged it as the owner; undefined if it may not be the owner. */
-    readonly ownedIn: number | undefined;
-    /** Returns this member's present listing period; undefined if it may not be listed. */
-    readonly getListingPeriod: () => number | undefined;
+    readonly certainty: ownershipCertainty.OwnershipCertainty;
     /** Called when this member no longer owns the submission. */
     readonly onOwnershipLost: (reason: string) => void;
     /** Called when results have been listed, with their total number and the number of calls to the store that this took. */
@@ -93,16 +91,10 @@
     private lastWrite: Promise<void> = Promise.resolve();
     private hasEnded = false;
     private hasLostOwnership = false;
-    private ownedIn: number | undefined;
-    /** Whether a write was sent whose outcome is not known yet. */
-    private isWriteUncertain = false;
-    /** Whether another member was asked to take over, and may still do so: until the next write of this member. */
-    private isHandoverRequested = false;
 
     constructor(private readonly options: OwnedSubmissionOptions) {
         this.stored = options.stored;
         this.hasEnded = options.stored.head.isEnded;
-        this.ownedIn = options.ownedIn;
         this.listed = [...options.results];
         const finished = new Set(options.results.map(result => result.id));
         const failures = new Map(options.stored.head.failures);
@@ -144,10 +136,11 @@
         return this.listed.length === this.items.length;
     }
 
-    /** Whether this member is certain to own the submission. Otherwise others may have taken it over. */
-    isOwnershipCertain(): boolean {
-        const period = this.options.getListingPeriod();
-        return this.isActive() && period !== undefined && this.ownedIn === period && !this.isHandoverRequested;
+    /** Whether the store must be asked if this member still owns the submission, for which there is work to do. */
+    needsOwnershipCheck(): boolean {
+        const { certainty } = this.options;
+        // The reply to a handover tells, without a call to the store.
+        return this.isActive() && !this.isComplete() && !certainty.isOwner() && !certainty.mayBeHandedOver();
     }
 
     /**
@@ -156,7 +149,9 @@
      */
     isPageCertain(position: number): boolean {
         const isFinal = this.isComplete() || (this.hasEnded && !this.hasLostOwnership);
-        return position < this.listed.length || isFinal || (this.isOwnershipCertain() && !this.isWriteUncertain);
+        return (
+            position < this.listed.length || isFinal || (this.isActive() && this.options.certainty.knowsAllResults())
+        );
     }
 
     /**
@@ -176,17 +171,17 @@
             this.giveUpOwnership("another member ended it");
             return;
         }
-        this.ownedIn = period;
+        this.options.certainty.noteRead(period);
     }
 
     /** Call before another member is asked to take over. */
     noteHandoverRequest(): void {
-        this.isHandoverRequested = true;
+        this.options.certainty.noteHandoverRequest();
     }
 
     /** Whether another member was asked to take over and may still do so. */
     mayBeHandedOver(): boolean {
-        return this.isHandoverRequested;
+        return this.options.certainty.mayBeHandedOver();
     }
 
     /** Returns results from `position`: up to `limitBytes` of text, but at least one result. */
@@ -382,16 +377,11 @@
         const pauses = new backoff.Backoff(InitialRetryMilliseconds, MaximumRetryMilliseconds);
         let mayBeWritten = false;
         for (let calls = 1; !this.hasLostOwnership; calls++) {
-            const period = this.options.getListingPeriod();
-            this.isWriteUncertain = true;
+            const period = this.options.certainty.noteWriteSent();
             const outcome = await this.options.store.write(write);
-            this.isWriteUncertain = mayBeWritten || outcome.kind === submissionStore.WriteOutcomeKind.Unknown;
             switch (outcome.kind) {
                 case submissionStore.WriteOutcomeKind.Written:
-                    this.isWriteUncertain = false;
-                    this.ownedIn = period;
-                    // A takeover that was requested before expects an earlier revision.
-                    this.isHandoverRequested = false;
+                    this.options.certainty.noteWritten(period);
                     if (write.head.listed > this.stored.head.listed) {
                         this.options.onListed(write.head.listed, calls);
                     }
@@ -402,6 +392,9 @@
                     this.resolveConflict(outcome.current);
                     return false;
                 case submissionStore.WriteOutcomeKind.NotDone:
+                    if (!mayBeWritten) {
+                        this.options.certainty.noteNotWritten();
+                    }
                     if (isOptional && !mayBeWritten) {
                         return false;
                     }
--- a/packages/gateway/src/submissionRegistry.ts
+++ b/packages/gateway/src/submissionRegistry.ts
@@ -5,6 +5,7 @@
 import type * as memberDirectory from "./memberDirectory.js";
 import type * as metadataStore from "./metadataStore.js";
 import * as ownedSubmission from "./ownedSubmission.js";
+import * as ownershipCertainty from "./ownershipCertainty.js";
 import type * as registration from "./registration.js";
 import type * as records from "./submissionRecords.js";
 import type * as submissionStore from "./submissionStore.js";
@@ -106,8 +107,9 @@
             results,
             store: this.parts.submissionStore,
             clock: this.parts.clock,
-            ownedIn: period,
-            getListingPeriod: () => this.parts.registration.tryGetListingPeriod(),
+            certainty: new ownershipCertainty.OwnershipCertainty(period, () =>
+                this.parts.registration.tryGetListingPeriod(),
+            ),
             onOwnershipLost: reason => this.handleOwnershipLost(submission, reason),
             onListed: (count, calls) =>
                 this.parts.log.recordEvent(gatewayLog.GatewayEvent.ResultsListed, { submission: id, count, calls }),
@@ -145,8 +147,7 @@
     async checkAllOwnerships(): Promise<void> {
         for (const own of this.getAllOwned()) {
             const isListed = this.parts.registration.tryGetListingPeriod() !== undefined;
-            const isUncertain = own.isActive() && !own.isComplete() && !own.isOwnershipCertain();
-            if (isListed && isUncertain && !own.mayBeHandedOver() && !(await this.readHead(own.getId())).ok) {
+            if (isListed && own.needsOwnershipCheck() && !(await this.readHead(own.getId())).ok) {
                 return;
             }
         }
