--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -29,6 +29,7 @@
         super(options);
         this.on("connection", (socket: net.Socket) => this.addConnection(socket));
         this.on("timeout", (socket: net.Socket) => this.closeIfIdle([socket]));
+        this.on("connect", (request, socket) => void this.refuseTunnel(socket as net.Socket));
         this.on("request", (request, response) => void this.serveUntilSent(request, response));
     }
 
@@ -99,6 +100,16 @@
         });
     }
 
+    /** Answers a request for a tunnel, once the requests before it on the connection have been answered. */
+    private async refuseTunnel(socket: net.Socket): Promise<void> {
+        socket.on("error", () => undefined);
+        const inProgress = this.openConnections.get(socket)?.inProgress ?? [];
+        await Promise.all(
+            [...inProgress].map(async response => new Promise<void>(resolve => response.once("close", resolve))),
+        );
+        socket.end("HTTP/1.1 501 Not Implemented\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    }
+
     private async serveUntilSent(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         // Node takes the socket from a request that ends early.
         const { socket } = request;
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -34,6 +34,7 @@
 /** Retry delay given to callers when the buffer limit is reached. */
 const BuffersFullRetryMilliseconds = 500;
 const NoConfigurationRetryMilliseconds = 500;
+const HostHeader = "host";
 
 /** Refusals of bodies that are not worth reading to the end: they are too long already, or there is no room for them. */
 const UnreadableReasons: ReadonlySet<types.RefusalReason> = new Set([
@@ -164,6 +165,10 @@
             rawHeaders: request.rawHeaders,
         };
         response.on("error", () => undefined);
+        if (hasSeveralHosts(raw.rawHeaders)) {
+            await this.refuse(request, response, { reason: types.RefusalReason.RequestInvalid });
+            return;
+        }
         const call = this.parts.wire.tryReadCall(raw);
         if (call !== undefined) {
             request.resume();
@@ -324,6 +329,16 @@
     }
 }
 
+/** Whether it is unclear for which host the request is (RFC 9112, 3.2). */
+function hasSeveralHosts(rawHeaders: readonly string[]): boolean {
+    let hosts = 0;
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index] ?? "";
+        hosts += name.length === HostHeader.length && name.toLowerCase() === HostHeader ? 1 : 0;
+    }
+    return hosts > 1;
+}
+
 function countBytes(parts: readonly string[]): number {
     return parts.reduce((sum, part) => sum + part.length + 2, 0);
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -173,6 +173,8 @@
     BodyTooLarge = "BodyTooLarge",
     HeaderTooLarge = "HeaderTooLarge",
     BodyInvalid = "BodyInvalid",
+    /** The head of the request is ambiguous. */
+    RequestInvalid = "RequestInvalid",
     /** No slot would be free in time. The request did not run. */
     Overloaded = "Overloaded",
     NoUpstream = "NoUpstream",
--- a/packages/gateway/test/callerRefusals.test.ts
+++ b/packages/gateway/test/callerRefusals.test.ts
@@ -39,6 +39,37 @@
     caller.socket.resume();
 }
 
+// Guards against a request that is routed by one host and read by others under another one (RFC 9112, 3.2).
+suite("a request with several hosts is refused as invalid, and the next one is answered", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.socket.write("GET /a/x HTTP/1.1\r\nHost: host\r\nHost: other\r\n\r\n");
+    caller.socket.write("GET /a/x HTTP/1.1\r\nHost: host\r\n\r\n");
+    await caller.receiveText("answer to 0");
+    assert.match(caller.getReceived(), new RegExp(gateway.RefusalReason.RequestInvalid));
+    assert.is(countAnswers(caller.getReceived()), 2);
+    assert.is(scene.forwarded.length, 1);
+});
+
+// Guards against a caller that asks for a tunnel and whose connection ends without an answer.
+suite("a request for a tunnel is answered as not implemented", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.socket.write("CONNECT host:443 HTTP/1.1\r\nHost: host:443\r\n\r\n");
+    await caller.waitUntilClosed();
+    assert.match(caller.getReceived(), /^HTTP\/1\.1 501 /);
+    assert.is(scene.forwarded.length, 0);
+});
+
+// Guards against an answer to a request for a tunnel that overtakes the answer to the request before it.
+suite("a request for a tunnel is answered after the request before it", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.socket.write("GET /a/x HTTP/1.1\r\nHost: host\r\n\r\nCONNECT host:443 HTTP/1.1\r\nHost: host:443\r\n\r\n");
+    await caller.waitUntilClosed();
+    assert.match(caller.getReceived(), /^HTTP\/1\.1 200 [^]*answer to 0[^]*HTTP\/1\.1 501 /);
+});
+
 // Guards against a connection that is reset, with the refusal on it, while the caller still sends its body.
 suite("a caller that sends a body over the limit in chunks receives the refusal", async () => {
     await using scene = await startServer();
