--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -9,6 +9,7 @@
 import * as refusals from "./refusals.js";
 import * as requestBodies from "./requestBodies.js";
 import type * as requestForwarder from "./requestForwarder.js";
+import * as requestTarget from "./requestTarget.js";
 import * as submissionCalls from "./submissionCalls.js";
 import type * as submissionService from "./submissionService.js";
 import * as types from "./types.js";
@@ -34,7 +35,6 @@
 /** Retry delay given to callers when the buffer limit is reached. */
 const BuffersFullRetryMilliseconds = 500;
 const NoConfigurationRetryMilliseconds = 500;
-const HostHeader = "host";
 
 /** Refusals of bodies that are not worth reading to the end: they are too long already, or there is no room for them. */
 const UnreadableReasons: ReadonlySet<types.RefusalReason> = new Set([
@@ -158,14 +158,9 @@
 
     private async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrivedAt = this.parts.clock.now();
-        const raw: types.RawRequest = {
-            method: request.method ?? "GET",
-            target: request.url ?? "/",
-            host: request.headers.host ?? "",
-            rawHeaders: request.rawHeaders,
-        };
+        const raw = requestTarget.readRawRequest(request);
         response.on("error", () => undefined);
-        if (hasSeveralHosts(raw.rawHeaders)) {
+        if (requestTarget.hasSeveralHosts(raw.rawHeaders)) {
             await this.refuse(request, response, { reason: types.RefusalReason.RequestInvalid });
             return;
         }
@@ -329,16 +324,6 @@
     }
 }
 
-/** Whether it is unclear for which host the request is (RFC 9112, 3.2). */
-function hasSeveralHosts(rawHeaders: readonly string[]): boolean {
-    let hosts = 0;
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-        const name = rawHeaders[index] ?? "";
-        hosts += name.length === HostHeader.length && name.toLowerCase() === HostHeader ? 1 : 0;
-    }
-    return hosts > 1;
-}
-
 function countBytes(parts: readonly string[]): number {
     return parts.reduce((sum, part) => sum + part.length + 2, 0);
 }
--- a/packages/gateway/test/callerRefusals.test.ts
+++ b/packages/gateway/test/callerRefusals.test.ts
@@ -61,6 +61,17 @@
     assert.is(scene.forwarded.length, 0);
 });
 
+// Guards against a caller behind a proxy whose requests name the host in their target, and get a 404 (RFC 9112, 3.2.2).
+suite("a request whose target names the host is routed by it and forwarded without it", async () => {
+    await using scene = await startServer();
+    const caller = await scene.connect();
+    caller.socket.write("GET http://host/a/x?y=1 HTTP/1.1\r\nhost: other\r\nX-Other: z\r\n\r\n");
+    await caller.receiveText("answer to 0");
+    const raw = scene.forwarded[0]?.raw;
+    assert.equal([raw?.target, raw?.host], ["/a/x?y=1", "host"]);
+    assert.equal(raw?.rawHeaders, ["host", "host", "X-Other", "z"]);
+});
+
 // Guards against an answer to a request for a tunnel that overtakes the answer to the request before it.
 suite("a request for a tunnel is answered after the request before it", async () => {
     await using scene = await startServer();
